Add micro-kernel, message types, wire codec and one path end to end

Cause: a new repository needs its shape set before its parts are written.

Change: kernel with named services, bounded rings, duties on an ants pool and a stepped runner with a virtual clock; typed messages; protobuf codec; weighted rendezvous hashing; UDP and core services; one VM and one target as separate processes; design page.

--- /dev/null
+++ b/kernel/errors.go
@@ -0,0 +1,22 @@
+package kernel
+
+import "errors"
+
+// Errors of the kernel. Errors of services are wrapped with the service's name.
+var (
+	// ErrUnknownService is returned when no service has the requested name.
+	ErrUnknownService = errors.New("unknown service")
+	// ErrWrongType is returned when a service does not implement the requested interface.
+	ErrWrongType = errors.New("service does not implement the requested interface")
+	// ErrDuplicateName is returned when two services have the same name.
+	ErrDuplicateName = errors.New("duplicate service name")
+	// ErrNeedCycle is returned when services need each other in a cycle.
+	ErrNeedCycle = errors.New("services need each other in a cycle")
+	// ErrRingFull is returned by Put on a full ring with policy Refuse, and on a
+	// full ring with policy Block in a stepped kernel.
+	ErrRingFull = errors.New("ring is full")
+	// ErrRingClosed is returned by Put after Close.
+	ErrRingClosed = errors.New("ring is closed")
+	// ErrPanic wraps the value of a panic in a duty.
+	ErrPanic = errors.New("panic in duty")
+)
--- /dev/null
+++ b/kernel/kernel.go
@@ -0,0 +1,179 @@
+package kernel
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+// Kernel is the registry of one process's services, rings and duties.
+type Kernel struct {
+	clock   Clock
+	stepped bool
+
+	mu       sync.Mutex
+	services map[string]Service
+	names    []string // in order of registration
+	order    []string // start order
+	rings    []interface{ Stats() RingStats }
+	duties   []dutyEntry
+	blockers []blockerEntry
+	owner    string // service that is being connected
+}
+
+type dutyEntry struct {
+	service string
+	duty    Duty
+	wake    time.Duration // used by the stepper only
+}
+
+type blockerEntry struct {
+	service string
+	blocker Blocker
+}
+
+// New returns a kernel for Run.
+func New(clock Clock) *Kernel {
+	return &Kernel{clock: clock, services: make(map[string]Service)}
+}
+
+// NewStepped returns a kernel for a Stepper; clock is usually the stepper itself.
+func NewStepped(clock Clock) *Kernel {
+	k := New(clock)
+	k.stepped = true
+	return k
+}
+
+// Stepped reports whether the kernel is run by a Stepper.
+func (k *Kernel) Stepped() bool {
+	return k.stepped
+}
+
+// Now returns the kernel's time since start.
+func (k *Kernel) Now() time.Duration {
+	return k.clock.Now()
+}
+
+// Register adds a service. It returns ErrDuplicateName if the name is taken.
+func (k *Kernel) Register(s Service) error {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if _, ok := k.services[s.Name()]; ok {
+		return fmt.Errorf("register %s: %w", s.Name(), ErrDuplicateName)
+	}
+	k.services[s.Name()] = s
+	k.names = append(k.names, s.Name())
+	return nil
+}
+
+// Lookup returns the service called name as a T. It returns ErrUnknownService
+// or ErrWrongType.
+func Lookup[T any](k *Kernel, name string) (T, error) {
+	var zero T
+	k.mu.Lock()
+	s, ok := k.services[name]
+	k.mu.Unlock()
+	if !ok {
+		return zero, fmt.Errorf("look up %s: %w", name, ErrUnknownService)
+	}
+	t, ok := s.(T)
+	if !ok {
+		return zero, fmt.Errorf("look up %s as %T: %w", name, &zero, ErrWrongType)
+	}
+	return t, nil
+}
+
+// AddDuty declares a duty of the service that is being connected.
+func (k *Kernel) AddDuty(d Duty) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.duties = append(k.duties, dutyEntry{service: k.owner, duty: d})
+}
+
+// AddBlocker declares a blocker of the service that is being connected.
+func (k *Kernel) AddBlocker(b Blocker) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.blockers = append(k.blockers, blockerEntry{service: k.owner, blocker: b})
+}
+
+// Rings returns a reading of every ring.
+func (k *Kernel) Rings() []RingStats {
+	k.mu.Lock()
+	rings := k.rings
+	k.mu.Unlock()
+	stats := make([]RingStats, 0, len(rings))
+	for _, r := range rings {
+		stats = append(stats, r.Stats())
+	}
+	return stats
+}
+
+func (k *Kernel) addRing(r interface{ Stats() RingStats }) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.rings = append(k.rings, r)
+}
+
+// Assemble sets up and connects all services in the order of their needs. Run
+// and Stepper.Add call it.
+func (k *Kernel) Assemble() error {
+	if k.order != nil {
+		return nil
+	}
+	order, err := k.startOrder()
+	if err != nil {
+		return err
+	}
+	for _, name := range order {
+		if err := k.services[name].Setup(k); err != nil {
+			return fmt.Errorf("set up service %s: %w", name, err)
+		}
+	}
+	for _, name := range order {
+		k.owner = name
+		if err := k.services[name].Connect(k); err != nil {
+			return fmt.Errorf("connect service %s: %w", name, err)
+		}
+	}
+	k.order = order
+	return nil
+}
+
+// startOrder sorts the services so that each follows the services it needs.
+func (k *Kernel) startOrder() ([]string, error) {
+	const (
+		visiting = 1
+		done     = 2
+	)
+	order := make([]string, 0, len(k.names))
+	state := make(map[string]int, len(k.names))
+	var visit func(name string) error
+	visit = func(name string) error {
+		switch state[name] {
+		case done:
+			return nil
+		case visiting:
+			return fmt.Errorf("service %s: %w", name, ErrNeedCycle)
+		}
+		state[name] = visiting
+		s, ok := k.services[name]
+		if !ok {
+			return fmt.Errorf("service %s: %w", name, ErrUnknownService)
+		}
+		for _, need := range s.Needs() {
+			if err := visit(need); err != nil {
+				return fmt.Errorf("needed by %s: %w", s.Name(), err)
+			}
+		}
+		state[name] = done
+		order = append(order, name)
+		return nil
+	}
+	for _, name := range k.names {
+		if err := visit(name); err != nil {
+			return nil, err
+		}
+	}
+	return order, nil
+}
--- /dev/null
+++ b/services/udp/udp.go
@@ -0,0 +1,238 @@
+// Package udp is the service "udp": the sockets for callers' datagrams and for
+// the datagrams between VMs and targets.
+package udp
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/kernel"
+	"github.com/gypsumspan/gypsumspan/services/core"
+	"github.com/gypsumspan/gypsumspan/wire"
+)
+
+const (
+	// ringCapacity is the number of outgoing datagrams that may wait.
+	ringCapacity = 8192
+	// batchSize is the number of datagrams sent in one step.
+	batchSize = 64
+	// socketBuffer is the kernel buffer of each socket, in bytes. It holds the
+	// datagrams that arrive while the reader is not scheduled.
+	socketBuffer = 4 << 20
+)
+
+// ErrForeignMessage means that a datagram of this type is not accepted on this socket.
+var ErrForeignMessage = errors.New("message type is not accepted on this socket")
+
+// Inbox takes decoded messages; it is the service "core".
+type Inbox interface {
+	Put(m message.Message) error
+}
+
+// Config holds the addresses to listen on.
+type Config struct {
+	Callers netip.AddrPort // datagrams from callers
+	Data    netip.AddrPort // datagrams from VMs and targets
+}
+
+// Stats counts datagrams since start.
+type Stats struct {
+	Received uint64
+	Rejected uint64 // malformed, foreign version, or a type not accepted
+	Sent     uint64
+	Failed   uint64 // not sent because of an error
+}
+
+// Service is the service "udp".
+type Service struct {
+	config   Config
+	onReject func(from netip.AddrPort, err error)
+	callers  *net.UDPConn
+	data     *net.UDPConn
+	gate     *kernel.Gate
+	out      *kernel.Ring[message.Message]
+	buf      []byte
+
+	received atomic.Uint64
+	rejected atomic.Uint64
+	sent     atomic.Uint64
+	failed   atomic.Uint64
+}
+
+// New returns the service. onReject is called from the reading duties for each
+// rejected datagram and must bound its own log rate; it may be nil.
+func New(config Config, onReject func(from netip.AddrPort, err error)) *Service {
+	if onReject == nil {
+		onReject = func(netip.AddrPort, error) {}
+	}
+	return &Service{config: config, onReject: onReject}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return core.UDPName }
+
+// Needs implements kernel.Service.
+func (s *Service) Needs() []string { return nil }
+
+// Setup opens the sockets.
+func (s *Service) Setup(k *kernel.Kernel) error {
+	var err error
+	if s.callers, err = listen(s.config.Callers); err != nil {
+		return err
+	}
+	if s.data, err = listen(s.config.Data); err != nil {
+		return errors.Join(err, s.callers.Close())
+	}
+	s.gate = kernel.NewGate()
+	s.out = kernel.NewRing[message.Message](k, "udp.out", ringCapacity, kernel.DropNewest, s.gate)
+	return nil
+}
+
+func listen(addr netip.AddrPort) (*net.UDPConn, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", addr, err)
+	}
+	// The system may grant less than socketBuffer; that is not an error.
+	_ = conn.SetReadBuffer(socketBuffer)
+	_ = conn.SetWriteBuffer(socketBuffer)
+	return conn, nil
+}
+
+// Connect implements kernel.Service.
+func (s *Service) Connect(k *kernel.Kernel) error {
+	inbox, err := kernel.Lookup[Inbox](k, core.Name)
+	if err != nil {
+		return err
+	}
+	s.addReader(k, "udp.callers", s.callers, inbox, acceptFromCaller)
+	s.addReader(k, "udp.data", s.data, inbox, acceptFromFleet)
+	k.AddDuty(kernel.Duty{Name: "udp.send", Gate: s.gate, Step: s.sendStep})
+	return nil
+}
+
+// accept returns the sender's address for an accepted message.
+type accept func(from netip.AddrPort, body message.Body) (message.Address, bool)
+
+func acceptFromCaller(from netip.AddrPort, body message.Body) (message.Address, bool) {
+	switch body.(type) {
+	case *message.Open, *message.Request, *message.Cancel, *message.Close:
+		return message.CallerAddress(from), true
+	default:
+		return message.Address{}, false
+	}
+}
+
+func acceptFromFleet(from netip.AddrPort, body message.Body) (message.Address, bool) {
+	switch m := body.(type) {
+	case *message.Forward:
+		return message.VMAddress(m.Ingress, from), true
+	case *message.Learned:
+		return message.VMAddress(0, from), true
+	case *message.Answer:
+		return message.TargetAddress(0, from), true
+	case *message.Shed:
+		return message.TargetAddress(m.Target, from), true
+	default:
+		return message.Address{}, false
+	}
+}
+
+func (s *Service) addReader(k *kernel.Kernel, name string, conn *net.UDPConn, inbox Inbox, accept accept) {
+	k.AddBlocker(kernel.Blocker{
+		Name:      name,
+		Run:       func(ctx context.Context) error { return s.read(ctx, conn, inbox, accept) },
+		Interrupt: func() { conn.Close() },
+	})
+}
+
+// read hands every accepted datagram to the inbox until the socket is closed.
+func (s *Service) read(ctx context.Context, conn *net.UDPConn, inbox Inbox, accept accept) error {
+	buf := make([]byte, wire.MaxDatagram+1)
+	for {
+		n, from, err := conn.ReadFromUDPAddrPort(buf)
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			// An ICMP error of an earlier datagram is reported here; the socket stays usable.
+			continue
+		}
+		s.received.Add(1)
+		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
+		m, err := decode(buf[:n], from, accept)
+		if err != nil {
+			s.rejected.Add(1)
+			s.onReject(from, err)
+			continue
+		}
+		if err := inbox.Put(m); errors.Is(err, kernel.ErrRingClosed) {
+			return nil
+		}
+	}
+}
+
+func decode(data []byte, from netip.AddrPort, accept accept) (message.Message, error) {
+	if len(data) > wire.MaxDatagram {
+		return message.Message{}, fmt.Errorf("datagram above %d bytes: %w", wire.MaxDatagram, wire.ErrOutOfRange)
+	}
+	body, err := wire.Decode(data)
+	if err != nil {
+		return message.Message{}, err
+	}
+	sender, ok := accept(from, body)
+	if !ok {
+		return message.Message{}, fmt.Errorf("%T: %w", body, ErrForeignMessage)
+	}
+	return message.Message{From: sender, Body: body}, nil
+}
+
+// Send implements core.Output.
+func (s *Service) Send(m message.Message) {
+	// The ring drops the newest datagram when it is full and counts it.
+	_ = s.out.Put(m)
+}
+
+func (s *Service) sendStep(now time.Duration) time.Duration {
+	for range batchSize {
+		m, ok := s.out.Take()
+		if !ok {
+			return kernel.Idle
+		}
+		s.write(m)
+	}
+	return now
+}
+
+func (s *Service) write(m message.Message) {
+	data, err := wire.Append(s.buf[:0], m.Body)
+	s.buf = data
+	if err == nil {
+		conn := s.data
+		if m.To.Kind == message.PeerCaller {
+			conn = s.callers
+		}
+		_, err = conn.WriteToUDPAddrPort(data, m.To.Addr)
+	}
+	if err != nil {
+		s.failed.Add(1)
+		return
+	}
+	s.sent.Add(1)
+}
+
+// Stats returns the counters.
+func (s *Service) Stats() Stats {
+	return Stats{
+		Received: s.received.Load(),
+		Rejected: s.rejected.Load(),
+		Sent:     s.sent.Load(),
+		Failed:   s.failed.Load(),
+	}
+}
