--- a/decide/message/control.go
+++ b/decide/message/control.go
@@ -151,12 +151,12 @@
 	Accepted bool
 }
 
-// Released tells the successor that a request in flight at a handover ended.
+// Released passes on what a target says to the previous owner about a request
+// that was in flight at a handover. Exactly one field beside Target is set.
 type Released struct {
-	Target  TargetID
-	Key     RequestKey
-	Attempt uint32
-	State   uint8 // a requestlog.State
+	Target TargetID
+	Answer *Answer
+	Shed   *Shed
 }
 
 // VMList is the platform's list of VMs. It lags.
--- /dev/null
+++ b/decide/ownership/phase.go
@@ -0,0 +1,215 @@
+package ownership
+
+import (
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/decide/message"
+)
+
+// Times of taking over and handing over.
+const (
+	// JoinWait is how long a VM that just started, or resumed after a pause,
+	// waits for a handover before it takes over by itself. It covers the gossip
+	// of its arrival and the start of a handover.
+	JoinWait = 3 * time.Second
+	// LeaveWait is how long a VM waits for the handover of an owner that is
+	// leaving but still answers.
+	LeaveWait = 10 * time.Second
+	// ResendInterval is the time between two tries of the same handover.
+	ResendInterval = time.Second
+	// SendLimit is how long a VM tries one handover before it gives up.
+	SendLimit = 10 * time.Second
+)
+
+// Phase is the state of one target's ownership at one VM.
+type Phase uint8
+
+// The phases.
+const (
+	// Idle: the VM does not own the target.
+	Idle Phase = iota
+	// Waiting: the VM is the owner by order, but an earlier owner may hand over.
+	Waiting
+	// Active: the VM owns the target.
+	Active
+	// Sending: the VM hands the ownership over and dispatches nothing.
+	Sending
+)
+
+// String returns the phase's name as it appears in explanations.
+func (p Phase) String() string {
+	return [...]string{"idle", "waiting", "active", "sending"}[p]
+}
+
+// View is what a VM believes about one target at one moment.
+type View struct {
+	Self  message.VMID
+	Owner message.VMID // the owner by order; 0 if no VM may own the target now
+	// Settled: the VM has been live without a pause for JoinWait.
+	Settled bool
+	// Alone: no other VM can be the earlier owner.
+	Alone bool
+	// EarlierLeaving: a VM that is leaving, and still answers, comes before
+	// Self in the order of the target.
+	EarlierLeaving bool
+	// ReceiverDead: the VM that a handover is sent to is no longer reachable.
+	ReceiverDead bool
+}
+
+// Action is what the VM must do after a step.
+type Action uint8
+
+// The actions.
+const (
+	// None: nothing to do.
+	None Action = iota
+	// Activate: take the ownership. State that the VM kept stays valid; without
+	// kept state it needs a new epoch.
+	Activate
+	// Send: send the whole state to Machine.Receiver, as a new transfer.
+	Send
+	// Resend: send the same transfer again.
+	Resend
+	// Revoke: the receiver may have accepted the transfer without confirming.
+	// Give up all epochs, then go on with a new one.
+	Revoke
+	// Drop: forget the state; another VM owns the target.
+	Drop
+)
+
+// Machine is the state machine of one target's ownership at one VM. The zero
+// value is Idle.
+type Machine struct {
+	phase    Phase
+	since    time.Duration
+	resend   time.Duration
+	receiver message.VMID
+	complete bool // the last chunk of the transfer was sent
+}
+
+// Phase returns the current phase.
+func (m *Machine) Phase() Phase {
+	return m.phase
+}
+
+// Receiver returns the VM that a handover is sent to, in phase Sending.
+func (m *Machine) Receiver() message.VMID {
+	return m.receiver
+}
+
+func (m *Machine) enter(now time.Duration, p Phase) {
+	m.phase = p
+	m.since = now
+}
+
+// Step applies the view of this moment and returns what to do.
+func (m *Machine) Step(now time.Duration, v View) Action {
+	switch m.phase {
+	case Idle:
+		return m.stepIdle(now, v)
+	case Waiting:
+		return m.stepWaiting(now, v)
+	case Active:
+		return m.stepActive(now, v)
+	default:
+		return m.stepSending(now, v)
+	}
+}
+
+func (m *Machine) stepIdle(now time.Duration, v View) Action {
+	if v.Owner != v.Self {
+		return None
+	}
+	if v.Alone || (v.Settled && !v.EarlierLeaving) {
+		m.enter(now, Active)
+		return Activate
+	}
+	m.enter(now, Waiting)
+	return None
+}
+
+func (m *Machine) stepWaiting(now time.Duration, v View) Action {
+	if v.Owner != v.Self {
+		m.enter(now, Idle)
+		return Drop
+	}
+	waited := now - m.since
+	ready := v.Alone || waited >= LeaveWait || (!v.EarlierLeaving && waited >= JoinWait)
+	if !ready {
+		return None
+	}
+	m.enter(now, Active)
+	return Activate
+}
+
+func (m *Machine) stepActive(now time.Duration, v View) Action {
+	if v.Owner == v.Self || v.Owner == 0 {
+		return None
+	}
+	return m.send(now, v.Owner)
+}
+
+func (m *Machine) send(now time.Duration, to message.VMID) Action {
+	m.enter(now, Sending)
+	m.receiver = to
+	m.complete = false
+	m.resend = now + ResendInterval
+	return Send
+}
+
+func (m *Machine) stepSending(now time.Duration, v View) Action {
+	lost := v.ReceiverDead || now-m.since >= SendLimit
+	switch {
+	case m.receiver == v.Owner && !lost:
+		if now < m.resend {
+			return None
+		}
+		m.resend = now + ResendInterval
+		return Resend
+	case m.complete && !lost:
+		// The owner by order has changed, but the receiver may still confirm and
+		// will then hand over itself.
+		return None
+	case m.complete:
+		m.enter(now, Active)
+		return Revoke
+	case v.Owner == v.Self || v.Owner == 0:
+		m.enter(now, Active)
+		return None
+	default:
+		return m.send(now, v.Owner)
+	}
+}
+
+// Pause stops an active ownership after the VM was paused: another VM may have
+// taken over and will then hand over. The state stays.
+func (m *Machine) Pause(now time.Duration) {
+	if m.phase == Active {
+		m.enter(now, Waiting)
+	}
+}
+
+// SentLast notes that the last chunk of the transfer was sent.
+func (m *Machine) SentLast() {
+	m.complete = true
+}
+
+// Confirmed notes that the receiver has accepted the whole transfer. It reports
+// whether the VM has thereby given up the ownership.
+func (m *Machine) Confirmed(now time.Duration) bool {
+	if m.phase != Sending {
+		return false
+	}
+	m.enter(now, Idle)
+	return true
+}
+
+// Received notes that a whole handover was merged into the VM's state. It
+// reports whether the VM has become the owner by it.
+func (m *Machine) Received(now time.Duration) bool {
+	if m.phase == Active || m.phase == Sending {
+		return false
+	}
+	m.enter(now, Active)
+	return true
+}
--- a/wire/control.go
+++ b/wire/control.go
@@ -246,22 +246,25 @@
 }
 
 func releasedToPB(m *message.Released) *wirepb.Released {
-	return &wirepb.Released{
-		Target:  uint64(m.Target),
-		Flow:    flowToPB(m.Key.Flow),
-		Id:      uint64(m.Key.ID),
-		Attempt: m.Attempt,
-		State:   uint32(m.State),
+	p := &wirepb.Released{Target: uint64(m.Target)}
+	if m.Answer != nil {
+		p.Answer = answerToPB(m.Answer)
+	}
+	if m.Shed != nil {
+		p.Shed = shedToPB(m.Shed)
 	}
+	return p
 }
 
 func releasedFromPB(p *wirepb.Released) *message.Released {
-	return &message.Released{
-		Target:  message.TargetID(p.GetTarget()),
-		Key:     message.RequestKey{Flow: flowFromPB(p.GetFlow()), ID: message.RequestID(p.GetId())},
-		Attempt: p.GetAttempt(),
-		State:   uint8(p.GetState()),
+	m := &message.Released{Target: message.TargetID(p.GetTarget())}
+	if p.GetAnswer() != nil {
+		m.Answer = answerFromPB(p.GetAnswer())
+	}
+	if p.GetShed() != nil {
+		m.Shed = shedFromPB(p.GetShed())
 	}
+	return m
 }
 
 func tableDeltaToPB(m *message.TableDelta) *wirepb.TableDelta {
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -78,6 +78,11 @@
 			return fmt.Errorf("forward without inner message: %w", ErrMalformed)
 		}
 		return validate(m.Inner)
+	case *message.Released:
+		if m.Answer == nil {
+			return nil
+		}
+		return validate(m.Answer)
 	default:
 		return nil
 	}
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -46,6 +46,9 @@
 		v.Set(reflect.MakeSlice(v.Type(), 2, 2))
 		fill(v.Index(0))
 		fill(v.Index(1))
+	case reflect.Pointer:
+		v.Set(reflect.New(v.Type().Elem()))
+		fill(v.Elem())
 	case reflect.Interface:
 		inner := &message.Request{}
 		fill(reflect.ValueOf(inner).Elem())
@@ -88,6 +91,8 @@
 		m.Part = 2
 	case *message.Forward:
 		makePartsValid(m.Inner)
+	case *message.Released:
+		m.Answer.Part = 2
 	}
 }
 
