Let the binding replace exceptions and the ingress cache

Cause: every request needs the binding as its stamp, and the binding names the target. Exceptions and a cache of flows at each ingress would carry the same fact again, at a cost in control traffic and memory for each flow.

Change: drop Exceptions and Learned; a datagram without a binding is only searched along the ranking. Open carries an attempt number, so that a later attempt can be placed at the next rank while an owner is being detected as dead. KindClosed carries back-pressure to the ingress.

Result: wire round trip passes.

--- a/decide/message/control.go
+++ b/decide/message/control.go
@@ -72,19 +72,6 @@
 	More    bool // further deltas of the same answer follow
 }
 
-// Exception is a flow away from the first target of its ranking.
-type Exception struct {
-	Flow   FlowID
-	Target TargetID
-}
-
-// Exceptions announces flows to the owner of their first-ranked target.
-type Exceptions struct {
-	Service ServiceID
-	First   TargetID
-	Entries []Exception
-}
-
 // LoadReport tells the other owners of a service how loaded a target is.
 type LoadReport struct {
 	Service ServiceID
@@ -141,6 +128,7 @@
 type InFlightRecord struct {
 	Key     RequestKey
 	Attempt uint32
+	Caller  netip.AddrPort
 	EndsIn  time.Duration // the slot is free after this at the latest
 }
 
@@ -170,7 +158,6 @@
 func (*Members) isBody()      {}
 func (*TablePull) isBody()    {}
 func (*TableDelta) isBody()   {}
-func (*Exceptions) isBody()   {}
 func (*LoadReport) isBody()   {}
 func (*Handover) isBody()     {}
 func (*HandoverAck) isBody()  {}
@@ -182,7 +169,7 @@
 func IsControl(body Body) bool {
 	switch body.(type) {
 	case *Heartbeat, *HeartbeatAck, *MembersPull, *Members, *TablePull, *TableDelta,
-		*Exceptions, *LoadReport, *Handover, *HandoverAck, *Released:
+		*LoadReport, *Handover, *HandoverAck, *Released:
 		return true
 	default:
 		return false
--- a/decide/message/message.go
+++ b/decide/message/message.go
@@ -33,6 +33,7 @@
 type Open struct {
 	Service ServiceID
 	Flow    FlowID
+	Attempt uint32 // from 1; later attempts may be placed at a later rank
 	Refresh bool
 	Binding Binding // only with Refresh
 }
@@ -166,18 +167,17 @@
 	Caller  netip.AddrPort
 	Hops    uint8
 	Target  TargetID // whose owner shall handle it
-	Hinted  bool     // Target comes from a binding or a cache, not only from the ranking
+	Hinted  bool     // Target comes from the binding, not only from the ranking
 	Inner   Body     // *Open, *Request, *Cancel or *Close
 }
 
-// Learned tells an ingress which target a flow is bound to, and for how long
-// the target's owner wants no more work of some kind. It is a datagram.
-type Learned struct {
+// KindClosed tells an ingress for how long a target's owner wants no more work
+// of one kind. It is a datagram.
+type KindClosed struct {
 	Service   ServiceID
-	Flow      FlowID
 	Target    TargetID
 	Kind      KindID
-	ClosedFor time.Duration // 0: the kind is open
+	ClosedFor time.Duration
 }
 
 // Dispatch is one part of a request, from the owner to the target.
@@ -235,7 +235,7 @@
 func (*Cancel) isBody()       {}
 func (*Close) isBody()        {}
 func (*Forward) isBody()      {}
-func (*Learned) isBody()      {}
+func (*KindClosed) isBody()   {}
 func (*Dispatch) isBody()     {}
 func (*TargetCancel) isBody() {}
 func (*FlowEnd) isBody()      {}
--- a/services/core/core.go
+++ b/services/core/core.go
@@ -131,7 +131,7 @@
 		return s.callers[classOf(m.Service, 0)]
 	case *message.Close:
 		return s.callers[classOf(m.Service, 0)]
-	case *message.Answer, *message.Shed, *message.Learned:
+	case *message.Answer, *message.Shed, *message.KindClosed:
 		return s.answers
 	default:
 		return s.control
--- a/services/udp/udp.go
+++ b/services/udp/udp.go
@@ -133,7 +133,7 @@
 	switch m := body.(type) {
 	case *message.Forward:
 		return message.VMAddress(m.Ingress, from), true
-	case *message.Learned:
+	case *message.KindClosed:
 		return message.VMAddress(0, from), true
 	case *message.Answer:
 		return message.TargetAddress(0, from), true
--- a/wire/control.go
+++ b/wire/control.go
@@ -73,36 +73,6 @@
 	}
 }
 
-func exceptionToPB(m *message.Exception) *wirepb.Exception {
-	return &wirepb.Exception{
-		Flow:   flowToPB(m.Flow),
-		Target: uint64(m.Target),
-	}
-}
-
-func exceptionFromPB(p *wirepb.Exception) *message.Exception {
-	return &message.Exception{
-		Flow:   flowFromPB(p.GetFlow()),
-		Target: message.TargetID(p.GetTarget()),
-	}
-}
-
-func exceptionsToPB(m *message.Exceptions) *wirepb.Exceptions {
-	return &wirepb.Exceptions{
-		Service: uint64(m.Service),
-		First:   uint64(m.First),
-		Entries: mapToPB(m.Entries, exceptionToPB),
-	}
-}
-
-func exceptionsFromPB(p *wirepb.Exceptions) *message.Exceptions {
-	return &message.Exceptions{
-		Service: message.ServiceID(p.GetService()),
-		First:   message.TargetID(p.GetFirst()),
-		Entries: mapFromPB(p.GetEntries(), exceptionFromPB),
-	}
-}
-
 func loadReportToPB(m *message.LoadReport) *wirepb.LoadReport {
 	return &wirepb.LoadReport{
 		Service: uint64(m.Service),
@@ -171,6 +141,7 @@
 		Flow:     flowToPB(m.Key.Flow),
 		Id:       uint64(m.Key.ID),
 		Attempt:  m.Attempt,
+		Caller:   endpointToPB(m.Caller),
 		EndsInUs: micros(m.EndsIn),
 	}
 }
@@ -179,6 +150,7 @@
 	return &message.InFlightRecord{
 		Key:     message.RequestKey{Flow: flowFromPB(p.GetFlow()), ID: message.RequestID(p.GetId())},
 		Attempt: p.GetAttempt(),
+		Caller:  endpointFromPB(p.GetCaller()),
 		EndsIn:  fromMicros(p.GetEndsInUs()),
 	}
 }
--- a/wire/datagram.go
+++ b/wire/datagram.go
@@ -9,6 +9,7 @@
 	return &wirepb.Open{
 		Service: uint64(m.Service),
 		Flow:    flowToPB(m.Flow),
+		Attempt: m.Attempt,
 		Refresh: m.Refresh,
 		Binding: bindingToPB(m.Binding),
 	}
@@ -18,6 +19,7 @@
 	return &message.Open{
 		Service: message.ServiceID(p.GetService()),
 		Flow:    flowFromPB(p.GetFlow()),
+		Attempt: p.GetAttempt(),
 		Refresh: p.GetRefresh(),
 		Binding: bindingFromPB(p.GetBinding()),
 	}
@@ -151,20 +153,18 @@
 	}
 }
 
-func learnedToPB(m *message.Learned) *wirepb.Learned {
-	return &wirepb.Learned{
+func kindClosedToPB(m *message.KindClosed) *wirepb.KindClosed {
+	return &wirepb.KindClosed{
 		Service:     uint64(m.Service),
-		Flow:        flowToPB(m.Flow),
 		Target:      uint64(m.Target),
 		Kind:        uint32(m.Kind),
 		ClosedForUs: micros(m.ClosedFor),
 	}
 }
 
-func learnedFromPB(p *wirepb.Learned) *message.Learned {
-	return &message.Learned{
+func kindClosedFromPB(p *wirepb.KindClosed) *message.KindClosed {
+	return &message.KindClosed{
 		Service:   message.ServiceID(p.GetService()),
-		Flow:      flowFromPB(p.GetFlow()),
 		Target:    message.TargetID(p.GetTarget()),
 		Kind:      message.KindID(p.GetKind()),
 		ClosedFor: fromMicros(p.GetClosedForUs()),
--- a/wire/envelope.go
+++ b/wire/envelope.go
@@ -22,8 +22,8 @@
 		env.Body = &wirepb.Envelope_Cancel{Cancel: cancelToPB(m)}
 	case *message.Close:
 		env.Body = &wirepb.Envelope_Close{Close: closeToPB(m)}
-	case *message.Learned:
-		env.Body = &wirepb.Envelope_Learned{Learned: learnedToPB(m)}
+	case *message.KindClosed:
+		env.Body = &wirepb.Envelope_KindClosed{KindClosed: kindClosedToPB(m)}
 	case *message.Dispatch:
 		env.Body = &wirepb.Envelope_Dispatch{Dispatch: dispatchToPB(m)}
 	case *message.TargetCancel:
@@ -44,8 +44,6 @@
 		env.Body = &wirepb.Envelope_TablePull{TablePull: tablePullToPB(m)}
 	case *message.TableDelta:
 		env.Body = &wirepb.Envelope_TableDelta{TableDelta: tableDeltaToPB(m)}
-	case *message.Exceptions:
-		env.Body = &wirepb.Envelope_Exceptions{Exceptions: exceptionsToPB(m)}
 	case *message.LoadReport:
 		env.Body = &wirepb.Envelope_LoadReport{LoadReport: loadReportToPB(m)}
 	case *message.Handover:
@@ -79,8 +77,8 @@
 		return cancelFromPB(b.Cancel)
 	case *wirepb.Envelope_Close:
 		return closeFromPB(b.Close)
-	case *wirepb.Envelope_Learned:
-		return learnedFromPB(b.Learned)
+	case *wirepb.Envelope_KindClosed:
+		return kindClosedFromPB(b.KindClosed)
 	case *wirepb.Envelope_Dispatch:
 		return dispatchFromPB(b.Dispatch)
 	case *wirepb.Envelope_TargetCancel:
@@ -101,8 +99,6 @@
 		return tablePullFromPB(b.TablePull)
 	case *wirepb.Envelope_TableDelta:
 		return tableDeltaFromPB(b.TableDelta)
-	case *wirepb.Envelope_Exceptions:
-		return exceptionsFromPB(b.Exceptions)
 	case *wirepb.Envelope_LoadReport:
 		return loadReportFromPB(b.LoadReport)
 	case *wirepb.Envelope_Handover:
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -18,10 +18,10 @@
 func bodies() []message.Body {
 	return []message.Body{
 		&message.Open{}, &message.Bound{}, &message.Request{}, &message.Answer{}, &message.Refusal{},
-		&message.Cancel{}, &message.Close{}, &message.Forward{}, &message.Learned{}, &message.Dispatch{},
+		&message.Cancel{}, &message.Close{}, &message.Forward{}, &message.KindClosed{}, &message.Dispatch{},
 		&message.TargetCancel{}, &message.FlowEnd{}, &message.Shed{}, &message.Heartbeat{},
 		&message.HeartbeatAck{}, &message.MembersPull{}, &message.Members{}, &message.TablePull{},
-		&message.TableDelta{}, &message.Exceptions{}, &message.LoadReport{}, &message.Handover{},
+		&message.TableDelta{}, &message.LoadReport{}, &message.Handover{},
 		&message.HandoverAck{}, &message.Released{},
 	}
 }
