Add the request log of an owned target

Cause: the owner of a target must decide on every copy of a request, so that nothing runs twice and "not run" is only said when it is true.

Change: decide/requestlog with entries in states Queued, Dispatched, Done and Refused, recorded answers bounded in bytes, expiry by a heap, a floor for each flow that outlives expired entries, and export and import for a handover. An import never turns an entry that may have run into one that did not.

--- /dev/null
+++ b/decide/requestlog/doc.go
@@ -0,0 +1,23 @@
+// Package requestlog decides whether a request may be dispatched to a target.
+// One Log belongs to one owned target and, through the epoch in the binding, is
+// the only log that decides on the requests stamped with that epoch.
+//
+// An entry moves through these states; no other transition exists:
+//
+//	(none) -> Queued              Begin
+//	(none) -> Refused             Refuse
+//	Queued -> Dispatched          Dispatch
+//	Queued -> Refused             Refuse
+//	Dispatched -> Done            RecordPart, Settle
+//	Dispatched -> Refused         Withdraw, Settle: the target did not start it
+//	Refused -> Queued             Begin with a higher attempt
+//	Dispatched, Done -> Queued    Restart: idempotent requests only
+//	any -> (none)                 Expire, RemoveFlow
+//
+// The rules are those of at-most-once remote calls: A. Birrell, B. Nelson,
+// "Implementing remote procedure calls", ACM TOCS 2(1), 1984, with the epoch of
+// the binding as fencing token.
+//
+// Times are durations since the start of the VM. A Log is not safe for
+// concurrent use. The package reports outcomes as values and has no errors.
+package requestlog
--- /dev/null
+++ b/decide/requestlog/handover.go
@@ -0,0 +1,101 @@
+package requestlog
+
+import (
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/decide/message"
+)
+
+// Export returns the entries of the flows that filter accepts. It changes
+// nothing; the caller must not dispatch these requests afterwards. The order
+// depends only on the calls made so far. Answers and causes are not exported.
+func (l *Log) Export(now time.Duration, filter func(message.FlowID) bool) []message.LogRecord {
+	var records []message.LogRecord
+	for _, e := range l.expiry {
+		if filter(e.key.Flow) {
+			records = append(records, e.record(now))
+		}
+	}
+	return records
+}
+
+func (e *entry) record(now time.Duration) message.LogRecord {
+	return message.LogRecord{
+		Key:        e.key,
+		Attempt:    e.attempt,
+		State:      uint8(e.state),
+		ExpiresIn:  e.expires - now,
+		Idempotent: e.idempotent,
+	}
+}
+
+// Import adds the entries of a previous owner. Unknown states count as
+// Dispatched. If a request has an entry already, the one that may have run
+// stays; of two that did not run, the higher attempt stays, and of the same
+// attempt the refused one. A repeated import therefore never permits a second
+// dispatch.
+func (l *Log) Import(now time.Duration, records []message.LogRecord) {
+	for _, r := range records {
+		l.importRecord(now, r)
+	}
+}
+
+func (l *Log) importRecord(now time.Duration, r message.LogRecord) {
+	e := l.entries[r.Key]
+	if e == nil {
+		e = l.add(r.Key, now+r.ExpiresIn)
+	} else if !e.yieldsTo(r) {
+		return
+	}
+	l.extend(e, now+r.ExpiresIn)
+	e.attempt = r.Attempt
+	e.idempotent = r.Idempotent
+	e.cause = message.CauseOwnerMoved
+	state := importedState(r)
+	e.imported = state == Dispatched
+	l.setState(e, state)
+}
+
+// importedState maps unknown states to Dispatched.
+func importedState(r message.LogRecord) State {
+	s := State(r.State)
+	if s.mayHaveRun() && s != Done {
+		return Dispatched
+	}
+	return s
+}
+
+// yieldsTo reports whether r replaces e.
+func (e *entry) yieldsTo(r message.LogRecord) bool {
+	if e.state.mayHaveRun() {
+		return false
+	}
+	if State(r.State).mayHaveRun() {
+		return true
+	}
+	if r.Attempt != e.attempt {
+		return r.Attempt > e.attempt
+	}
+	return State(r.State) == Refused
+}
+
+// Settle applies a previous owner's message.Released to a request that it had
+// in flight: Refused if the target did not start it, Done if the previous owner
+// passed the answer on, and any other state if its deadline passed. It returns
+// false if the request is not one that was imported as Dispatched.
+func (l *Log) Settle(now time.Duration, key message.RequestKey, attempt uint32, state State) bool {
+	e := l.entries[key]
+	if e == nil || !e.imported || e.state != Dispatched || e.attempt != attempt {
+		return false
+	}
+	switch state {
+	case Refused:
+		return l.Withdraw(now, key, attempt)
+	case Done:
+		l.answers.evict(e)
+		l.setState(e, Done)
+	default:
+		l.Lapse(now, key)
+	}
+	return true
+}
--- /dev/null
+++ b/decide/requestlog/log_test.go
@@ -0,0 +1,287 @@
+package requestlog
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/gypsumspan/gypsumspan/decide/message"
+)
+
+const (
+	deadline  = time.Second
+	retention = 10 * time.Second
+)
+
+// TestMain gives rapid a fixed seed; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	m.Run()
+}
+
+func key(flow uint64, id message.RequestID) message.RequestKey {
+	return message.RequestKey{Flow: message.FlowID{Lo: flow}, ID: id}
+}
+
+var k = key(1, 5)
+
+func part(i, n uint16, size int) *message.Answer {
+	return &message.Answer{Part: i, Parts: n, Payload: make([]byte, size)}
+}
+
+func begin(l *Log)              { l.Begin(0, k, 1, deadline, false) }
+func dispatch(l *Log)           { l.Dispatch(0, k, 1) }
+func refuse(l *Log)             { l.Refuse(0, k, 1, message.CauseQueueFull) }
+func withdraw(l *Log)           { l.Withdraw(0, k, 1) }
+func lapse(l *Log)              { l.Lapse(deadline, k) }
+func expire(l *Log)             { l.Expire(deadline+retention, func(message.RequestKey) {}) }
+func whole(l *Log)              { l.RecordPart(0, k, 1, part(0, 1, 10)) }
+func half(l *Log)               { l.RecordPart(0, k, 1, part(1, 2, 10)) }
+func tooLarge(l *Log)           { l.RecordPart(0, k, 1, part(0, 1, 1000)) }
+func settle(s State) func(*Log) { return func(l *Log) { l.Settle(0, k, 1, s) } }
+
+func imported(s State) func(*Log) {
+	return func(l *Log) {
+		l.Import(0, []message.LogRecord{{Key: k, Attempt: 1, State: uint8(s), ExpiresIn: deadline + retention}})
+	}
+}
+
+// Each case guards against a wrong verdict on a copy or a retry after a fault,
+// and against "not run" for a request that may have run.
+func TestVerdictsAfterFaults(t *testing.T) {
+	cases := []struct {
+		name    string
+		steps   []func(*Log)
+		attempt uint32
+		want    Verdict
+		refuses bool // a Refuse of the same attempt instead of Begin
+	}{
+		{"first copy", nil, 1, Fresh, true},
+		{"copy of a queued request", []func(*Log){begin}, 1, Pending, true},
+		{"copy of a dispatched request", []func(*Log){begin, dispatch}, 1, Pending, false},
+		{"retry of a queued request", []func(*Log){begin}, 2, Pending, false},
+		{"retry of a dispatched request", []func(*Log){begin, dispatch}, 2, Pending, false},
+		{"copy with half of the answer here", []func(*Log){begin, dispatch, half}, 1, Pending, false},
+		{"copy of an answered request", []func(*Log){begin, dispatch, whole}, 1, Replay, false},
+		{"retry of an answered request", []func(*Log){begin, dispatch, whole}, 2, Replay, false},
+		{"answer above the bound", []func(*Log){begin, dispatch, tooLarge}, 1, Evicted, false},
+		{"copy of a refused request", []func(*Log){begin, refuse}, 1, RefusedBefore, true},
+		{"refusal arrives before the request", []func(*Log){refuse}, 1, RefusedBefore, true},
+		{"retry of a refused request", []func(*Log){begin, refuse}, 2, Fresh, true},
+		{"old copy after a retry was refused", []func(*Log){begin, refuse, func(l *Log) { l.Refuse(0, k, 2, message.CauseDeadline) }}, 1, OldAttempt, false},
+		{"refusal after dispatch has no effect", []func(*Log){begin, dispatch, refuse}, 1, Pending, false},
+		{"dispatch after refusal has no effect", []func(*Log){begin, refuse, dispatch}, 1, RefusedBefore, true},
+		{"shed by the target", []func(*Log){begin, dispatch, withdraw}, 1, RefusedBefore, true},
+		{"retry after shed", []func(*Log){begin, dispatch, withdraw}, 2, Fresh, true},
+		{"shed of a request never dispatched", []func(*Log){begin, withdraw}, 1, Pending, true},
+		{"shed after part of the answer", []func(*Log){begin, dispatch, half, withdraw}, 1, Pending, false},
+		{"deadline passed without answer", []func(*Log){begin, dispatch, lapse}, 1, Evicted, false},
+		{"answer after the deadline", []func(*Log){begin, dispatch, lapse, whole}, 1, Replay, false},
+		{"copy after retention", []func(*Log){begin, dispatch, expire}, 1, Evicted, false},
+		{"queued too long, then a copy", []func(*Log){begin, expire}, 1, Evicted, false},
+		{"imported as queued", []func(*Log){imported(Queued)}, 1, Pending, true},
+		{"imported as queued, dispatched here", []func(*Log){imported(Queued), dispatch}, 1, Pending, false},
+		{"imported as dispatched", []func(*Log){imported(Dispatched)}, 1, Evicted, false},
+		{"imported as done", []func(*Log){imported(Done)}, 1, Evicted, false},
+		{"imported as refused", []func(*Log){imported(Refused)}, 1, RefusedBefore, true},
+		{"imported in an unknown state", []func(*Log){imported(99)}, 1, Evicted, false},
+		{"imported again after dispatch", []func(*Log){imported(Queued), dispatch, imported(Queued)}, 1, Pending, false},
+		{"imported as refused after dispatch", []func(*Log){begin, dispatch, imported(Refused)}, 1, Pending, false},
+		{"imported as dispatched while queued", []func(*Log){begin, imported(Dispatched)}, 1, Evicted, false},
+		{"imported as refused while queued", []func(*Log){begin, imported(Refused)}, 1, RefusedBefore, true},
+		{"imported as queued after refusal", []func(*Log){refuse, imported(Queued)}, 1, RefusedBefore, true},
+		{"imported, shed at the previous owner", []func(*Log){imported(Dispatched), settle(Refused)}, 2, Fresh, true},
+		{"imported, answered by the previous owner", []func(*Log){imported(Dispatched), settle(Done)}, 2, Evicted, false},
+		{"settle of a request dispatched here", []func(*Log){begin, dispatch, settle(Refused)}, 1, Pending, false},
+		{"flow removed", []func(*Log){begin, dispatch, whole, func(l *Log) { l.RemoveFlow(k.Flow) }}, 1, Fresh, true},
+		{"floor of a handed over flow", []func(*Log){func(l *Log) { l.RaiseFloor(k.Flow, k.ID) }}, 1, Evicted, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			prepare := func() *Log {
+				l := New(Config{MaxAnswerBytes: 500})
+				for _, step := range c.steps {
+					step(l)
+				}
+				return l
+			}
+			is.Equal(prepare().Begin(0, k, c.attempt, deadline, false).String(), c.want.String())
+			is.Equal(prepare().Refuse(0, k, c.attempt, message.CauseDeadline), c.refuses)
+		})
+	}
+}
+
+// Guards against an idempotent request that can never succeed after its answer
+// was lost, and against a second run of any other request.
+func TestRestart(t *testing.T) {
+	is := is.New(t)
+	for _, idempotent := range []bool{true, false} {
+		l := New(Config{MaxAnswerBytes: 500})
+		l.Begin(0, k, 1, deadline, idempotent)
+		dispatch(l)
+		is.True(!l.Restart(0, k, 2, deadline)) // the answer may still come
+		tooLarge(l)
+		is.True(!l.Restart(0, k, 1, deadline)) // not a new attempt
+		is.Equal(l.Restart(0, k, 2, deadline), idempotent)
+		is.Equal(l.Dispatch(0, k, 2), idempotent)
+	}
+}
+
+// Guards against replays of a mixed or incomplete answer, and against memory
+// that grows with the answers.
+func TestAnswers(t *testing.T) {
+	is := is.New(t)
+	l := New(Config{MaxAnswerBytes: 2 * (partCost + 100)})
+	for id := message.RequestID(1); id <= 3; id++ {
+		l.Begin(0, key(1, id), 1, deadline, false)
+		l.Dispatch(0, key(1, id), 1)
+	}
+	is.True(!l.RecordPart(0, key(1, 1), 1, part(1, 2, 50)))
+	is.True(!l.RecordPart(0, key(1, 1), 1, part(1, 2, 50))) // duplicate
+	is.True(!l.RecordPart(0, key(1, 1), 1, part(0, 3, 50))) // another number of parts
+	is.True(!l.RecordPart(0, key(1, 1), 1, part(2, 2, 50))) // outside the answer
+	is.True(!l.RecordPart(0, key(1, 1), 2, part(0, 2, 50))) // another attempt
+	is.True(l.RecordPart(0, key(1, 1), 1, part(0, 2, 50)))
+	is.True(!l.RecordPart(0, key(1, 1), 1, part(0, 2, 50))) // complete only once
+	is.Equal(len(l.Answer(key(1, 1))), 2)
+	is.Equal(l.Answer(key(1, 1))[1].Part, uint16(1))
+	is.True(l.RecordPart(0, key(1, 2), 1, part(0, 1, 10)))
+	is.Equal(l.Answer(key(1, 1)), nil) // the oldest gave way
+	is.True(l.RecordPart(0, key(1, 3), 1, part(0, 1, 10)))
+	is.Equal(len(l.Answer(key(1, 2))), 1)
+	is.Equal(l.Active(message.FlowID{Lo: 1}), 0)
+	expire(l)
+	is.Equal(l.AnswerBytes(), 0)
+	is.Equal(l.Len(), 0)
+	is.Equal(l.Floor(message.FlowID{Lo: 1}), message.RequestID(3))
+}
+
+// model is the oracle of one request.
+type model struct {
+	out     uint32          // attempt at the target that was not withdrawn
+	refused map[uint32]bool // "not run" was said
+}
+
+// Guards invariants 4 and 5 of the design: a refusal "not run" is true, and a
+// request runs at most once between refusals, through expiry and repeated handovers.
+func TestAtMostOnceAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := New(Config{MaxAnswerBytes: 600})
+		now := time.Duration(0)
+		models := map[message.RequestKey]*model{}
+		draw := func() (message.RequestKey, uint32, *model) {
+			key := key(rapid.Uint64Range(1, 2).Draw(t, "flow"), message.RequestID(rapid.Uint64Range(1, 3).Draw(t, "id")))
+			if models[key] == nil {
+				models[key] = &model{refused: map[uint32]bool{}}
+			}
+			return key, rapid.Uint32Range(1, 3).Draw(t, "attempt"), models[key]
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"begin": func(*rapid.T) {
+				key, attempt, m := draw()
+				v := l.Begin(now, key, attempt, now+deadline, false)
+				if v == Fresh && (m.out != 0 || m.refused[attempt]) {
+					t.Fatalf("Fresh with %+v", *m)
+				}
+			},
+			"dispatch": func(*rapid.T) {
+				key, attempt, m := draw()
+				if !l.Dispatch(now, key, attempt) {
+					return
+				}
+				if m.out != 0 || m.refused[attempt] {
+					t.Fatalf("dispatched attempt %d with %+v", attempt, *m)
+				}
+				m.out = attempt
+			},
+			"refuse": func(*rapid.T) {
+				key, attempt, m := draw()
+				if !l.Refuse(now, key, attempt, message.CauseDeadline) {
+					return
+				}
+				if m.out != 0 {
+					t.Fatalf("refused attempt %d with %+v", attempt, *m)
+				}
+				m.refused[attempt] = true
+			},
+			"withdraw": func(*rapid.T) {
+				key, attempt, m := draw()
+				settle := rapid.Bool().Draw(t, "settle")
+				if settle && l.Settle(now, key, attempt, Refused) || !settle && l.Withdraw(now, key, attempt) {
+					if m.out != attempt {
+						t.Fatalf("withdrew attempt %d with %+v", attempt, *m)
+					}
+					m.out = 0
+					m.refused[attempt] = true
+				}
+			},
+			"answer": func(*rapid.T) {
+				key, attempt, m := draw()
+				i := rapid.Uint16Range(0, 1).Draw(t, "part")
+				if l.RecordPart(now, key, attempt, part(i, 2, 100)) && m.out != attempt {
+					t.Fatalf("answer of attempt %d with %+v", attempt, *m)
+				}
+			},
+			"lapse": func(*rapid.T) {
+				key, _, _ := draw()
+				l.Lapse(now, key)
+			},
+			"advance": func(*rapid.T) {
+				now += time.Duration(rapid.IntRange(0, 8).Draw(t, "seconds")) * time.Second
+				l.Expire(now, func(message.RequestKey) {})
+			},
+			"handover": func(*rapid.T) {
+				old := l
+				records := old.Export(now, func(message.FlowID) bool { return true })
+				l = New(Config{MaxAnswerBytes: 600})
+				l.Import(now, records)
+				l.Import(now, records)
+				for _, id := range []uint64{1, 2} {
+					l.RaiseFloor(message.FlowID{Lo: id}, old.Floor(message.FlowID{Lo: id}))
+				}
+			},
+			"": func(*rapid.T) { checkCounts(t, l) },
+		})
+	})
+}
+
+// checkCounts compares the counts that the log keeps with a full scan.
+func checkCounts(t *rapid.T, l *Log) {
+	bytes := 0
+	active := map[message.FlowID]int{}
+	for _, e := range l.entries {
+		bytes += e.answer.bytes
+		if e.active() {
+			active[e.key.Flow]++
+		}
+	}
+	if bytes != l.AnswerBytes() || bytes > l.config.MaxAnswerBytes || len(l.expiry) != l.Len() {
+		t.Fatalf("%d bytes recorded, %d counted; %d entries, %d in the heap", bytes, l.AnswerBytes(), l.Len(), len(l.expiry))
+	}
+	for id := range l.flows {
+		if active[id] != l.Active(id) {
+			t.Fatalf("flow %v: %d active, %d counted", id, active[id], l.Active(id))
+		}
+	}
+}
+
+func BenchmarkRequest(b *testing.B) {
+	b.ReportAllocs()
+	l := New(Config{})
+	p := part(0, 1, 100)
+	ignore := func(message.RequestKey) {}
+	for i := range b.N {
+		now := time.Duration(i) * time.Millisecond
+		key := key(uint64(i%4300), message.RequestID(i))
+		l.Begin(now, key, 1, now+deadline, false)
+		l.Dispatch(now, key, 1)
+		l.RecordPart(now, key, 1, p)
+		l.Expire(now, ignore)
+	}
+}
