Add entry codec and replicated table to decide/table

Cause: a VM needs its own copy of the operators' table, which must never go back to an older revision and must fit beside the rest of its control state in 32 MB.

Change: store keys and values (compact JSON, shards of at most 1,000 rows), Replica that keeps the highest revision of each key with tombstones, and a Table that holds services of a replica in compact form and expands them on use, with an 8-byte-per-target index.

Reading a table of 18,000 targets allocates nothing.

--- /dev/null
+++ b/decide/table/codec.go
@@ -0,0 +1,322 @@
+package table
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"github.com/gypsumspan/gypsumspan/decide/message"
+)
+
+// Limits of the numbers in the table.
+const (
+	// MaxWeight is the largest weight of a target; the smallest is 1.
+	MaxWeight = 100_000
+	// MaxLimit is the largest limit of a target, in requests; the smallest is 1.
+	MaxLimit = 1_000_000
+	// MaxShare is the largest share of a kind; the smallest is 1.
+	MaxShare = 1_000_000
+	// MaxKinds is the largest number of kinds of a service (KindID has 8 bits).
+	MaxKinds = 256
+	// maxAddress is the longest address of a service, in bytes.
+	maxAddress = 128
+	// formatVersion is written to every value. A reader rejects other versions.
+	formatVersion = 1
+)
+
+// Meta is the content of a service's meta entry.
+type Meta struct {
+	Address string
+	Kinds   []Kind
+	Shards  int // number of shards, at least 1
+}
+
+// Shard is the content of one shard of a service.
+type Shard struct {
+	Of      int // number of shards of the service when this shard was written
+	Targets []Target
+}
+
+// Entry is a decoded table entry. Meta and Rows are both nil for a deletion;
+// otherwise one of them is set.
+type Entry struct {
+	Service string
+	Number  int // shard number, or MetaShard
+	Meta    *Meta
+	Rows    *Shard
+}
+
+type metaJSON struct {
+	Version int        `json:"v"`
+	Address string     `json:"address"`
+	Shards  int        `json:"shards"`
+	Kinds   []kindJSON `json:"kinds"`
+}
+
+type kindJSON struct {
+	Name    string `json:"name"`
+	Urgency string `json:"urgency"`
+	Share   uint32 `json:"share"`
+}
+
+type shardJSON struct {
+	Version int          `json:"v"`
+	Of      int          `json:"of"`
+	Targets []targetJSON `json:"targets"`
+}
+
+type targetJSON struct {
+	Name    string         `json:"name"`
+	Domain  string         `json:"domain"`
+	Address netip.AddrPort `json:"address"`
+	Health  netip.AddrPort `json:"health"`
+	Weight  uint32         `json:"weight"`
+	Limit   uint32         `json:"limit"`
+	State   string         `json:"state"`
+}
+
+// EncodeMeta returns the store value of m: compact JSON (RFC 8259) with a fixed
+// order of fields. It returns the errors of the checks that DecodeEntry makes.
+func EncodeMeta(m Meta) ([]byte, error) {
+	if err := checkMeta(m); err != nil {
+		return nil, err
+	}
+	out := metaJSON{Version: formatVersion, Address: m.Address, Shards: m.Shards}
+	for _, k := range m.Kinds {
+		out.Kinds = append(out.Kinds, kindJSON{Name: k.Name, Urgency: k.Urgency.String(), Share: k.Share})
+	}
+	return json.Marshal(out)
+}
+
+// EncodeShard returns the store value of shard number number: compact JSON with
+// a fixed order of fields and the rows sorted by name. It returns the errors of
+// the checks that DecodeEntry makes.
+func EncodeShard(number int, s Shard) ([]byte, error) {
+	rows := slices.Clone(s.Targets)
+	sortTargets(rows)
+	if err := checkShard(number, Shard{Of: s.Of, Targets: rows}); err != nil {
+		return nil, err
+	}
+	out := shardJSON{Version: formatVersion, Of: s.Of, Targets: make([]targetJSON, 0, len(rows))}
+	for i := range rows {
+		out.Targets = append(out.Targets, rowOf(&rows[i]))
+	}
+	return json.Marshal(out)
+}
+
+func rowOf(t *Target) targetJSON {
+	return targetJSON{
+		Name:    t.Name,
+		Domain:  t.Domain,
+		Address: t.Addr,
+		Health:  t.Health,
+		Weight:  t.Weight,
+		Limit:   t.Limit,
+		State:   t.State.String(),
+	}
+}
+
+// EncodeService returns all entries of a service that has count shards, meta
+// first, without revisions.
+func EncodeService(s *Service, count int) ([]message.TableEntry, error) {
+	value, err := EncodeMeta(Meta{Address: s.Address, Kinds: s.Kinds, Shards: count})
+	if err != nil {
+		return nil, fmt.Errorf("service %s: %w", s.Name, err)
+	}
+	entries := make([]message.TableEntry, 0, count+1)
+	entries = append(entries, message.TableEntry{Key: MetaKey(s.Name), Value: value})
+	shards := make([][]Target, count)
+	for i := range s.Targets {
+		n := ShardOf(s.Targets[i].Name, count)
+		shards[n] = append(shards[n], s.Targets[i])
+	}
+	for n, rows := range shards {
+		value, err := EncodeShard(n, Shard{Of: count, Targets: rows})
+		if err != nil {
+			return nil, fmt.Errorf("service %s, shard %d: %w", s.Name, n, err)
+		}
+		entries = append(entries, message.TableEntry{Key: ShardKey(s.Name, n), Value: value})
+	}
+	return entries, nil
+}
+
+// DecodeEntry decodes and checks one entry; targets come sorted by name with
+// their ids. It returns ErrBadKey, ErrBadName, ErrMalformed, ErrOutOfRange,
+// ErrUnknownWord, ErrDuplicate or ErrWrongShard.
+func DecodeEntry(e message.TableEntry) (Entry, error) {
+	service, number, err := ParseKey(e.Key)
+	if err != nil {
+		return Entry{}, err
+	}
+	entry := Entry{Service: service, Number: number}
+	if e.Value == nil {
+		return entry, nil
+	}
+	if number == MetaShard {
+		entry.Meta, err = decodeMeta(e.Value)
+		return entry, err
+	}
+	entry.Rows, err = decodeShard(service, number, e.Value)
+	return entry, err
+}
+
+// unmarshal decodes one JSON value strictly: an unknown field belongs to a later
+// format, and dropping it would make replicas differ.
+func unmarshal(data []byte, into any) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(into); err != nil {
+		return fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return fmt.Errorf("data after the value: %w", ErrMalformed)
+	}
+	return nil
+}
+
+func checkVersion(version int) error {
+	if version != formatVersion {
+		return fmt.Errorf("format version %d: %w", version, ErrMalformed)
+	}
+	return nil
+}
+
+func decodeMeta(data []byte) (*Meta, error) {
+	var in metaJSON
+	if err := unmarshal(data, &in); err != nil {
+		return nil, err
+	}
+	if err := checkVersion(in.Version); err != nil {
+		return nil, err
+	}
+	m := &Meta{Address: in.Address, Shards: in.Shards}
+	for _, k := range in.Kinds {
+		urgency, err := ParseUrgency(k.Urgency)
+		if err != nil {
+			return nil, err
+		}
+		m.Kinds = append(m.Kinds, Kind{Name: k.Name, Urgency: urgency, Share: k.Share})
+	}
+	return m, checkMeta(*m)
+}
+
+func checkMeta(m Meta) error {
+	if len(m.Address) > maxAddress {
+		return fmt.Errorf("address of %d bytes: %w", len(m.Address), ErrOutOfRange)
+	}
+	if m.Shards < 1 || m.Shards > MaxShards {
+		return fmt.Errorf("%d shards: %w", m.Shards, ErrOutOfRange)
+	}
+	if len(m.Kinds) < 1 || len(m.Kinds) > MaxKinds {
+		return fmt.Errorf("%d kinds: %w", len(m.Kinds), ErrOutOfRange)
+	}
+	seen := make(map[string]bool, len(m.Kinds))
+	for _, k := range m.Kinds {
+		if err := checkKind(k); err != nil {
+			return err
+		}
+		if seen[k.Name] {
+			return fmt.Errorf("kind %s: %w", k.Name, ErrDuplicate)
+		}
+		seen[k.Name] = true
+	}
+	return nil
+}
+
+func checkKind(k Kind) error {
+	if err := CheckName(k.Name); err != nil {
+		return fmt.Errorf("kind: %w", err)
+	}
+	if k.Urgency < Urgent || k.Urgency > Bulk {
+		return fmt.Errorf("urgency %d of kind %s: %w", k.Urgency, k.Name, ErrUnknownWord)
+	}
+	return checkRange("share of kind "+k.Name, k.Share, MaxShare)
+}
+
+func checkRange(what string, value, most uint32) error {
+	if value < 1 || value > most {
+		return fmt.Errorf("%s is %d, not 1 to %d: %w", what, value, most, ErrOutOfRange)
+	}
+	return nil
+}
+
+func decodeShard(service string, number int, data []byte) (*Shard, error) {
+	var in shardJSON
+	if err := unmarshal(data, &in); err != nil {
+		return nil, err
+	}
+	if err := checkVersion(in.Version); err != nil {
+		return nil, err
+	}
+	s := &Shard{Of: in.Of, Targets: make([]Target, 0, len(in.Targets))}
+	for i := range in.Targets {
+		row := &in.Targets[i]
+		state, err := ParseState(row.State)
+		if err != nil {
+			return nil, fmt.Errorf("target %q: %w", row.Name, err)
+		}
+		s.Targets = append(s.Targets, Target{
+			ID:       message.TargetIDOf(service, row.Name),
+			Name:     row.Name,
+			Domain:   row.Domain,
+			DomainID: message.DomainIDOf(row.Domain),
+			Addr:     row.Address,
+			Health:   row.Health,
+			Weight:   row.Weight,
+			Limit:    row.Limit,
+			State:    state,
+		})
+	}
+	sortTargets(s.Targets)
+	return s, checkShard(number, *s)
+}
+
+func sortTargets(targets []Target) {
+	slices.SortFunc(targets, func(a, b Target) int { return strings.Compare(a.Name, b.Name) })
+}
+
+// checkShard checks a shard whose rows are sorted by name.
+func checkShard(number int, s Shard) error {
+	if s.Of < 1 || s.Of > MaxShards || number >= s.Of {
+		return fmt.Errorf("shard %d of %d: %w", number, s.Of, ErrOutOfRange)
+	}
+	if len(s.Targets) > MaxShardRows {
+		return fmt.Errorf("%d rows in one shard: %w", len(s.Targets), ErrOutOfRange)
+	}
+	for i := range s.Targets {
+		t := &s.Targets[i]
+		if err := checkTarget(t); err != nil {
+			return fmt.Errorf("target %q: %w", t.Name, err)
+		}
+		if i > 0 && s.Targets[i-1].Name == t.Name {
+			return fmt.Errorf("target %s: %w", t.Name, ErrDuplicate)
+		}
+		if ShardOf(t.Name, s.Of) != number {
+			return fmt.Errorf("target %s in shard %d of %d: %w", t.Name, number, s.Of, ErrWrongShard)
+		}
+	}
+	return nil
+}
+
+func checkTarget(t *Target) error {
+	if err := CheckName(t.Name); err != nil {
+		return err
+	}
+	if err := CheckName(t.Domain); err != nil {
+		return fmt.Errorf("failure domain: %w", err)
+	}
+	if !t.Addr.IsValid() || t.Addr.Addr().Zone() != "" || t.Health.Addr().Zone() != "" {
+		return fmt.Errorf("address %s, health address %s: %w", t.Addr, t.Health, ErrOutOfRange)
+	}
+	if t.State < Active || t.State > Leaving {
+		return fmt.Errorf("state %d: %w", t.State, ErrUnknownWord)
+	}
+	if err := checkRange("weight", t.Weight, MaxWeight); err != nil {
+		return err
+	}
+	return checkRange("limit", t.Limit, MaxLimit)
+}
--- /dev/null
+++ b/decide/table/key.go
@@ -0,0 +1,124 @@
+package table
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// Prefix starts every store key of the table.
+	Prefix = "gypsumspan/table/"
+	// MetaShard stands for the meta key where a shard number is expected.
+	MetaShard = -1
+	// MaxShardRows is the largest number of targets in one shard.
+	MaxShardRows = 1000
+	// MaxShards is the largest number of shards of one service.
+	MaxShards = 256
+	// maxName is the longest name, in bytes.
+	maxName = 64
+
+	metaSuffix = "meta"
+)
+
+// CheckName returns ErrBadName if name can't name a service, target, failure
+// domain or kind. Names are parts of store keys, so they hold no slash.
+func CheckName(name string) error {
+	if len(name) == 0 || len(name) > maxName {
+		return fmt.Errorf("name %q: %w", name, ErrBadName)
+	}
+	for _, c := range []byte(name) {
+		if !isNameByte(c) {
+			return fmt.Errorf("name %q: %w", name, ErrBadName)
+		}
+	}
+	return nil
+}
+
+func isNameByte(c byte) bool {
+	switch {
+	case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9':
+		return true
+	default:
+		return c == '.' || c == '_' || c == '-'
+	}
+}
+
+// MetaKey returns the store key of a service's meta entry.
+func MetaKey(service string) string {
+	return Prefix + service + "/" + metaSuffix
+}
+
+// ShardKey returns the store key of a service's shard.
+func ShardKey(service string, shard int) string {
+	return Prefix + service + "/" + strconv.Itoa(shard)
+}
+
+// ParseKey returns the service and shard number of a store key; the number is
+// MetaShard for the meta key. It returns ErrBadKey or ErrBadName.
+func ParseKey(key string) (service string, shard int, err error) {
+	rest, ok := strings.CutPrefix(key, Prefix)
+	if !ok {
+		return "", 0, fmt.Errorf("key %q: %w", key, ErrBadKey)
+	}
+	service, suffix, ok := strings.Cut(rest, "/")
+	if !ok {
+		return "", 0, fmt.Errorf("key %q: %w", key, ErrBadKey)
+	}
+	if err := CheckName(service); err != nil {
+		return "", 0, fmt.Errorf("key %q: %w", key, err)
+	}
+	if suffix == metaSuffix {
+		return service, MetaShard, nil
+	}
+	shard, err = strconv.Atoi(suffix)
+	if err != nil || shard < 0 || shard >= MaxShards || strconv.Itoa(shard) != suffix {
+		return "", 0, fmt.Errorf("key %q: %w", key, ErrBadKey)
+	}
+	return service, shard, nil
+}
+
+// ShardOf returns the shard that holds the target called name when its service
+// has count shards.
+func ShardOf(name string, count int) int {
+	return int(xxhash.Sum64String(name) % uint64(count))
+}
+
+// ShardCount returns the number of shards for targets. It keeps current, unless
+// a shard would then hold more than MaxShardRows rows or the shards could be
+// four times fewer; resharding rewrites all keys of the service. It returns
+// ErrOutOfRange when MaxShards shards don't suffice.
+func ShardCount(targets []Target, current int) (int, error) {
+	least, err := leastShards(targets)
+	if err != nil {
+		return 0, err
+	}
+	if current > least && current <= MaxShards && current < 4*least && fits(targets, current) {
+		return current, nil
+	}
+	return least, nil
+}
+
+func leastShards(targets []Target) (int, error) {
+	least := max(1, (len(targets)+MaxShardRows-1)/MaxShardRows)
+	for count := least; count <= MaxShards; count++ {
+		if fits(targets, count) {
+			return count, nil
+		}
+	}
+	return 0, fmt.Errorf("%d targets in one service: %w", len(targets), ErrOutOfRange)
+}
+
+func fits(targets []Target, count int) bool {
+	var rows [MaxShards]int
+	for i := range targets {
+		shard := ShardOf(targets[i].Name, count)
+		rows[shard]++
+		if rows[shard] > MaxShardRows {
+			return false
+		}
+	}
+	return true
+}
--- a/decide/table/table.go
+++ b/decide/table/table.go
@@ -3,6 +3,7 @@
 package table
 
 import (
+	"fmt"
 	"net/netip"
 
 	"github.com/gypsumspan/gypsumspan/decide/message"
@@ -21,6 +22,16 @@
 	Leaving
 )
 
+// ParseState returns the state written as s. It returns ErrUnknownWord otherwise.
+func ParseState(s string) (State, error) {
+	for state := Active; state <= Leaving; state++ {
+		if s == state.String() {
+			return state, nil
+		}
+	}
+	return 0, fmt.Errorf("state %q is not active, draining or leaving: %w", s, ErrUnknownWord)
+}
+
 // String returns the state as it is written in the table.
 func (s State) String() string {
 	switch s {
@@ -45,6 +56,16 @@
 	Bulk
 )
 
+// ParseUrgency returns the urgency written as s. It returns ErrUnknownWord otherwise.
+func ParseUrgency(s string) (Urgency, error) {
+	for urgency := Urgent; urgency <= Bulk; urgency++ {
+		if s == urgency.String() {
+			return urgency, nil
+		}
+	}
+	return 0, fmt.Errorf("urgency %q is not urgent, normal or bulk: %w", s, ErrUnknownWord)
+}
+
 // String returns the urgency as it is written in the table.
 func (u Urgency) String() string {
 	switch u {
@@ -66,16 +87,17 @@
 	Share   uint32 // relative share of a target's slots under contention
 }
 
-// Target is one row of the table.
+// Target is one row of the table. The order of the fields avoids padding: a
+// VM may hold many thousands of targets.
 type Target struct {
 	ID       message.TargetID
 	Name     string
-	Domain   string // failure domain
-	DomainID message.DomainID
+	Domain   string         // failure domain
 	Addr     netip.AddrPort // UDP, requests
 	Health   netip.AddrPort // TCP, health and load endpoints over HTTP
-	Weight   uint32         // relative share of the service's flows
-	Limit    uint32         // largest number of requests in progress
+	DomainID message.DomainID
+	Weight   uint32 // relative share of the service's flows
+	Limit    uint32 // largest number of requests in progress
 	State    State
 }
 
@@ -87,67 +109,3 @@
 	Kinds   []Kind // indexed by message.KindID
 	Targets []Target
 }
-
-// Table is the table in force on one VM. It is not safe for concurrent use.
-type Table struct {
-	services map[message.ServiceID]*Service
-	targets  map[message.TargetID]location
-}
-
-// location is where a target stands in the table.
-type location struct {
-	service *Service
-	index   int
-}
-
-// New returns an empty table.
-func New() *Table {
-	return &Table{
-		services: make(map[message.ServiceID]*Service),
-		targets:  make(map[message.TargetID]location),
-	}
-}
-
-// SetService replaces a service with all its targets.
-func (t *Table) SetService(s *Service) {
-	t.RemoveService(s.ID)
-	t.services[s.ID] = s
-	for i := range s.Targets {
-		t.targets[s.Targets[i].ID] = location{service: s, index: i}
-	}
-}
-
-// RemoveService removes a service with all its targets.
-func (t *Table) RemoveService(id message.ServiceID) {
-	old, ok := t.services[id]
-	if !ok {
-		return
-	}
-	for i := range old.Targets {
-		delete(t.targets, old.Targets[i].ID)
-	}
-	delete(t.services, id)
-}
-
-// Service returns the service with the given id, or nil.
-func (t *Table) Service(id message.ServiceID) *Service {
-	return t.services[id]
-}
-
-// Target returns a target and its service, or nil and nil.
-func (t *Table) Target(id message.TargetID) (*Target, *Service) {
-	loc, ok := t.targets[id]
-	if !ok {
-		return nil, nil
-	}
-	return &loc.service.Targets[loc.index], loc.service
-}
-
-// Services calls yield for every service, in no particular order.
-func (t *Table) Services(yield func(*Service) bool) {
-	for _, s := range t.services {
-		if !yield(s) {
-			return
-		}
-	}
-}
--- /dev/null
+++ b/decide/table/table_test.go
@@ -0,0 +1,306 @@
+package table
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/gypsumspan/gypsumspan/decide/message"
+)
+
+// makeService returns a service with n targets whose names start with prefix.
+func makeService(name, prefix string, n int) *Service {
+	s := &Service{
+		ID:      message.ServiceIDOf(name),
+		Name:    name,
+		Address: "192.0.2.1:7000",
+		Kinds:   []Kind{{"check-in", Urgent, 8}, {"map", Bulk, 1}},
+	}
+	for i := range n {
+		addr := netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)})
+		t := Target{
+			Name: fmt.Sprintf("%s-%06d", prefix, i), Domain: fmt.Sprintf("domain-%d", i%3),
+			Addr: netip.AddrPortFrom(addr, 7300), Health: netip.AddrPortFrom(addr, 7301),
+			Weight: uint32(1 + i%3), Limit: 3, State: Active,
+		}
+		t.ID = message.TargetIDOf(name, t.Name)
+		t.DomainID = message.DomainIDOf(t.Domain)
+		s.Targets = append(s.Targets, t)
+	}
+	return s
+}
+
+// entriesOf returns the service's entries at one revision.
+func entriesOf(t interface{ Fatal(...any) }, s *Service, count int, revision int64) []message.TableEntry {
+	entries, err := EncodeService(s, count)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range entries {
+		entries[i].Revision = revision
+	}
+	return entries
+}
+
+// Guards against a value that changes on its way through the store or a replica.
+func TestEntriesSurviveAReplica(t *testing.T) {
+	is := is.New(t)
+	want := makeService("track", "t", 2500)
+	want.Targets[7].Addr = netip.MustParseAddrPort("[2001:db8::7]:9")
+	want.Targets[8].Health = netip.AddrPort{}
+	want.Targets[9].Health = netip.MustParseAddrPort("192.0.2.9:80")
+	entries := entriesOf(t, want, 4, 5)
+	r := NewReplica()
+	changed, rejected := r.Merge(entries)
+	is.Equal(len(rejected), 0)
+	is.Equal(changed, []message.ServiceID{want.ID})
+	is.Equal(r.Table().Service(want.ID), want)
+	var got []message.TableEntry
+	r.Since(0, func(e message.TableEntry) bool { got = append(got, e); return true })
+	is.Equal(got, entries)
+	for i := range want.Targets {
+		target, service := r.Table().Target(want.Targets[i].ID)
+		is.Equal(*target, want.Targets[i])
+		is.Equal(service.Name, "track")
+	}
+}
+
+// Guards against a malformed entry that is accepted or replaces a good one.
+func TestMalformedEntriesAreRejected(t *testing.T) {
+	const row = `{"name":"a","domain":"d","address":"10.0.0.1:1","health":"","weight":1,"limit":1,"state":"active"}`
+	meta, shard := MetaKey("s"), ShardKey("s", 0)
+	cases := []struct {
+		key, value string
+		want       error
+	}{
+		{"other/s/meta", `{}`, ErrBadKey},
+		{Prefix + "s", `{}`, ErrBadKey},
+		{Prefix + "s/01", `{}`, ErrBadKey},
+		{Prefix + "s/256", `{}`, ErrBadKey},
+		{Prefix + "a b/meta", `{}`, ErrBadName},
+		{meta, ``, ErrMalformed},
+		{meta, `{"v":2,"address":"","shards":1,"kinds":[]}`, ErrMalformed},
+		{meta, `{"v":1,"more":1}`, ErrMalformed},
+		{meta, `{"v":1,"shards":0,"kinds":[{"name":"k","urgency":"bulk","share":1}]}`, ErrOutOfRange},
+		{meta, `{"v":1,"shards":1,"kinds":[]}`, ErrOutOfRange},
+		{meta, `{"v":1,"shards":1,"kinds":[{"name":"k","urgency":"soon","share":1}]}`, ErrUnknownWord},
+		{meta, `{"v":1,"shards":1,"kinds":[{"name":"k","urgency":"bulk","share":0}]}`, ErrOutOfRange},
+		{shard, `{"v":1,"of":0,"targets":[]}`, ErrOutOfRange},
+		{shard, `{"v":1,"of":1,"targets":[` + row + `]} x`, ErrMalformed},
+		{shard, `{"v":1,"of":1,"targets":[` + row + `,` + row + `]}`, ErrDuplicate},
+		{ShardKey("s", 1-ShardOf("a", 2)), `{"v":1,"of":2,"targets":[` + row + `]}`, ErrWrongShard},
+		{shard, `{"v":1,"of":1,"targets":[` + strings.Replace(row, `"weight":1`, `"weight":0`, 1) + `]}`, ErrOutOfRange},
+		{shard, `{"v":1,"of":1,"targets":[` + strings.Replace(row, `10.0.0.1:1`, ``, 1) + `]}`, ErrOutOfRange},
+		{shard, `{"v":1,"of":1,"targets":[` + strings.Replace(row, `active`, `on`, 1) + `]}`, ErrUnknownWord},
+	}
+	r := NewReplica()
+	r.Merge(entriesOf(t, makeService("s", "t", 3), 1, 1))
+	hash := r.Hash()
+	for _, c := range cases {
+		t.Run(c.key+c.value, func(t *testing.T) {
+			is := is.New(t)
+			_, rejected := r.Merge([]message.TableEntry{{Key: c.key, Value: []byte(c.value), Revision: 9}})
+			is.Equal(len(rejected), 1)
+			is.True(errors.Is(rejected[0], c.want))
+			is.Equal(r.Hash(), hash)
+			is.Equal(r.Version(), uint64(1))
+			is.Equal(len(r.Table().Service(message.ServiceIDOf("s")).Targets), 3)
+		})
+	}
+}
+
+// Guards against a moment without targets while a service is resharded.
+func TestOldContentStaysInForceUntilAllShardsAreKnown(t *testing.T) {
+	is := is.New(t)
+	r := NewReplica()
+	id := message.ServiceIDOf("s")
+	r.Merge(entriesOf(t, makeService("s", "old", 20), 2, 1))
+	next := entriesOf(t, makeService("s", "new", 30), 3, 2)
+	for i, e := range next {
+		is.Equal(len(r.Table().Service(id).Targets), 20)
+		changed, _ := r.Merge([]message.TableEntry{e})
+		is.Equal(len(changed) == 1, i == len(next)-1)
+	}
+	is.Equal(len(r.Table().Service(id).Targets), 30)
+	changed, _ := r.Merge([]message.TableEntry{{Key: MetaKey("s"), Revision: 3}})
+	is.Equal(changed, []message.ServiceID{id})
+	is.True(r.Table().Service(id) == nil)
+	target, _ := r.Table().Target(message.TargetIDOf("s", "new-000001"))
+	is.True(target == nil)
+}
+
+// Guards against a shard count that overflows a shard or changes needlessly.
+func TestShardCount(t *testing.T) {
+	is := is.New(t)
+	for _, n := range []int{0, 1, 1000, 1001, 10_000} {
+		targets := makeService("s", "t", n).Targets
+		count, err := ShardCount(targets, 1)
+		is.NoErr(err)
+		is.True(fits(targets, count))
+		again, err := ShardCount(targets, count+1)
+		is.NoErr(err)
+		is.True(again >= count && fits(targets, again))
+	}
+}
+
+// history draws revisions of a few services, including deletions and resharding.
+func history(t *rapid.T) []message.TableEntry {
+	var all []message.TableEntry
+	counts := map[string]int{}
+	for revision := int64(1); revision <= int64(rapid.IntRange(1, 12).Draw(t, "revisions")); revision++ {
+		name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "service")
+		count := rapid.IntRange(0, 3).Draw(t, "shards")
+		if count > 0 {
+			s := makeService(name, "t", rapid.IntRange(0, 9).Draw(t, "targets"))
+			all = append(all, entriesOf(t, s, count, revision)...)
+		} else if counts[name] > 0 {
+			all = append(all, message.TableEntry{Key: MetaKey(name), Revision: revision})
+		}
+		for n := count; n < counts[name]; n++ {
+			all = append(all, message.TableEntry{Key: ShardKey(name, n), Revision: revision})
+		}
+		counts[name] = count
+	}
+	return all
+}
+
+// content returns a replica's entries and its services in force.
+func content(r *Replica) ([]message.TableEntry, []*Service) {
+	var entries []message.TableEntry
+	r.Since(0, func(e message.TableEntry) bool { entries = append(entries, e); return true })
+	var services []*Service
+	r.Table().Services(func(s *Service) bool { services = append(services, s); return true })
+	slices.SortFunc(services, func(a, b *Service) int { return strings.Compare(a.Name, b.Name) })
+	return entries, services
+}
+
+// Guards against replicas that differ after the same entries, and against a
+// revision that falls.
+func TestReplicasConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := history(t)
+		first, second := NewReplica(), NewReplica()
+		first.Merge(all)
+		mixed := rapid.Permutation(append(slices.Clone(all), all...)).Draw(t, "order")
+		highest := map[string]int64{}
+		for len(mixed) > 0 {
+			n := rapid.IntRange(1, len(mixed)).Draw(t, "batch")
+			second.Merge(mixed[:n])
+			mixed = mixed[n:]
+			second.Since(0, func(e message.TableEntry) bool {
+				if e.Revision < highest[e.Key] {
+					t.Fatalf("%s fell from revision %d to %d", e.Key, highest[e.Key], e.Revision)
+				}
+				highest[e.Key] = e.Revision
+				return true
+			})
+		}
+		entries1, services1 := content(first)
+		entries2, services2 := content(second)
+		is := is.New(t)
+		is.Equal(entries1, entries2)
+		is.Equal(services1, services2)
+		is.Equal(first.Hash(), second.Hash())
+		is.Equal(first.Version(), second.Version())
+		third := NewReplica()
+		third.Merge(entries1)
+		is.Equal(third.Hash(), first.Hash())
+	})
+}
+
+// Guards against an index that loses or invents targets when services change,
+// and against the eviction of services that are in use.
+func TestTableMatchesModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, p := New(), newPool()
+		model := map[message.TargetID]string{}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			name := fmt.Sprintf("s%d", rapid.IntRange(0, 5).Draw(t, "service"))
+			s := makeService(name, "t", rapid.IntRange(0, 40).Draw(t, "targets"))
+			if old := table.Service(s.ID); old != nil {
+				for i := range old.Targets {
+					delete(model, old.Targets[i].ID)
+				}
+			}
+			switch rapid.IntRange(0, 2).Draw(t, "action") {
+			case 0:
+				table.RemoveService(s.ID)
+				continue
+			case 1:
+				table.SetService(s)
+			case 2:
+				table.setPacked(s.ID, &packed{name: name, kinds: s.Kinds, shards: []string{p.pack(s.Targets)}, pool: p})
+			}
+			for i := range s.Targets {
+				model[s.Targets[i].ID] = name
+			}
+		}
+		if table.targets.count != len(model) {
+			t.Fatalf("%d targets, want %d", table.targets.count, len(model))
+		}
+		for id, name := range model {
+			if target, s := table.Target(id); target == nil || target.ID != id || s.Name != name {
+				t.Fatalf("target of %s is missing", name)
+			}
+		}
+	})
+}
+
+// fill merges services with the given total of targets into a replica.
+func fill(t interface{ Fatal(...any) }, services, targets int) *Replica {
+	r := NewReplica()
+	for i := range services {
+		n := targets*(i+1)/services - targets*i/services
+		name := fmt.Sprintf("service-%05d", i)
+		r.Merge(entriesOf(t, makeService(name, name+"-target", n), max(1, (n+799)/800), int64(i+1)))
+	}
+	return r
+}
+
+// Guards against a replica that takes more memory than a VM may use for it, and
+// against a table that allocates when it is read below the expansion bound.
+func TestReplicaMemory(t *testing.T) {
+	const bound = 20 << 20
+	for _, c := range []struct{ services, targets int }{{18, 1800}, {18, 18_000}, {18_000, 160_000}} {
+		t.Run(fmt.Sprint(c.targets), func(t *testing.T) {
+			is := is.New(t)
+			before := heap()
+			r := fill(t, c.services, c.targets)
+			services, targets := r.Table().Len()
+			is.Equal(services, c.services)
+			is.Equal(targets, c.targets)
+			compact := heap() - before
+			ids := make([]message.ServiceID, 0, c.services)
+			r.Table().Services(func(s *Service) bool { ids = append(ids, s.ID); return true })
+			use := func() {
+				for _, id := range ids {
+					r.Table().Service(id)
+				}
+			}
+			use()
+			used := heap() - before
+			t.Logf("%d services, %d targets: %.2f MB, with services in use %.2f MB", services, targets, float64(compact)/(1<<20), float64(used)/(1<<20))
+			is.True(used <= bound)
+			if c.targets+c.services < maxExpanded {
+				is.Equal(testing.AllocsPerRun(2, use), 0.0)
+			}
+			runtime.KeepAlive(r)
+		})
+	}
+}
+
+// heap returns the bytes of live heap objects.
+func heap() int64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
