--- /dev/null
+++ b/events/catalogue.go
@@ -0,0 +1,99 @@
+package events
+
+// Events of the process, GS1000 to GS1999.
+var (
+	// DaemonStarted is written once after all services were assembled.
+	DaemonStarted = declare(Event{Number: "GS1001", Level: Info, Name: "daemon_started",
+		Message: "entry VM is starting",
+		Fields:  []string{"vm", "domain", "callers", "data", "control", "admin", "version"}})
+	// LeaveStarted is written when the first stop signal arrives.
+	LeaveStarted = declare(Event{Number: "GS1002", Level: Info, Name: "leave_started",
+		Message: "planned leave begins",
+		Fields:  []string{"vm", "signal", "grace"}})
+	// DaemonStopped is written after a complete planned leave.
+	DaemonStopped = declare(Event{Number: "GS1003", Level: Info, Name: "daemon_stopped",
+		Message: "planned leave is complete",
+		Fields:  []string{"vm"}})
+	// DaemonFailed is written when a service failed and ended the process.
+	DaemonFailed = declare(Event{Number: "GS1004", Level: Error, Name: "daemon_failed",
+		Message: "entry VM failed",
+		Fields:  []string{"vm", "error"}})
+	// StopForced is written when a second stop signal ends the planned leave.
+	StopForced = declare(Event{Number: "GS1005", Level: Warn, Name: "stop_forced",
+		Message: "second stop signal, the planned leave is cut short",
+		Fields:  []string{"vm", "signal"}})
+	// LeaveOverran is written when the planned leave did not end within the grace.
+	LeaveOverran = declare(Event{Number: "GS1006", Level: Error, Name: "leave_overran",
+		Message: "planned leave did not end within the stop grace",
+		Fields:  []string{"vm", "grace"}})
+	// LinesDropped is written when log lines were dropped before it.
+	LinesDropped = declare(Event{Number: "GS1007", Level: Warn, Name: "lines_dropped",
+		Message: "log lines were dropped because their writer was too slow",
+		Fields:  []string{"dropped"}})
+)
+
+// Events of datagrams and control links, GS2000 to GS2999.
+var (
+	// DatagramRejected is written when a datagram can't be used.
+	DatagramRejected = declare(Event{Number: "GS2001", Level: Warn, Name: "datagram_rejected", Limited: true,
+		Message: "datagram was dropped",
+		Fields:  []string{"from", "error"}})
+	// PeerUnreachable is written when a control link can't be opened.
+	PeerUnreachable = declare(Event{Number: "GS2101", Level: Warn, Name: "peer_unreachable", Limited: true,
+		Message: "control link can't be opened",
+		Fields:  []string{"peer", "control", "error"}})
+	// PeerLinkFailed is written when a write on an open control link fails.
+	PeerLinkFailed = declare(Event{Number: "GS2102", Level: Warn, Name: "peer_link_failed", Limited: true,
+		Message: "control link to a peer failed",
+		Fields:  []string{"peer", "control", "error"}})
+	// PeerSessionFailed is written when an incoming control link breaks the protocol.
+	PeerSessionFailed = declare(Event{Number: "GS2103", Level: Warn, Name: "peer_session_failed", Limited: true,
+		Message: "incoming control link was closed because of an error",
+		Fields:  []string{"remote", "error"}})
+	// PeerSessionsFull is written when an incoming control link exceeds the bound.
+	PeerSessionsFull = declare(Event{Number: "GS2104", Level: Warn, Name: "peer_sessions_full", Limited: true,
+		Message: "incoming control link was refused",
+		Fields:  []string{"remote", "limit"}})
+	// PeerMessageUnsent is written when a message can't be encoded for a control link.
+	PeerMessageUnsent = declare(Event{Number: "GS2105", Level: Error, Name: "peer_message_unsent", Limited: true,
+		Message: "control message can't be encoded",
+		Fields:  []string{"peer", "error"}})
+)
+
+// Events of polling and of the admin address, GS3000 to GS4999. GS5000 to
+// GS5999 are reserved for the store and the table.
+var (
+	// VMListFailed is written when the platform's VM list can't be read.
+	VMListFailed = declare(Event{Number: "GS3001", Level: Warn, Name: "vm_list_failed", Limited: true,
+		Message: "VM list can't be read",
+		Fields:  []string{"url", "error"}})
+	// VMListEntryInvalid is written for an entry of the VM list that can't be used.
+	VMListEntryInvalid = declare(Event{Number: "GS3002", Level: Warn, Name: "vm_list_entry_invalid", Limited: true,
+		Message: "entry of the VM list was skipped",
+		Fields:  []string{"name", "error"}})
+	// HealthPollFailed is written when a target's health endpoint does not answer.
+	HealthPollFailed = declare(Event{Number: "GS3101", Level: Warn, Name: "health_poll_failed", Limited: true,
+		Message: "health endpoint of a target gave no usable answer",
+		Fields:  []string{"target", "address", "error"}})
+	// HealthPollsSkipped is written when a poller has not finished its last round.
+	HealthPollsSkipped = declare(Event{Number: "GS3102", Level: Warn, Name: "health_polls_skipped", Limited: true,
+		Message: "health polls were skipped because the last round is unfinished",
+		Fields:  []string{"poller"}})
+	// AdminAnswerFailed is written when a question of the admin address has no answer.
+	AdminAnswerFailed = declare(Event{Number: "GS4001", Level: Warn, Name: "admin_answer_failed", Limited: true,
+		Message: "question on the admin address was not answered",
+		Fields:  []string{"path", "error"}})
+)
+
+// all lists the events in order of declaration.
+var all []*Event
+
+func declare(e Event) *Event {
+	all = append(all, &e)
+	return &e
+}
+
+// All returns every event, in order of declaration.
+func All() []*Event {
+	return all
+}
