--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,108 @@
+// Package settings reads the settings file of an entry VM: TOML into a typed
+// struct, checked once. All faults are reported together, each with file,
+// line, key and what is expected. docs/settings.md lists every key.
+package settings
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/events"
+)
+
+// ErrFile means that the settings file can't be read.
+var ErrFile = errors.New("settings file can't be read")
+
+// ErrInvalid means that the settings have faults. Errors of Load and Parse that
+// wrap it are of type Faults.
+var ErrInvalid = errors.New("settings are invalid")
+
+// Settings are the checked settings of one entry VM.
+type Settings struct {
+	VM        VM
+	Listen    Addresses
+	Advertise Advertised
+	Store     Store
+	VMList    VMList
+	Seeds     []Seed
+	Log       Log
+	Timings   Timings
+}
+
+// VM is the identity of the VM.
+type VM struct {
+	Name   string // unique in the fleet
+	Domain string // failure domain
+}
+
+// Addresses are the addresses that the VM listens on.
+type Addresses struct {
+	Callers netip.AddrPort // UDP, datagrams of callers
+	Data    netip.AddrPort // UDP, datagrams of VMs and targets
+	Control netip.AddrPort // TCP, control links of VMs
+	Admin   netip.AddrPort // TCP, HTTP for operators
+}
+
+// Advertised are the addresses under which other VMs reach this one. Unset in
+// the file they are the addresses of Listen.
+type Advertised struct {
+	Data    netip.AddrPort
+	Control netip.AddrPort
+}
+
+// Store is the platform's key-value store.
+type Store struct {
+	Endpoints []string // URLs
+}
+
+// VMList is the platform's list of VMs.
+type VMList struct {
+	URL string // empty: there is none
+}
+
+// Seed is a VM that is known from the settings.
+type Seed struct {
+	Name    string
+	Control netip.AddrPort
+}
+
+// Log is the form of the log.
+type Log struct {
+	Format events.Format
+	Level  events.Level
+}
+
+// Timings are intervals and time-outs.
+type Timings struct {
+	StopGrace        time.Duration // longest planned leave
+	VMListInterval   time.Duration // mean time between two polls of the VM list
+	VMListTimeout    time.Duration
+	HealthInterval   time.Duration // mean time between two polls of a target
+	HealthTimeout    time.Duration
+	PeerDialTimeout  time.Duration
+	PeerWriteTimeout time.Duration
+	PeerIdle         time.Duration // an unused control link is closed after this
+	AdminWait        time.Duration // longest wait for the answer to an admin question
+}
+
+// Load reads and checks the file. It returns ErrFile or Faults.
+func Load(file string) (*Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrFile, err)
+	}
+	return Parse(file, data)
+}
+
+// Parse checks data; file is its name in faults. It returns Faults.
+func Parse(file string, data []byte) (*Settings, error) {
+	c := &checker{file: file, settings: &Settings{}}
+	c.run(data)
+	if len(c.faults) > 0 {
+		return nil, c.faults
+	}
+	return c.settings, nil
+}
