--- /dev/null
+++ b/decide/membership/config.go
@@ -0,0 +1,72 @@
+package membership
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/decide/message"
+)
+
+// Config holds the parameters of a View. Zero values of all fields but Self and
+// Seeds stand for the defaults.
+type Config struct {
+	// Self is the record of this VM. Its Incarnation must be higher than in the
+	// VM's previous life, although the VM has no disk: wall-clock milliseconds
+	// at start serve. Should gossip know a higher one, the VM exceeds that.
+	Self message.Member
+	// Seeds are control addresses of VMs to join through while nothing else is known.
+	Seeds []netip.AddrPort
+	// Interval is the time between two heartbeats to a neighbour. Default 500 ms.
+	Interval time.Duration
+	// SuspectAfter is the time without an answer until a neighbour is suspected.
+	// Default 1.5 s.
+	SuspectAfter time.Duration
+	// DeadAfter is the time without an answer until a neighbour is declared dead.
+	// Default 3 s.
+	DeadAfter time.Duration
+	// Grace is the least time that a member is held suspect before gossip alone
+	// can declare it dead. It gives a member time to refute claims that are out
+	// of date after a partition. Default 1 s.
+	Grace time.Duration
+	// PauseGap is the time between two ticks above which this VM was paused.
+	// Default 1.5 s.
+	PauseGap time.Duration
+	// Neighbours is the number of neighbours in the VM's own failure domain; one
+	// in each of two other domains is added. Default 4.
+	Neighbours int
+	// MaxUpdates is the largest number of gossiped records in one heartbeat.
+	// Default 32, about 2 kB.
+	MaxUpdates int
+	// CandidateInterval is the time between two probes of VMs that are dead or
+	// only listed. It is longer when there are few of them for a large fleet.
+	// Default 5 s.
+	CandidateInterval time.Duration
+	// DeadRetention is the time for which dead members are remembered, so that
+	// stale gossip can't revive them and a healed partition is found. Gossip of
+	// one change ends within seconds, or minutes when a domain is lost. Default 1 h.
+	DeadRetention time.Duration
+}
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.Interval, 500*time.Millisecond)
+	setDefault(&c.SuspectAfter, 1500*time.Millisecond)
+	setDefault(&c.DeadAfter, 3*time.Second)
+	setDefault(&c.Grace, time.Second)
+	setDefault(&c.PauseGap, 1500*time.Millisecond)
+	setDefault(&c.Neighbours, 4)
+	setDefault(&c.MaxUpdates, 32)
+	setDefault(&c.CandidateInterval, 5*time.Second)
+	setDefault(&c.DeadRetention, time.Hour)
+	if c.Self.ID == 0 {
+		c.Self.ID = message.VMIDOf(c.Self.Name)
+	}
+	c.Self.Incarnation = max(c.Self.Incarnation, 1)
+	c.Self.State = message.MemberAlive
+	return c
+}
+
+func setDefault[T int | time.Duration](field *T, value T) {
+	if *field <= 0 {
+		*field = value
+	}
+}
