--- /dev/null
+++ b/store/errors.go
@@ -0,0 +1,39 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Errors of the package. A typed error below wraps one of them.
+var (
+	// ErrUnavailable means that the store did not take the call: nothing was changed.
+	ErrUnavailable = errors.New("store is unavailable")
+	// ErrRateLimited means that the store refused the call because of its rate
+	// limit: nothing was changed.
+	ErrRateLimited = errors.New("store's rate limit is reached")
+	// ErrUncertain means that the answer to a write was lost: it may have taken effect.
+	ErrUncertain = errors.New("answer of the store was lost, the write may have taken effect")
+	// ErrCompacted means that the requested revision is no longer kept.
+	ErrCompacted = errors.New("revision is compacted")
+	// ErrTooLarge means that a value or a transaction is above the store's limits.
+	ErrTooLarge = errors.New("value or transaction is too large for the store")
+	// ErrLeaseUnknown means that a lease has expired or never existed.
+	ErrLeaseUnknown = errors.New("lease is unknown")
+	// ErrProtocol means that the store's answer breaks the published format or
+	// that it refused the form of a call.
+	ErrProtocol = errors.New("store does not follow the protocol")
+)
+
+// CompactedError is ErrCompacted with the oldest revision that is still kept.
+type CompactedError struct {
+	Oldest int64
+}
+
+// Error implements error.
+func (e *CompactedError) Error() string {
+	return fmt.Sprintf("revisions below %d are compacted", e.Oldest)
+}
+
+// Is reports whether target is ErrCompacted.
+func (e *CompactedError) Is(target error) bool { return target == ErrCompacted }
