Send waiting datagrams before the udp sockets close

A planned leave puts its last answers into the outgoing ring; the sockets closed before the sending duty had written them. Stop now waits until the ring is empty.

--- a/services/udp/udp.go
+++ b/services/udp/udp.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -59,6 +60,10 @@
 	out      *kernel.Ring[message.Message]
 	buf      []byte
 
+	flush   chan struct{} // closed by Stop
+	flushed chan struct{} // closed by the sending duty
+	once    sync.Once
+
 	received atomic.Uint64
 	rejected atomic.Uint64
 	sent     atomic.Uint64
@@ -71,7 +76,12 @@
 	if onReject == nil {
 		onReject = func(netip.AddrPort, error) {}
 	}
-	return &Service{config: config, onReject: onReject}
+	return &Service{
+		config:   config,
+		onReject: onReject,
+		flush:    make(chan struct{}),
+		flushed:  make(chan struct{}),
+	}
 }
 
 // Name implements kernel.Service.
@@ -203,6 +213,7 @@
 	for range batchSize {
 		m, ok := s.out.Take()
 		if !ok {
+			s.noteFlushed()
 			return kernel.Idle
 		}
 		s.write(m)
@@ -210,6 +221,27 @@
 	return now
 }
 
+func (s *Service) noteFlushed() {
+	select {
+	case <-s.flush:
+		s.once.Do(func() { close(s.flushed) })
+	default:
+	}
+}
+
+// Stop implements kernel.Stopper: it sends the waiting datagrams before the
+// sockets close.
+func (s *Service) Stop(ctx context.Context) error {
+	close(s.flush)
+	s.gate.Signal()
+	select {
+	case <-s.flushed:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("send waiting datagrams: %w", ctx.Err())
+	}
+}
+
 func (s *Service) write(m message.Message) {
 	data, err := wire.Append(s.buf[:0], m.Body)
 	s.buf = data
