Add polling of the VM list and of health endpoints

A VM that joins needs to learn of others, and an owner needs to know the health of its targets. vmlist polls only while the VM is a relay or knows no other VM; healthcheck polls owned targets from eight duties, and leaves out a poller that has not finished its last round. Both ask the core duty through commands and bound time, size and connections of HTTP requests.

--- /dev/null
+++ b/services/healthcheck/healthcheck.go
@@ -0,0 +1,184 @@
+// Package healthcheck is the service "healthcheck": it polls the health
+// endpoints of the targets that this VM owns.
+//
+// One duty asks the decisions for the targets at each interval and hands them
+// to a fixed number of poller duties through bounded rings.
+package healthcheck
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/decide/rendezvous"
+	"github.com/gypsumspan/gypsumspan/events"
+	"github.com/gypsumspan/gypsumspan/kernel"
+	"github.com/gypsumspan/gypsumspan/services/core"
+	"github.com/gypsumspan/gypsumspan/services/logs"
+)
+
+// Name is the service's name.
+const Name = "healthcheck"
+
+const (
+	// pollerCount bounds the polls under way. With a time-out of 500 ms, 16
+	// targets without an answer are polled per second.
+	pollerCount = 8
+	// pollerCapacity is the number of targets that may wait for one poller.
+	pollerCapacity = 256
+	// maxTargets bounds the targets of one round.
+	maxTargets = pollerCount * pollerCapacity
+	// jitter is the largest deviation from the interval, as a fraction of it.
+	jitter = 0.1
+)
+
+// Targets is what the service asks of the decisions. A machine that does not
+// implement it has no targets to poll.
+type Targets interface {
+	// HealthTargets calls yield for each owned target that has a health
+	// address, until yield returns false.
+	HealthTargets(yield func(target message.TargetID, health netip.AddrPort) bool)
+}
+
+// Core is the service "core".
+type Core interface {
+	Put(m message.Message) error
+	Do(c core.Command) error
+}
+
+// Config says how often to poll.
+type Config struct {
+	Interval time.Duration // mean
+	Timeout  time.Duration // of one poll
+	Seed     uint64        // of the jitter
+}
+
+// job is one poll to make.
+type job struct {
+	target message.TargetID
+	health netip.AddrPort
+}
+
+// Service is the service "healthcheck".
+type Service struct {
+	config  Config
+	rng     *rand.Rand
+	core    Core
+	log     logs.Log
+	gate    *kernel.Gate
+	rounds  *kernel.Ring[[]job]
+	pollers [pollerCount]*poller
+	next    time.Duration
+	ctx     context.Context // ends on Stop
+	cancel  context.CancelFunc
+}
+
+// New returns the service.
+func New(config Config) *Service {
+	s := &Service{config: config, rng: rand.New(rand.NewPCG(config.Seed, 0))}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	return s
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return Name }
+
+// Needs implements kernel.Service.
+func (s *Service) Needs() []string { return []string{logs.Name, core.Name} }
+
+// Setup implements kernel.Service.
+func (s *Service) Setup(k *kernel.Kernel) error {
+	s.gate = kernel.NewGate()
+	s.rounds = kernel.NewRing[[]job](k, "healthcheck.rounds", 1, kernel.DropOldest, s.gate)
+	for i := range s.pollers {
+		s.pollers[i] = newPoller(s, k, i)
+	}
+	return nil
+}
+
+// Connect implements kernel.Service.
+func (s *Service) Connect(k *kernel.Kernel) error {
+	var err error
+	if s.core, err = kernel.Lookup[Core](k, core.Name); err != nil {
+		return err
+	}
+	if s.log, err = kernel.Lookup[logs.Log](k, logs.Name); err != nil {
+		return err
+	}
+	k.AddDuty(kernel.Duty{Name: "healthcheck.plan", Gate: s.gate, Step: s.step})
+	for _, p := range s.pollers {
+		k.AddDuty(kernel.Duty{Name: p.name, Gate: p.gate, Step: p.step})
+	}
+	return nil
+}
+
+// step asks for targets at each interval and hands them to the pollers.
+func (s *Service) step(now time.Duration) time.Duration {
+	if jobs, ok := s.rounds.Take(); ok {
+		s.distribute(jobs)
+	}
+	if now >= s.next {
+		s.next = now + s.interval()
+		s.ask()
+	}
+	return s.next
+}
+
+func (s *Service) interval() time.Duration {
+	factor := 1 + jitter*(2*s.rng.Float64()-1)
+	return time.Duration(float64(s.config.Interval) * factor)
+}
+
+// ask has the core duty list the targets. A refused command is repeated at the
+// next interval.
+func (s *Service) ask() {
+	_ = s.core.Do(func(_ time.Duration, m core.Machine) []message.Message {
+		if targets, ok := m.(Targets); ok {
+			_ = s.rounds.Put(list(targets))
+		}
+		return nil
+	})
+}
+
+func list(targets Targets) []job {
+	var jobs []job
+	targets.HealthTargets(func(target message.TargetID, health netip.AddrPort) bool {
+		jobs = append(jobs, job{target: target, health: health})
+		return len(jobs) < maxTargets
+	})
+	return jobs
+}
+
+// distribute gives each target to the poller that it hashes to. A poller that
+// has not finished the last round is left out, so that polls do not pile up.
+func (s *Service) distribute(jobs []job) {
+	var busy [pollerCount]bool
+	for i, p := range s.pollers {
+		busy[i] = p.ring.Len() > 0
+		if busy[i] {
+			s.log.Log(events.HealthPollsSkipped, events.F("poller", i))
+		}
+	}
+	for _, j := range jobs {
+		i := rendezvous.Mix(uint64(j.target), 0) % pollerCount
+		if !busy[i] {
+			_ = s.pollers[i].ring.Put(j)
+		}
+	}
+}
+
+// Stop implements kernel.Stopper: it ends the polls under way.
+func (s *Service) Stop(context.Context) error {
+	s.cancel()
+	for _, p := range s.pollers {
+		p.client.Close()
+	}
+	return nil
+}
+
+func pollerName(i int) string {
+	return fmt.Sprintf("healthcheck.poll.%d", i)
+}
--- /dev/null
+++ b/services/vmlist/vmlist.go
@@ -0,0 +1,211 @@
+// Package vmlist is the service "vmlist": it polls the platform's list of VMs
+// while this VM is a relay or knows no other VM.
+package vmlist
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/events"
+	"github.com/gypsumspan/gypsumspan/kernel"
+	"github.com/gypsumspan/gypsumspan/services/core"
+	"github.com/gypsumspan/gypsumspan/services/httpget"
+	"github.com/gypsumspan/gypsumspan/services/logs"
+)
+
+// Name is the service's name.
+const Name = "vmlist"
+
+// maxList is the largest list, in bytes. 15,000 VMs take about 2 MB.
+const maxList = 8 << 20
+
+// jitter is the largest deviation from the interval, as a fraction of it. It
+// keeps VMs that started together from polling together.
+const jitter = 0.2
+
+// ErrEntry means that an entry of the list can't be used.
+var ErrEntry = errors.New("invalid entry of the VM list")
+
+// Relay is what the service asks of the decisions. A machine that does not
+// implement it is no relay.
+type Relay interface {
+	IsRelay() bool
+}
+
+// Peers is what the service asks of the decisions. A machine that does not
+// implement it is taken to know other VMs.
+type Peers interface {
+	KnowsPeers() bool
+}
+
+// Core is the service "core".
+type Core interface {
+	Put(m message.Message) error
+	Do(c core.Command) error
+}
+
+// Config says where and how often to poll.
+type Config struct {
+	URL      string
+	Interval time.Duration // mean
+	Timeout  time.Duration
+	Seed     uint64 // of the jitter
+}
+
+// Service is the service "vmlist".
+type Service struct {
+	config Config
+	client *httpget.Client
+	rng    *rand.Rand
+	core   Core
+	log    logs.Log
+	gate   *kernel.Gate
+	wanted *kernel.Ring[bool]
+	next   time.Duration
+	ctx    context.Context // ends on Stop
+	cancel context.CancelFunc
+}
+
+// New returns the service.
+func New(config Config) *Service {
+	s := &Service{
+		config: config,
+		client: httpget.New(config.Timeout, maxList),
+		rng:    rand.New(rand.NewPCG(config.Seed, 0)),
+	}
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	return s
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return Name }
+
+// Needs implements kernel.Service.
+func (s *Service) Needs() []string { return []string{logs.Name, core.Name} }
+
+// Setup implements kernel.Service.
+func (s *Service) Setup(k *kernel.Kernel) error {
+	s.gate = kernel.NewGate()
+	s.wanted = kernel.NewRing[bool](k, "vmlist.wanted", 1, kernel.DropOldest, s.gate)
+	return nil
+}
+
+// Connect implements kernel.Service.
+func (s *Service) Connect(k *kernel.Kernel) error {
+	var err error
+	if s.core, err = kernel.Lookup[Core](k, core.Name); err != nil {
+		return err
+	}
+	if s.log, err = kernel.Lookup[logs.Log](k, logs.Name); err != nil {
+		return err
+	}
+	k.AddDuty(kernel.Duty{Name: "vmlist", Gate: s.gate, Step: s.step})
+	return nil
+}
+
+// step asks the decisions at each interval, and polls when they want the list.
+func (s *Service) step(now time.Duration) time.Duration {
+	if wanted, ok := s.wanted.Take(); ok && wanted {
+		s.poll()
+	}
+	if now >= s.next {
+		s.next = now + s.interval()
+		s.ask()
+	}
+	return s.next
+}
+
+func (s *Service) interval() time.Duration {
+	factor := 1 + jitter*(2*s.rng.Float64()-1)
+	return time.Duration(float64(s.config.Interval) * factor)
+}
+
+// ask has the core duty say whether the list is wanted. A refused command is
+// repeated at the next interval.
+func (s *Service) ask() {
+	_ = s.core.Do(func(_ time.Duration, m core.Machine) []message.Message {
+		_ = s.wanted.Put(isWanted(m))
+		return nil
+	})
+}
+
+func isWanted(m core.Machine) bool {
+	if relay, ok := m.(Relay); ok && relay.IsRelay() {
+		return true
+	}
+	peers, ok := m.(Peers)
+	return ok && !peers.KnowsPeers()
+}
+
+// entry is one VM as the platform describes it.
+type entry struct {
+	Name    string `json:"name"`
+	Domain  string `json:"domain"`
+	Data    string `json:"data"`
+	Control string `json:"control"`
+	Leaving bool   `json:"leaving"`
+}
+
+// poll reads the list and hands it to the decisions.
+func (s *Service) poll() {
+	var list struct {
+		VMs []entry `json:"vms"`
+	}
+	err := s.client.GetJSON(s.ctx, s.config.URL, &list)
+	if s.ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		s.log.Log(events.VMListFailed, events.F("url", s.config.URL), events.F("error", err))
+		return
+	}
+	body := &message.VMList{}
+	for _, e := range list.VMs {
+		member, err := e.member()
+		if err != nil {
+			s.log.Log(events.VMListEntryInvalid, events.F("name", e.Name), events.F("error", err))
+			continue
+		}
+		body.Members = append(body.Members, member)
+	}
+	_ = s.core.Put(message.Message{From: message.Address{Kind: message.PeerPlatform}, Body: body})
+}
+
+// member returns the typed entry, or ErrEntry.
+func (e entry) member() (message.Member, error) {
+	if e.Name == "" || e.Domain == "" {
+		return message.Member{}, fmt.Errorf("name or domain is empty: %w", ErrEntry)
+	}
+	data, err := netip.ParseAddrPort(e.Data)
+	if err != nil {
+		return message.Member{}, fmt.Errorf("data address: %w: %w", ErrEntry, err)
+	}
+	control, err := netip.ParseAddrPort(e.Control)
+	if err != nil {
+		return message.Member{}, fmt.Errorf("control address: %w: %w", ErrEntry, err)
+	}
+	state := message.MemberAlive
+	if e.Leaving {
+		state = message.MemberLeaving
+	}
+	return message.Member{
+		ID:      message.VMIDOf(e.Name),
+		Name:    e.Name,
+		Domain:  message.DomainIDOf(e.Domain),
+		Data:    data,
+		Control: control,
+		State:   state,
+	}, nil
+}
+
+// Stop implements kernel.Stopper: it ends a poll under way.
+func (s *Service) Stop(context.Context) error {
+	s.cancel()
+	s.client.Close()
+	return nil
+}
