--- a/caller/session/oracle_test.go
+++ b/caller/session/oracle_test.go
@@ -229,7 +229,7 @@
 // deliver hands over any message on its way: reordered, lost or duplicated.
 func (o *oracle) deliver(t *rapid.T) {
 	if len(o.net) == 0 {
-		t.Skip("nothing is on its way")
+		return
 	}
 	i := rapid.IntRange(0, len(o.net)-1).Draw(t, "message")
 	body := o.net[i]
@@ -243,6 +243,22 @@
 	o.take(o.s.Receive(o.now, message.Message{Body: body}))
 }
 
+// interleave lets two attempts of one request be answered at the same time.
+func (o *oracle) interleave(t *rapid.T) {
+	if len(o.sent) == 0 {
+		t.Skip("nothing was sent")
+	}
+	m := rapid.SampledFrom(o.sent).Draw(t, "request")
+	o.answer(m, attemptKey{m.Key(), m.Attempt})
+	refusal := &message.Refusal{Flow: m.Flow, ID: m.ID, Attempt: m.Attempt, Reason: message.MayHaveRun, Binding: o.binding()}
+	o.take(o.s.Receive(o.now, message.Message{Body: refusal}))
+	last := o.sent[len(o.sent)-1]
+	o.answer(last, attemptKey{last.Key(), last.Attempt})
+	for range rapid.IntRange(1, 12).Draw(t, "deliveries") {
+		o.deliver(t)
+	}
+}
+
 func (o *oracle) takeover(t *rapid.T) {
 	o.epoch++
 }
@@ -281,7 +297,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"open": o.openFlow, "do": o.do, "do again": o.do, "serve": o.serve, "serve again": o.serve,
 			"deliver": o.deliver, "deliver again": o.deliver, "deliver more": o.deliver,
-			"takeover": o.takeover, "advance": o.advance, "": o.check,
+			"interleave": o.interleave, "takeover": o.takeover, "advance": o.advance, "": o.check,
 		})
 	})
 }
--- a/caller/session/session_test.go
+++ b/caller/session/session_test.go
@@ -158,3 +158,17 @@
 	is.True(ok)
 	is.Equal(s.NextWake(), Never)
 }
+
+// TestEarlierAttemptMayHaveRun guards against "not run" for a request of which
+// only the last attempt was not run.
+func TestEarlierAttemptMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	s, flow := boundSession(is)
+	_, out, _ := s.Do(0, flow, Call{Idempotent: true, Timeout: time.Second})
+	out = s.Receive(0, refuse(requestIn(out), message.MayHaveRun, 2))
+	refusal := refuse(requestIn(out), message.NotRun, 2)
+	refusal.Body.(*message.Refusal).RetryAfter = 2 * time.Second
+	out = s.Receive(0, refusal)
+	is.True(errors.Is(out.Results[0].Err, ErrMayHaveRun))
+	is.True(!errors.Is(out.Results[0].Err, ErrNotRun))
+}
