--- /dev/null
+++ b/decide/membership/fuzz_test.go
@@ -0,0 +1,212 @@
+package membership
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/gypsumspan/gypsumspan/decide/message"
+)
+
+// fixRapid makes a run repeatable unless the command line gives a seed, and
+// long enough for members to die and be forgotten.
+func fixRapid(t *testing.T) {
+	defaults := map[string]string{"rapid.seed": "1", "rapid.steps": "120", "rapid.checks": "400"}
+	flag.Visit(func(f *flag.Flag) { delete(defaults, f.Name) })
+	for name, value := range defaults {
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// fuzzed drives a view with random input and compares what it keeps
+// incrementally with what follows from its records.
+type fuzzed struct {
+	v            *View
+	now          time.Duration
+	version      uint64
+	live         map[message.VMID]message.Member
+	incarnations map[message.VMID]uint64
+	own          uint64
+}
+
+func newFuzzed() *fuzzed {
+	f := &fuzzed{v: newView(5), incarnations: make(map[message.VMID]uint64)}
+	f.remember()
+	return f
+}
+
+func (f *fuzzed) remember() {
+	f.version = f.v.Version()
+	f.live = make(map[message.VMID]message.Member)
+	for _, m := range f.v.Live() {
+		m.Incarnation = 0
+		m.State = 0
+		f.live[m.ID] = m
+	}
+}
+
+func drawMember(t *rapid.T) message.Member {
+	m := recordOf(rapid.IntRange(0, 7).Draw(t, "vm"), rapid.Uint64Range(0, 3).Draw(t, "plus"),
+		message.MemberState(rapid.IntRange(0, 5).Draw(t, "state")))
+	switch rapid.IntRange(0, 9).Draw(t, "form") {
+	case 0, 1, 2:
+		return short(m)
+	case 3:
+		m.Control = simMember(100, 3).Control
+	case 4:
+		m.Domain = message.DomainIDOf("domain-7")
+	}
+	return m
+}
+
+func (f *fuzzed) actions() map[string]func(*rapid.T) {
+	members := rapid.Custom(drawMember)
+	some := rapid.SliceOfN(members, 0, 3)
+	return map[string]func(*rapid.T){
+		"heartbeat": func(t *rapid.T) {
+			f.receive(&message.Heartbeat{Self: members.Draw(t, "self"), Updates: some.Draw(t, "updates")})
+		},
+		"ack": func(t *rapid.T) {
+			f.receive(&message.HeartbeatAck{Self: members.Draw(t, "self"), Updates: some.Draw(t, "updates")})
+		},
+		"members": func(t *rapid.T) { f.receive(&message.Members{All: some.Draw(t, "all")}) },
+		"list":    func(t *rapid.T) { f.receive(&message.VMList{Members: some.Draw(t, "all")}) },
+		"pull":    func(t *rapid.T) { f.receive(&message.MembersPull{}) },
+		"leave": func(t *rapid.T) {
+			if rapid.IntRange(0, 9).Draw(t, "rare") == 0 {
+				f.v.Leave(f.now)
+			}
+		},
+		"tick": func(t *rapid.T) {
+			steps := []time.Duration{10 * ms, 100 * ms, 600 * ms, 1400 * ms, 2 * time.Second, 2 * time.Hour}
+			f.now += rapid.SampledFrom(steps).Draw(t, "step")
+			f.v.Tick(f.now)
+		},
+		"": f.check,
+	}
+}
+
+func (f *fuzzed) receive(body message.Body) {
+	f.v.Receive(f.now, message.Message{Body: body})
+}
+
+func (f *fuzzed) check(t *rapid.T) {
+	f.checkCounts(t)
+	f.checkLists(t)
+	f.checkVersion(t)
+	f.checkIncarnations(t)
+}
+
+func (f *fuzzed) checkCounts(t *rapid.T) {
+	reachable, leaving, others, candidates := 0, 0, 0, 0
+	for _, r := range f.v.order {
+		s := r.member.State
+		if isReachable(s) && r != f.v.self {
+			reachable++
+		}
+		if s == message.MemberLeaving {
+			leaving++
+		}
+		others += f.v.countsAsOther(r)
+		if f.v.isCandidate(r) != (r.candidate >= 0) {
+			t.Fatalf("%s in state %d is candidate %d", r.member.Name, s, r.candidate)
+		}
+		if r.candidate >= 0 {
+			candidates++
+		}
+	}
+	if reachable != f.v.reachable || leaving != f.v.leaving || others != f.v.others || candidates != len(f.v.candidates) {
+		t.Fatalf("counts differ: %d %d %d %d", reachable, leaving, others, candidates)
+	}
+	if len(f.v.order) != len(f.v.records) {
+		t.Fatalf("%d ordered and %d indexed records", len(f.v.order), len(f.v.records))
+	}
+}
+
+func (f *fuzzed) checkLists(t *rapid.T) {
+	live, reach := f.v.Live(), f.v.Reachable()
+	i, k := 0, 0
+	var last message.VMID
+	for _, r := range f.v.order {
+		if r.member.ID <= last && last != 0 {
+			t.Fatal("records are not in order of ids")
+		}
+		last = r.member.ID
+		if isLive(r.member.State) {
+			if i >= len(live) || live[i] != r.member {
+				t.Fatalf("live list differs at %d", i)
+			}
+			i++
+		}
+		if isReachable(r.member.State) {
+			if k >= len(reach) || reach[k] != r.member {
+				t.Fatalf("list of reachable members differs at %d", k)
+			}
+			k++
+		}
+	}
+	inDomains := 0
+	for id, d := range f.v.domains {
+		members := f.v.InDomain(id)
+		inDomains += len(members)
+		if len(members) != d.live {
+			t.Fatalf("%d members in domain, counted %d", len(members), d.live)
+		}
+		for _, m := range members {
+			if f.v.records[m.ID].member != m {
+				t.Fatalf("domain list has an old record of %s", m.Name)
+			}
+		}
+	}
+	if i != len(live) || k != len(reach) || inDomains != i {
+		t.Fatalf("lists have %d, %d and %d members, want %d and %d", len(live), len(reach), inDomains, i, k)
+	}
+}
+
+// checkVersion compares the live set with that of the last version.
+func (f *fuzzed) checkVersion(t *rapid.T) {
+	old, version := f.live, f.version
+	f.remember()
+	same := len(old) == len(f.live)
+	for id, m := range f.live {
+		same = same && old[id] == m
+	}
+	if !same && version == f.version {
+		t.Fatal("the live set changed without a new version")
+	}
+}
+
+func (f *fuzzed) checkIncarnations(t *rapid.T) {
+	self := f.v.Self()
+	if self.State != message.MemberAlive && self.State != message.MemberLeaving {
+		t.Fatalf("this VM holds itself in state %d", self.State)
+	}
+	if self.Incarnation < f.own {
+		t.Fatal("the own incarnation fell")
+	}
+	f.own = self.Incarnation
+	for id, r := range f.v.records {
+		if r.member.Incarnation < f.incarnations[id] {
+			t.Fatalf("incarnation of %s fell", r.member.Name)
+		}
+		f.incarnations[id] = r.member.Incarnation
+	}
+	for id := range f.incarnations {
+		if _, known := f.v.records[id]; !known {
+			delete(f.incarnations, id) // forgotten after the retention time
+		}
+	}
+}
+
+// Guards against counters and cached lists that drift from the records, and
+// against versions, states and incarnations that break their rules.
+func TestViewInvariants(t *testing.T) {
+	fixRapid(t)
+	rapid.Check(t, func(t *rapid.T) {
+		t.Repeat(newFuzzed().actions())
+	})
+}
--- a/decide/membership/sim_run_test.go
+++ b/decide/membership/sim_run_test.go
@@ -109,19 +109,24 @@
 // Guards against a healed partition that stays split, and against deaths of the
 // other side's making that spread after the heal.
 func TestPartitionHeals(t *testing.T) {
-	for _, length := range []time.Duration{4 * time.Second, 60 * time.Second} {
+	lengths := []time.Duration{60 * time.Second}
+	for length := 2 * time.Second; length < 8*time.Second; length += 200 * time.Millisecond {
+		lengths = append(lengths, length)
+	}
+	for _, length := range lengths {
 		s := newSim(18, 3, 3, true)
 		s.run(3*time.Second, nil)
 		s.cut = func(from, to int) bool { return (from%3 == 0) != (to%3 == 0) }
 		s.run(s.now+length, nil)
 		inner := s.innerDeaths()
+		deaths := s.stats().Deaths
 		s.cut = nil
 		start := s.now
 		healed := s.run(start+20*time.Second, func() bool {
 			inner = max(inner, s.innerDeaths())
 			return s.allLive()
 		})
-		t.Logf("partition of %v healed after %.2f s", length, (s.now - start).Seconds())
+		t.Logf("partition of %v (%d deaths declared) healed after %.2f s", length, deaths, (s.now - start).Seconds())
 		if !healed {
 			t.Fatalf("partition of %v not healed after 20 s", length)
 		}
@@ -191,3 +196,40 @@
 		t.Fatalf("incarnation %d is not above that of the previous life", s.views[4].Self().Incarnation)
 	}
 }
+
+// Guards against false deaths when some links fail but other VMs still reach
+// both ends: a pair of VMs, and two of three failure domains.
+func TestPartialPartitionKillsNobody(t *testing.T) {
+	cuts := map[string]func(from, to int) bool{
+		"pair":    func(from, to int) bool { return from+to == 3 && from*to == 0 },
+		"one way": func(from, to int) bool { return from == 0 && to%5 == 1 },
+		"domains": func(from, to int) bool { return from%3 != to%3 && from%3 != 2 && to%3 != 2 },
+	}
+	for name, cut := range cuts {
+		for _, n := range []int{4, 6, 18} {
+			s := newSim(n, 3, 6, true)
+			s.run(3*time.Second, nil)
+			s.cut = cut
+			s.run(33*time.Second, nil)
+			stats := s.stats()
+			t.Logf("%s, %d VMs: %d suspicions, %d deaths", name, n, stats.Suspicions, stats.Deaths)
+			if stats.Deaths != 0 {
+				t.Errorf("%s, %d VMs: %d false deaths", name, n, stats.Deaths)
+			}
+		}
+	}
+}
+
+// Guards against slow detection when a whole failure domain crashes, so that
+// probers die with those they probe.
+func TestDomainCrash(t *testing.T) {
+	s := newSim(18, 3, 7, true)
+	s.run(3*time.Second, nil)
+	for i := 0; i < 18; i += 3 {
+		s.down[i] = true
+	}
+	if !s.run(s.now+9*time.Second, s.allLive) {
+		t.Fatal("crash of a domain is not known to all after 9 s")
+	}
+	t.Logf("crash of 6 of 18 VMs known to all after %.2f s", (s.now - 3*time.Second).Seconds())
+}
