Write rows as arrays; add the revision of an export to sheets

Cause: field names were more than half of a shard, so a service of 10,000 targets did not fit into one store transaction of 1.5 MB. A merge needs the revision at which the edited file was exported.

Change: a row is a JSON array; a sheet has an optional revision row; Range can count keys and leave out values.

--- a/decide/sheet/csv.go
+++ b/decide/sheet/csv.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -88,6 +89,8 @@
 	}
 	switch {
 	case len(record) == 0:
+	case p.section == noSection && strings.EqualFold(record[0], ColumnRevision):
+		p.revision(line, record)
 	case isHeader(record):
 		p.header(line, record)
 	case p.section == noSection:
@@ -112,6 +115,16 @@
 	return slices.Contains(names, ColumnService) && (slices.Contains(names, ColumnKind) || slices.Contains(names, ColumnTarget))
 }
 
+func (p *parser) revision(line int, record []string) {
+	if len(record) == 2 {
+		if n, err := strconv.ParseInt(record[1], 10, 64); err == nil && n > 0 {
+			p.sheet.Revision = n
+			return
+		}
+	}
+	p.fault(line, ColumnRevision, "the row does not hold one number", "leave it as it was exported")
+}
+
 func (p *parser) beforeHeader(line int) {
 	if !p.complain {
 		p.fault(line, "", "row before the first header", "start the file with the header "+strings.Join(namesOf(kindColumns), ","))
@@ -198,10 +211,13 @@
 	}
 }
 
-// FormatCSV writes a sheet that ParseCSV reads: both sections, an empty line
-// between them.
+// FormatCSV writes a sheet that ParseCSV reads: the revision if it is known,
+// then both sections, with an empty line between them.
 func FormatCSV(s Sheet) []byte {
 	var out bytes.Buffer
+	if s.Revision > 0 {
+		fmt.Fprintf(&out, "%s,%d\n\n", ColumnRevision, s.Revision)
+	}
 	formatSection(&out, kindColumns, s.Kinds)
 	out.WriteString("\n")
 	formatSection(&out, targetColumns, s.Targets)
--- a/decide/sheet/sheet.go
+++ b/decide/sheet/sheet.go
@@ -33,6 +33,8 @@
 	ColumnWeight  = "weight"
 	ColumnLimit   = "limit"
 	ColumnState   = "state"
+	// ColumnRevision starts the row that holds Sheet.Revision.
+	ColumnRevision = "revision"
 	// ColumnKinds names the list of a service's kinds in differences and
 	// conflicts. Its order counts, since it gives the kinds their numbers.
 	ColumnKinds = "kinds"
@@ -67,8 +69,11 @@
 // Sheet is a table whose cells are text, checked or not. The order of a
 // service's kinds counts; other rows may have any order.
 type Sheet struct {
-	Kinds   []KindRow
-	Targets []TargetRow
+	// Revision is the store's revision that the sheet was exported at, 0 if it is
+	// not known. Merging needs it to tell an edit from a cell that is only old.
+	Revision int64
+	Kinds    []KindRow
+	Targets  []TargetRow
 }
 
 // column is one column of a section.
--- a/decide/sheet/sheet_test.go
+++ b/decide/sheet/sheet_test.go
@@ -31,7 +31,7 @@
 
 // withoutLines clears the line numbers, which only a file gives.
 func withoutLines(s Sheet) Sheet {
-	s = Sheet{Kinds: slices.Clone(s.Kinds), Targets: slices.Clone(s.Targets)}
+	s.Kinds, s.Targets = slices.Clone(s.Kinds), slices.Clone(s.Targets)
 	for i := range s.Kinds {
 		s.Kinds[i].Line = 0
 	}
@@ -50,6 +50,9 @@
 	services, faults := s.Services()
 	is.Equal(len(faults), 0)
 	is.Equal(FromServices(services), withoutLines(s))
+	s.Revision = 17
+	is.Equal(withoutLines(parse(t, string(FormatCSV(s)))), withoutLines(s))
+	s.Revision = 0
 	padded := strings.ReplaceAll(example, "\n\n", "\n,,,,,,,\n")
 	for _, text := range []string{
 		"\xef\xbb\xbf" + strings.ReplaceAll(padded, "\n", "\r\n"),
@@ -66,6 +69,7 @@
 		name, old, new string
 		want           []string // line, column and a part of the problem, for each fault
 	}{
+		{"bad revision", "service,address", "revision,soon\nservice,address", []string{"line 1, column revision: the row"}},
 		{"unknown column", "limit,state", "limit,state,colour", []string{"line 6, column colour: unknown column"}},
 		{"missing column", "weight,limit,state", "weight,limit", []string{"line 6, column state: column is missing"}},
 		{"missing section", "service,target,domain,address,health,weight,limit,state", "", nil},
--- a/decide/table/codec.go
+++ b/decide/table/codec.go
@@ -69,14 +69,39 @@
 	Targets []targetJSON `json:"targets"`
 }
 
+// targetJSON is a row. It is an array, since field names would be more than half
+// of a shard, and a service has to fit into one transaction to be resharded.
 type targetJSON struct {
-	Name    string         `json:"name"`
-	Domain  string         `json:"domain"`
-	Address netip.AddrPort `json:"address"`
-	Health  netip.AddrPort `json:"health"`
-	Weight  uint32         `json:"weight"`
-	Limit   uint32         `json:"limit"`
-	State   string         `json:"state"`
+	Name    string
+	Domain  string
+	Address netip.AddrPort
+	Health  netip.AddrPort
+	Weight  uint32
+	Limit   uint32
+	State   string
+}
+
+// fields returns pointers to the fields in the order of the array.
+func (t *targetJSON) fields() []any {
+	return []any{&t.Name, &t.Domain, &t.Address, &t.Health, &t.Weight, &t.Limit, &t.State}
+}
+
+// MarshalJSON implements json.Marshaler.
+func (t targetJSON) MarshalJSON() ([]byte, error) {
+	return json.Marshal(t.fields())
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (t *targetJSON) UnmarshalJSON(data []byte) error {
+	fields := t.fields()
+	want := len(fields)
+	if err := json.Unmarshal(data, &fields); err != nil {
+		return err
+	}
+	if len(fields) != want || slices.Contains(fields, nil) {
+		return fmt.Errorf("row with %d fields instead of %d: %w", len(fields), want, ErrMalformed)
+	}
+	return nil
 }
 
 // EncodeMeta returns the store value of m: compact JSON (RFC 8259) with a fixed
--- a/decide/table/table_test.go
+++ b/decide/table/table_test.go
@@ -74,7 +74,7 @@
 
 // Guards against a malformed entry that is accepted or replaces a good one.
 func TestMalformedEntriesAreRejected(t *testing.T) {
-	const row = `{"name":"a","domain":"d","address":"10.0.0.1:1","health":"","weight":1,"limit":1,"state":"active"}`
+	const row = `["a","d","10.0.0.1:1","",1,1,"active"]`
 	meta, shard := MetaKey("s"), ShardKey("s", 0)
 	cases := []struct {
 		key, value string
@@ -95,8 +95,12 @@
 		{shard, `{"v":1,"of":0,"targets":[]}`, ErrOutOfRange},
 		{shard, `{"v":1,"of":1,"targets":[` + row + `]} x`, ErrMalformed},
 		{shard, `{"v":1,"of":1,"targets":[` + row + `,` + row + `]}`, ErrDuplicate},
+		{shard, `{"v":1,"of":1,"targets":[` + strings.Replace(row, `1,1,`, `1,`, 1) + `]}`, ErrMalformed},
+		{shard, `{"v":1,"of":1,"targets":[` + strings.Replace(row, `1,1,`, `1,1,1,`, 1) + `]}`, ErrMalformed},
+		{shard, `{"v":1,"of":1,"targets":[` + strings.Replace(row, `1,1,`, `1,null,`, 1) + `]}`, ErrMalformed},
+		{shard, `{"v":1,"of":1,"targets":[null]}`, ErrMalformed},
 		{ShardKey("s", 1-ShardOf("a", 2)), `{"v":1,"of":2,"targets":[` + row + `]}`, ErrWrongShard},
-		{shard, `{"v":1,"of":1,"targets":[` + strings.Replace(row, `"weight":1`, `"weight":0`, 1) + `]}`, ErrOutOfRange},
+		{shard, `{"v":1,"of":1,"targets":[` + strings.Replace(row, `1,1,`, `0,1,`, 1) + `]}`, ErrOutOfRange},
 		{shard, `{"v":1,"of":1,"targets":[` + strings.Replace(row, `10.0.0.1:1`, ``, 1) + `]}`, ErrOutOfRange},
 		{shard, `{"v":1,"of":1,"targets":[` + strings.Replace(row, `active`, `on`, 1) + `]}`, ErrUnknownWord},
 	}
--- a/standin/store/engine.go
+++ b/standin/store/engine.go
@@ -1,7 +1,6 @@
 package store
 
 import (
-	"bytes"
 	"fmt"
 	"slices"
 	"sync"
@@ -94,16 +93,17 @@
 	if r.After != "" {
 		s.start = r.After + "\x00"
 	}
-	return e.rangeScope(s, r.Limit, r.Revision)
+	return e.rangeScope(s, r)
 }
 
-func (e *Engine) rangeScope(s scope, limit, at int64) (store.RangeResponse, error) {
+func (e *Engine) rangeScope(s scope, r store.RangeRequest) (store.RangeResponse, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.calls.Ranges++
 	if err := e.admit(&e.reads); err != nil {
 		return store.RangeResponse{}, err
 	}
+	at := r.Revision
 	if at == 0 {
 		at = e.history.newest
 	}
@@ -113,11 +113,14 @@
 	if at > e.history.newest {
 		return store.RangeResponse{}, fmt.Errorf("revision %d is in the future: %w", at, store.ErrProtocol)
 	}
-	found, more := e.history.scan(s, at, limit)
-	answer := store.RangeResponse{Revision: e.history.newest, More: more}
-	for _, r := range found {
-		kv := r.KV
-		kv.Value = bytes.Clone(kv.Value)
+	found, count := e.history.scan(s, at, r.Limit)
+	answer := store.RangeResponse{Revision: e.history.newest, More: count > int64(len(found)), Count: count}
+	for _, write := range found {
+		kv := write.KV
+		kv.Value = nil
+		if !r.KeysOnly {
+			kv.Value = append([]byte{}, write.KV.Value...)
+		}
 		answer.KVs = append(answer.KVs, kv)
 	}
 	return answer, nil
@@ -187,7 +190,7 @@
 		}
 		for _, p := range t.Puts {
 			e.detach(p.Key)
-			e.history.put(store.KV{Key: p.Key, Value: bytes.Clone(p.Value), Lease: p.Lease})
+			e.history.put(store.KV{Key: p.Key, Value: append([]byte{}, p.Value...), Lease: p.Lease})
 			if l := e.leases[p.Lease]; l != nil {
 				l.keys[p.Key] = struct{}{}
 			}
--- a/standin/store/handler.go
+++ b/standin/store/handler.go
@@ -86,11 +86,11 @@
 }
 
 func (e *Engine) serveRange(in etcdjson.RangeRequest) (etcdjson.RangeResponse, error) {
-	out, err := e.rangeScope(scope{start: string(in.Key), end: string(in.RangeEnd)}, in.Limit, in.Revision)
+	out, err := e.rangeScope(scope{start: string(in.Key), end: string(in.RangeEnd)}, store.RangeRequest{Limit: in.Limit, Revision: in.Revision, KeysOnly: in.KeysOnly})
 	if err != nil {
 		return etcdjson.RangeResponse{}, err
 	}
-	answer := etcdjson.RangeResponse{Header: etcdjson.Header{Revision: out.Revision}, More: out.More, Count: int64(len(out.KVs))}
+	answer := etcdjson.RangeResponse{Header: etcdjson.Header{Revision: out.Revision}, More: out.More, Count: out.Count}
 	for _, kv := range out.KVs {
 		answer.KVs = append(answer.KVs, toWire(kv))
 	}
--- a/standin/store/history.go
+++ b/standin/store/history.go
@@ -84,9 +84,9 @@
 	}
 }
 
-// scan returns the keys of a scope at a revision, and whether more follow.
-func (h *history) scan(s scope, at, limit int64) ([]revision, bool) {
-	var found []revision
+// scan returns the keys of a scope at a revision, up to a limit, and the number
+// of all keys in the scope.
+func (h *history) scan(s scope, at, limit int64) (found []revision, count int64) {
 	first, _ := slices.BinarySearch(h.keys, s.start)
 	for _, key := range h.keys[first:] {
 		if !s.contains(key) {
@@ -96,12 +96,12 @@
 		if !exists {
 			continue
 		}
-		if limit > 0 && int64(len(found)) == limit {
-			return found, true
+		count++
+		if limit == 0 || count <= limit {
+			found = append(found, r)
 		}
-		found = append(found, r)
 	}
-	return found, false
+	return found, count
 }
 
 // compact drops what is only needed for revisions below oldest.
--- a/store/etcdjson/etcdjson.go
+++ b/store/etcdjson/etcdjson.go
@@ -44,6 +44,7 @@
 	RangeEnd []byte `json:"range_end,omitempty"`
 	Limit    int64  `json:"limit,string,omitempty"`
 	Revision int64  `json:"revision,string,omitempty"`
+	KeysOnly bool   `json:"keys_only,omitempty"`
 }
 
 // RangeResponse answers RangeRequest.
--- a/store/http.go
+++ b/store/http.go
@@ -89,7 +89,7 @@
 
 // Range implements Store.
 func (h *HTTP) Range(ctx context.Context, r RangeRequest) (RangeResponse, error) {
-	in := etcdjson.RangeRequest{Key: []byte(r.Span.Key), RangeEnd: []byte(r.Span.End()), Limit: r.Limit, Revision: r.Revision}
+	in := etcdjson.RangeRequest{Key: []byte(r.Span.Key), RangeEnd: []byte(r.Span.End()), Limit: r.Limit, Revision: r.Revision, KeysOnly: r.KeysOnly}
 	if r.After != "" {
 		in.Key = []byte(r.After + "\x00")
 	}
@@ -97,10 +97,15 @@
 	if err := h.call(ctx, etcdjson.PathRange, in, &out, false); err != nil {
 		return RangeResponse{}, err
 	}
-	answer := RangeResponse{Revision: out.Header.Revision, More: out.More}
+	answer := RangeResponse{Revision: out.Header.Revision, More: out.More, Count: out.Count}
 	for _, kv := range out.KVs {
 		answer.KVs = append(answer.KVs, fromWire(kv))
 	}
+	if r.KeysOnly {
+		for i := range answer.KVs {
+			answer.KVs[i].Value = nil
+		}
+	}
 	return answer, nil
 }
 
--- a/store/store.go
+++ b/store/store.go
@@ -55,13 +55,15 @@
 	After    string // only keys above it, for the next page; empty for the first
 	Limit    int64  // largest number of keys, 0 for no limit
 	Revision int64  // read at this revision, 0 for the newest
+	KeysOnly bool   // leave out the values
 }
 
 // RangeResponse is one page of keys.
 type RangeResponse struct {
 	Revision int64 // the store's revision at the time of the answer
 	KVs      []KV
-	More     bool // further keys follow
+	More     bool  // further keys follow
+	Count    int64 // number of keys in the whole span above RangeRequest.After
 }
 
 // Compare is a condition of a transaction: the key was last written at
