Add the admin service

Operators need metrics, the state of a VM and an explanation of decisions. Questions run as commands on the core duty, with a bounded wait; connections are bounded as well.

Measured: go test -race -count=3 ./services/admin passes.

--- /dev/null
+++ b/services/admin/admin.go
@@ -0,0 +1,165 @@
+// Package admin is the service "admin": metrics and operators' questions over
+// HTTP on the admin address.
+//
+//	GET /healthz               "ok" when the decisions answer
+//	GET /metrics               metrics in the Prometheus text format 0.0.4
+//	GET /v1/status             JSON object: vm, domain, table_revision, leaving, members, owned
+//	GET /v1/explain?flow=HEX   JSON list of recent decisions about a flow
+//
+// Questions are answered on the core duty, within a bounded wait.
+package admin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/kernel"
+	"github.com/gypsumspan/gypsumspan/services/core"
+	"github.com/gypsumspan/gypsumspan/services/logs"
+	"github.com/gypsumspan/gypsumspan/services/peers"
+	"github.com/gypsumspan/gypsumspan/services/udp"
+)
+
+// Name is the service's name.
+const Name = "admin"
+
+const (
+	// maxConns bounds the open connections. net/http uses a goroutine for each.
+	maxConns = 16
+	// readTimeout bounds the time in which a client sends a request.
+	readTimeout = 5 * time.Second
+	// writeTimeout bounds the time in which a client reads an answer.
+	writeTimeout = 35 * time.Second
+	// idleTimeout closes a connection without requests.
+	idleTimeout = 30 * time.Second
+	// maxHeader is the largest request header, in bytes.
+	maxHeader = 8 << 10
+)
+
+// TableVersioner is a machine that knows the revision of its table.
+type TableVersioner interface {
+	TableVersion() uint64
+}
+
+// Statuser is a machine that describes itself. The result is encoded as a JSON
+// object on the core duty; its fields replace those that the service sets.
+type Statuser interface {
+	Status() any
+}
+
+// Explainer is a machine that keeps recent decisions. The result is encoded as
+// JSON on the core duty.
+type Explainer interface {
+	Explain(flow message.FlowID) any
+}
+
+// Counter is a machine with counters since start.
+type Counter interface {
+	Counters(yield func(name string, value int64) bool)
+}
+
+// Gauger is a machine with gauges.
+type Gauger interface {
+	Gauges(yield func(name string, tags map[string]string, value float64) bool)
+}
+
+// Core is the service "core".
+type Core interface {
+	Do(c core.Command) error
+}
+
+// Config is the identity and the address of the service.
+type Config struct {
+	VM     string // name
+	Domain string // name of the failure domain
+	Listen netip.AddrPort
+	Wait   time.Duration // longest wait for the core duty
+}
+
+// Service is the service "admin".
+type Service struct {
+	config   Config
+	kernel   *kernel.Kernel
+	core     Core
+	log      logs.Log
+	udp      interface{ Stats() udp.Stats }   // nil when there is none
+	peers    interface{ Stats() peers.Stats } // nil when there is none
+	listener net.Listener
+	server   *http.Server
+}
+
+// New returns the service.
+func New(config Config) *Service {
+	return &Service{config: config}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return Name }
+
+// Needs implements kernel.Service. Core is not among them, so that the admin
+// address can answer during the planned leave when it is registered before core.
+func (s *Service) Needs() []string { return []string{logs.Name} }
+
+// Setup opens the listening socket.
+func (s *Service) Setup(k *kernel.Kernel) error {
+	listener, err := net.Listen("tcp", s.config.Listen.String())
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", s.config.Listen, err)
+	}
+	s.kernel = k
+	s.listener = newLimitListener(listener, maxConns)
+	return nil
+}
+
+// Connect implements kernel.Service.
+func (s *Service) Connect(k *kernel.Kernel) error {
+	var err error
+	if s.core, err = kernel.Lookup[Core](k, core.Name); err != nil {
+		return err
+	}
+	if s.log, err = kernel.Lookup[logs.Log](k, logs.Name); err != nil {
+		return err
+	}
+	// Metrics leave out services that do not exist or have no such counters.
+	s.udp, _ = kernel.Lookup[interface{ Stats() udp.Stats }](k, core.UDPName)
+	s.peers, _ = kernel.Lookup[interface{ Stats() peers.Stats }](k, core.PeersName)
+	s.server = &http.Server{
+		Handler:        s.handler(),
+		ReadTimeout:    readTimeout,
+		WriteTimeout:   writeTimeout,
+		IdleTimeout:    idleTimeout,
+		MaxHeaderBytes: maxHeader,
+		ErrorLog:       discardLog,
+	}
+	k.AddBlocker(kernel.Blocker{Name: "admin.http", Run: s.serve, Interrupt: func() { s.server.Close() }})
+	return nil
+}
+
+func (s *Service) serve(context.Context) error {
+	err := s.server.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fmt.Errorf("serve %s: %w", s.config.Listen, err)
+}
+
+// Addr returns the address of the listening socket, after Setup.
+func (s *Service) Addr() netip.AddrPort {
+	return s.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Stop implements kernel.Stopper: answers under way are finished.
+func (s *Service) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, s.config.Wait)
+	defer cancel()
+	if err := s.server.Shutdown(ctx); err != nil {
+		s.server.Close()
+	}
+	return nil
+}
--- /dev/null
+++ b/services/admin/admin_test.go
@@ -0,0 +1,227 @@
+package admin
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/events"
+	"github.com/gypsumspan/gypsumspan/kernel"
+	"github.com/gypsumspan/gypsumspan/services/core"
+	"github.com/gypsumspan/gypsumspan/services/logs"
+	"github.com/gypsumspan/gypsumspan/services/peers"
+	"github.com/gypsumspan/gypsumspan/services/udp"
+)
+
+const testLimit = 20 * time.Second
+
+// plainMachine is a machine that answers no question.
+type plainMachine struct{}
+
+func (*plainMachine) Receive(time.Duration, message.Message) []message.Message { return nil }
+func (*plainMachine) Tick(time.Duration) []message.Message                     { return nil }
+func (*plainMachine) Leave(time.Duration) []message.Message                    { return nil }
+func (*plainMachine) Left() bool                                               { return true }
+
+// machine is a machine that answers all questions.
+type machine struct{ plainMachine }
+
+func (*machine) TableVersion() uint64 { return 42 }
+func (*machine) Status() any {
+	return map[string]any{"leaving": true, "members": 3, "owned": []string{"t1"}}
+}
+func (*machine) Explain(flow message.FlowID) any { return []string{"asked for " + flow.String()} }
+func (*machine) Counters(yield func(string, int64) bool) {
+	_ = yield("dispatched", 7) && yield("refused_total", 2)
+}
+func (*machine) Gauges(yield func(string, map[string]string, float64) bool) {
+	yield("queue-depth", map[string]string{"target": `a"b\`}, 1.5)
+}
+
+// deafCore accepts commands and never runs them; with full set it refuses them.
+type deafCore struct{ full bool }
+
+func (*deafCore) Name() string                   { return core.Name }
+func (*deafCore) Needs() []string                { return nil }
+func (*deafCore) Setup(k *kernel.Kernel) error   { return nil }
+func (*deafCore) Connect(k *kernel.Kernel) error { return nil }
+func (d *deafCore) Do(core.Command) error {
+	if d.full {
+		return kernel.ErrRingFull
+	}
+	return nil
+}
+func (*deafCore) Put(message.Message) error { return nil }
+
+func start(t *testing.T, c kernel.Service, wait time.Duration) (*Service, *events.Recorder) {
+	t.Helper()
+	before := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, before) })
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	recorder, logger := events.NewRecorder(nil)
+	s := New(Config{VM: "vm-1", Domain: "north", Listen: loopback, Wait: wait})
+	k := kernel.New(kernel.NewClock())
+	for _, service := range []kernel.Service{
+		logs.New(logger), udp.New(udp.Config{Callers: loopback, Data: loopback}, nil),
+		peers.New(peers.Config{Listen: loopback}), s, c,
+	} {
+		if err := k.Register(service); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := k.Assemble(); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- k.Run(ctx, testLimit) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return s, recorder
+}
+
+// get returns status and body of one request.
+func get(t *testing.T, s *Service, path string) (int, string) {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: testLimit}
+	response, err := client.Get("http://" + s.Addr().String() + path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode, string(body)
+}
+
+// Guards against answers that are not what the decisions say.
+func TestAnswers(t *testing.T) {
+	is := is.New(t)
+	s, _ := start(t, core.New(&machine{}), testLimit)
+	code, body := get(t, s, "/v1/status")
+	is.Equal(code, http.StatusOK)
+	var status map[string]any
+	is.NoErr(json.Unmarshal([]byte(body), &status))
+	is.Equal(status, map[string]any{
+		"vm": "vm-1", "domain": "north", "table_revision": 42.0,
+		"leaving": true, "members": 3.0, "owned": []any{"t1"},
+	})
+	flow := message.FlowID{Hi: 1, Lo: 0xabc}
+	code, body = get(t, s, "/v1/explain?flow="+flow.String())
+	is.Equal(code, http.StatusOK)
+	is.Equal(body, `["asked for `+flow.String()+`"]`)
+	code, body = get(t, s, "/healthz")
+	is.Equal(code, http.StatusOK)
+	is.Equal(body, "ok\n")
+}
+
+// Guards against metrics that are missing or not in the text format.
+func TestMetrics(t *testing.T) {
+	is := is.New(t)
+	s, _ := start(t, core.New(&machine{}), testLimit)
+	for range 2 { // a second scrape must not add to the counters
+		code, body := get(t, s, "/metrics")
+		is.Equal(code, http.StatusOK)
+		for _, line := range []string{
+			"# TYPE gypsumspan_dispatched_total counter\ngypsumspan_dispatched_total 7\n",
+			"gypsumspan_refused_total 2\n",
+			"# TYPE gypsumspan_queue_depth gauge\ngypsumspan_queue_depth{target=\"a\\\"b\\\\\"} 1.5\n",
+			"# TYPE gypsumspan_ring_depth gauge\n",
+			"gypsumspan_ring_capacity{ring=\"core.control\"} 4096\n",
+			"gypsumspan_ring_drops_total{ring=\"udp.out\"} 0\n",
+			"gypsumspan_udp_received_total 0\n",
+			"gypsumspan_peers_sent_bytes_total 0\n",
+		} {
+			if !strings.Contains(body, line) {
+				t.Fatalf("metrics lack %q:\n%s", line, body)
+			}
+		}
+	}
+}
+
+// Guards against faults that hang a request or look like an answer.
+func TestFaults(t *testing.T) {
+	cases := []struct {
+		name string
+		core kernel.Service
+		path string
+		code int
+	}{
+		{"core does not answer", &deafCore{}, "/v1/status", http.StatusGatewayTimeout},
+		{"core does not answer metrics", &deafCore{}, "/metrics", http.StatusGatewayTimeout},
+		{"core is not healthy", &deafCore{}, "/healthz", http.StatusGatewayTimeout},
+		{"too many commands", &deafCore{full: true}, "/healthz", http.StatusServiceUnavailable},
+		{"flow is missing", core.New(&machine{}), "/v1/explain", http.StatusBadRequest},
+		{"flow is short", core.New(&machine{}), "/v1/explain?flow=12", http.StatusBadRequest},
+		{"flow is not hexadecimal", core.New(&machine{}), "/v1/explain?flow=" + strings.Repeat("z", 32), http.StatusBadRequest},
+		{"unsupported", core.New(&plainMachine{}), "/v1/explain?flow=" + strings.Repeat("0", 32), http.StatusNotImplemented},
+		{"unknown path", core.New(&machine{}), "/v1/nothing", http.StatusNotFound},
+		{"plain status", core.New(&plainMachine{}), "/v1/status", http.StatusOK},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			wait := testLimit
+			if c.code == http.StatusGatewayTimeout {
+				wait = 10 * time.Millisecond
+			}
+			s, recorder := start(t, c.core, wait)
+			code, _ := get(t, s, c.path)
+			is.Equal(code, c.code)
+			if c.code >= http.StatusInternalServerError {
+				done := make(chan struct{})
+				defer time.AfterFunc(testLimit, func() { close(done) }).Stop()
+				is.True(recorder.Wait(events.AdminAnswerFailed, done))
+			}
+		})
+	}
+}
+
+// Guards against connections without bound.
+func TestConnectionsAreBounded(t *testing.T) {
+	is := is.New(t)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	l := newLimitListener(inner, 1)
+	for range 2 {
+		conn, err := net.Dial("tcp", inner.Addr().String())
+		is.NoErr(err)
+		defer conn.Close()
+	}
+	first, err := l.Accept()
+	is.NoErr(err)
+	is.Equal(len(l.slots), cap(l.slots)) // the next Accept waits for a slot
+	accepted := make(chan net.Conn)
+	go func() {
+		second, err := l.Accept()
+		is.NoErr(err)
+		accepted <- second
+	}()
+	select {
+	case <-accepted:
+		t.Fatal("accepted above the limit")
+	default:
+	}
+	is.NoErr(first.Close())
+	second := <-accepted
+	is.NoErr(second.Close())
+	is.NoErr(l.Close())
+	_, err = l.Accept()
+	is.True(err != nil)
+}
--- /dev/null
+++ b/services/admin/metrics.go
@@ -0,0 +1,149 @@
+package admin
+
+import (
+	"bytes"
+	"net/http"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/gypsumspan/gypsumspan/services/core"
+)
+
+// metricPrefix precedes the name of every metric.
+const metricPrefix = "gypsumspan"
+
+// contentType is the media type of the Prometheus text format.
+const contentType = "text/plain; version=0.0.4; charset=utf-8"
+
+// metrics reads all sources into a new scope and renders it. A scope of its own
+// for each scrape lets metrics of things that are gone, such as a target that
+// moved to another VM, disappear.
+func (s *Service) metrics(w http.ResponseWriter, r *http.Request) {
+	scope := newScope()
+	s.readRings(scope)
+	s.readUDP(scope)
+	s.readPeers(scope)
+	machine, err := s.readMachine(r)
+	if err != nil {
+		s.write(w, r, "", nil, err)
+		return
+	}
+	for name, value := range machine.counters {
+		scope.Counter(name).Inc(value)
+	}
+	for _, g := range machine.gauges {
+		scope.Tagged(g.tags).Gauge(g.name).Update(g.value)
+	}
+	var buf bytes.Buffer
+	render(&buf, scope.(snapshotter).Snapshot())
+	s.write(w, r, contentType, buf.Bytes(), nil)
+}
+
+// snapshotter is implemented by tally's root scopes.
+type snapshotter interface {
+	Snapshot() tally.Snapshot
+}
+
+// newScope returns a scope without a reporting goroutine.
+func newScope() tally.Scope {
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 metricPrefix,
+		Separator:              "_",
+		OmitCardinalityMetrics: true,
+	}, 0)
+	return scope
+}
+
+func (s *Service) readRings(scope tally.Scope) {
+	for _, ring := range s.kernel.Rings() {
+		tagged := scope.Tagged(map[string]string{"ring": ring.Name})
+		tagged.Gauge("ring_depth").Update(float64(ring.Depth))
+		tagged.Gauge("ring_capacity").Update(float64(ring.Capacity))
+		tagged.Counter("ring_puts_total").Inc(int64(ring.Puts))
+		tagged.Counter("ring_drops_total").Inc(int64(ring.Drops))
+	}
+}
+
+func (s *Service) readUDP(scope tally.Scope) {
+	if s.udp == nil {
+		return
+	}
+	stats := s.udp.Stats()
+	count(scope, map[string]uint64{
+		"udp_received_total": stats.Received,
+		"udp_rejected_total": stats.Rejected,
+		"udp_sent_total":     stats.Sent,
+		"udp_failed_total":   stats.Failed,
+	})
+}
+
+func (s *Service) readPeers(scope tally.Scope) {
+	if s.peers == nil {
+		return
+	}
+	stats := s.peers.Stats()
+	scope.Gauge("peers_links").Update(float64(stats.Links))
+	scope.Gauge("peers_sessions").Update(float64(stats.Sessions))
+	count(scope, map[string]uint64{
+		"peers_sent_total":             stats.Sent,
+		"peers_received_total":         stats.Received,
+		"peers_sent_bytes_total":       stats.BytesSent,
+		"peers_received_bytes_total":   stats.BytesReceived,
+		"peers_dials_failed_total":     stats.DialsFailed,
+		"peers_links_failed_total":     stats.LinksFailed,
+		"peers_sessions_failed_total":  stats.SessionsFailed,
+		"peers_sessions_refused_total": stats.SessionsRefused,
+		"peers_backoff_drops_total":    stats.BackoffDrops,
+		"peers_failed_drops_total":     stats.FailedDrops,
+	})
+}
+
+func count(scope tally.Scope, values map[string]uint64) {
+	for name, value := range values {
+		scope.Counter(name).Inc(int64(value))
+	}
+}
+
+// gauge is one gauge of the machine.
+type gauge struct {
+	name  string
+	tags  map[string]string
+	value float64
+}
+
+// machineMetrics are copied on the core duty.
+type machineMetrics struct {
+	counters map[string]int64
+	gauges   []gauge
+}
+
+// readMachine asks the decisions for their metrics. Counters get the suffix
+// "_total" unless they have it.
+func (s *Service) readMachine(r *http.Request) (machineMetrics, error) {
+	found := make(chan machineMetrics, 1)
+	_, err := s.ask(r.Context(), func(m core.Machine) ([]byte, error) {
+		found <- collect(m)
+		return nil, nil
+	})
+	if err != nil {
+		return machineMetrics{}, err
+	}
+	return <-found, nil
+}
+
+func collect(m core.Machine) machineMetrics {
+	result := machineMetrics{counters: make(map[string]int64)}
+	if counter, ok := m.(Counter); ok {
+		counter.Counters(func(name string, value int64) bool {
+			result.counters[counterName(name)] += value
+			return true
+		})
+	}
+	if gauger, ok := m.(Gauger); ok {
+		gauger.Gauges(func(name string, tags map[string]string, value float64) bool {
+			result.gauges = append(result.gauges, gauge{name: name, tags: cloneTags(tags), value: value})
+			return true
+		})
+	}
+	return result
+}
--- a/services/logs/logs.go
+++ b/services/logs/logs.go
@@ -103,6 +103,18 @@
 	}
 }
 
+// Drain writes the waiting lines on the calling goroutine. It is for use after
+// the kernel has stopped, since a stop at once leaves lines in the ring.
+func (s *Service) Drain() {
+	for {
+		line, ok := s.lines.Take()
+		if !ok {
+			return
+		}
+		s.logger.Write(line)
+	}
+}
+
 // Stop implements kernel.Stopper: it writes the waiting lines.
 func (s *Service) Stop(ctx context.Context) error {
 	close(s.flush)
