Add the daemon package and the commands of gypsumspand

The main package held assembly and a static table. Package daemon assembles kernel and services from settings, takes the machine and further services as factories, and handles signals: the first starts the planned leave, the second fails the service signals and so ends all others at once. Exit codes tell these ends apart.

--- /dev/null
+++ b/daemon/assemble.go
@@ -0,0 +1,104 @@
+package daemon
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/gypsumspan/gypsumspan/events"
+	"github.com/gypsumspan/gypsumspan/kernel"
+	"github.com/gypsumspan/gypsumspan/services/admin"
+	"github.com/gypsumspan/gypsumspan/services/core"
+	"github.com/gypsumspan/gypsumspan/services/healthcheck"
+	"github.com/gypsumspan/gypsumspan/services/logs"
+	"github.com/gypsumspan/gypsumspan/services/peers"
+	"github.com/gypsumspan/gypsumspan/services/udp"
+	"github.com/gypsumspan/gypsumspan/services/vmlist"
+	"github.com/gypsumspan/gypsumspan/settings"
+)
+
+// assemble returns a kernel whose sockets are open and whose duties wait for Run.
+func assemble(s *settings.Settings, o Options, log *logs.Service, signals kernel.Service) (*kernel.Kernel, error) {
+	config := machineConfig(s)
+	machine, err := o.Machine(config)
+	if err != nil {
+		return nil, fmt.Errorf("%w: machine: %w", ErrAssemble, err)
+	}
+	// The order matters where services do not need each other: admin and signals
+	// stop after core, so that they answer during the planned leave.
+	list := []kernel.Service{
+		log,
+		signals,
+		newUDP(s, log),
+		newPeers(s, config),
+		newAdmin(s),
+		core.New(machine),
+		newHealthcheck(s, config),
+	}
+	if s.VMList.URL != "" {
+		list = append(list, newVMList(s, config))
+	}
+	if o.Services != nil {
+		further, err := o.Services(config)
+		if err != nil {
+			return nil, fmt.Errorf("%w: further services: %w", ErrAssemble, err)
+		}
+		list = append(list, further...)
+	}
+	return register(list)
+}
+
+func register(list []kernel.Service) (*kernel.Kernel, error) {
+	k := kernel.New(kernel.NewClock())
+	for _, service := range list {
+		if err := k.Register(service); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrAssemble, err)
+		}
+	}
+	if err := k.Assemble(); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrAssemble, err)
+	}
+	return k, nil
+}
+
+func newUDP(s *settings.Settings, log *logs.Service) *udp.Service {
+	config := udp.Config{Callers: s.Listen.Callers, Data: s.Listen.Data}
+	return udp.New(config, func(from netip.AddrPort, err error) {
+		log.Log(events.DatagramRejected, events.F("from", from), events.F("error", err))
+	})
+}
+
+func newPeers(s *settings.Settings, config MachineConfig) *peers.Service {
+	return peers.New(peers.Config{
+		Self:         config.Self.ID,
+		Listen:       s.Listen.Control,
+		DialTimeout:  s.Timings.PeerDialTimeout,
+		WriteTimeout: s.Timings.PeerWriteTimeout,
+		Idle:         s.Timings.PeerIdle,
+	})
+}
+
+func newAdmin(s *settings.Settings) *admin.Service {
+	return admin.New(admin.Config{
+		VM:     s.VM.Name,
+		Domain: s.VM.Domain,
+		Listen: s.Listen.Admin,
+		Wait:   s.Timings.AdminWait,
+	})
+}
+
+func newHealthcheck(s *settings.Settings, config MachineConfig) *healthcheck.Service {
+	return healthcheck.New(healthcheck.Config{
+		Interval: s.Timings.HealthInterval,
+		Timeout:  s.Timings.HealthTimeout,
+		Seed:     config.Seed,
+	})
+}
+
+func newVMList(s *settings.Settings, config MachineConfig) *vmlist.Service {
+	return vmlist.New(vmlist.Config{
+		URL:      s.VMList.URL,
+		Interval: s.Timings.VMListInterval,
+		Timeout:  s.Timings.VMListTimeout,
+		Seed:     config.Seed,
+	})
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,159 @@
+// Package daemon assembles one entry VM: kernel, services and the machine that
+// decides. cmd/gypsumspand is a thin main package over it.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/events"
+	"github.com/gypsumspan/gypsumspan/kernel"
+	"github.com/gypsumspan/gypsumspan/services/core"
+	"github.com/gypsumspan/gypsumspan/services/logs"
+	"github.com/gypsumspan/gypsumspan/settings"
+)
+
+// Errors of Run.
+var (
+	// ErrStoppedAtOnce means that a second signal cut the planned leave short.
+	ErrStoppedAtOnce = errors.New("stopped at once by a second signal")
+	// ErrLeaveOverran means that the planned leave did not end within the grace.
+	ErrLeaveOverran = errors.New("planned leave did not end within the stop grace")
+	// ErrAssemble means that a part of the daemon could not be created.
+	ErrAssemble = errors.New("daemon can't be assembled")
+)
+
+// MachineConfig is what a machine learns from the settings.
+type MachineConfig struct {
+	Self     message.Member
+	Seeds    []message.Member // ID, Name and Control are set
+	Seed     uint64           // random, for the machine's own choices
+	Settings *settings.Settings
+}
+
+// MachineFactory creates the VM's decisions.
+type MachineFactory func(c MachineConfig) (core.Machine, error)
+
+// ServiceFactory creates further services, such as the watch of the store.
+type ServiceFactory func(c MachineConfig) ([]kernel.Service, error)
+
+// Options are the parts of the daemon that its caller chooses.
+type Options struct {
+	// Machine creates the decisions. It is required.
+	Machine MachineFactory
+	// Services creates further services; it may be nil. They may need "core".
+	Services ServiceFactory
+	// Version appears in logs and in the output of the command "version".
+	Version string
+	// Signals delivers stop signals. nil means SIGTERM and SIGINT of the process.
+	Signals <-chan os.Signal
+	// Logger replaces the logger that the settings describe; it may be nil.
+	Logger *events.Logger
+	// Stdout and Stderr default to those of the process.
+	Stdout io.Writer
+	Stderr io.Writer
+}
+
+func (o *Options) setDefaults() {
+	if o.Version == "" {
+		o.Version = buildVersion()
+	}
+	if o.Stdout == nil {
+		o.Stdout = os.Stdout
+	}
+	if o.Stderr == nil {
+		o.Stderr = os.Stderr
+	}
+}
+
+// Run runs one entry VM until the first signal or the end of ctx, then performs
+// the planned leave. It returns nil after a complete leave, ErrStoppedAtOnce,
+// ErrLeaveOverran, ErrAssemble, or the error of the service that failed.
+func Run(ctx context.Context, s *settings.Settings, o Options) error {
+	o.setDefaults()
+	logger := o.Logger
+	if logger == nil {
+		logger = events.New(o.Stderr, s.Log.Format, s.Log.Level)
+	}
+	err := run(ctx, s, o, logger)
+	logEnd(logger, s, err)
+	return err
+}
+
+func run(ctx context.Context, s *settings.Settings, o Options, logger *events.Logger) error {
+	signals, stopSignals := o.signals()
+	defer stopSignals()
+	ctx, leave := context.WithCancel(ctx)
+	defer leave()
+	log := logs.New(logger)
+	k, err := assemble(s, o, log, newSignalService(s, signals, leave))
+	if err != nil {
+		return err
+	}
+	logStart(logger, s, o.Version)
+	err = k.Run(ctx, s.Timings.StopGrace)
+	log.Drain()
+	if errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("%w: %w", ErrLeaveOverran, err)
+	}
+	return err
+}
+
+// machineConfig returns what the machine learns from the settings. The
+// incarnation is the start time in milliseconds, so that it rises with each
+// restart of a VM without state on disk.
+func machineConfig(s *settings.Settings) MachineConfig {
+	c := MachineConfig{
+		Self: message.Member{
+			ID:          message.VMIDOf(s.VM.Name),
+			Name:        s.VM.Name,
+			Domain:      message.DomainIDOf(s.VM.Domain),
+			Data:        s.Advertise.Data,
+			Control:     s.Advertise.Control,
+			Incarnation: uint64(time.Now().UnixMilli()),
+			State:       message.MemberAlive,
+		},
+		Seed:     rand.Uint64(),
+		Settings: s,
+	}
+	for _, seed := range s.Seeds {
+		c.Seeds = append(c.Seeds, message.Member{
+			ID:      message.VMIDOf(seed.Name),
+			Name:    seed.Name,
+			Control: seed.Control,
+			State:   message.MemberAlive,
+		})
+	}
+	return c
+}
+
+func logStart(logger *events.Logger, s *settings.Settings, version string) {
+	logger.Log(events.DaemonStarted,
+		events.F("vm", s.VM.Name),
+		events.F("domain", s.VM.Domain),
+		events.F("callers", s.Listen.Callers),
+		events.F("data", s.Listen.Data),
+		events.F("control", s.Listen.Control),
+		events.F("admin", s.Listen.Admin),
+		events.F("version", version))
+}
+
+func logEnd(logger *events.Logger, s *settings.Settings, err error) {
+	vm := events.F("vm", s.VM.Name)
+	switch {
+	case err == nil:
+		logger.Log(events.DaemonStopped, vm)
+	case errors.Is(err, ErrStoppedAtOnce):
+		// The signal service has written the event.
+	case errors.Is(err, ErrLeaveOverran):
+		logger.Log(events.LeaveOverran, vm, events.F("grace", s.Timings.StopGrace))
+	default:
+		logger.Log(events.DaemonFailed, vm, events.F("error", err))
+	}
+}
--- /dev/null
+++ b/daemon/daemon_test.go
@@ -0,0 +1,282 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/events"
+	"github.com/gypsumspan/gypsumspan/kernel"
+	"github.com/gypsumspan/gypsumspan/services/core"
+	"github.com/gypsumspan/gypsumspan/settings"
+	"github.com/gypsumspan/gypsumspan/wire"
+)
+
+// testLimit ends a test that waits for something that never happens.
+const testLimit = 20 * time.Second
+
+// boundMachine answers every Open; it ends its leave only when stays is false.
+type boundMachine struct {
+	stays   bool
+	leaving bool
+}
+
+func (b *boundMachine) Receive(_ time.Duration, m message.Message) []message.Message {
+	open, ok := m.Body.(*message.Open)
+	if !ok {
+		return nil
+	}
+	return []message.Message{{To: m.From, Body: &message.Bound{Flow: open.Flow}}}
+}
+func (b *boundMachine) Tick(time.Duration) []message.Message { return nil }
+func (b *boundMachine) Leave(time.Duration) []message.Message {
+	b.leaving = true
+	return nil
+}
+func (b *boundMachine) Left() bool { return b.leaving && !b.stays }
+
+// freeAddress returns a loopback address that is free for TCP and UDP now.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// testSettings returns valid settings on free addresses.
+func testSettings(t *testing.T) *settings.Settings {
+	t.Helper()
+	text := settings.Example()
+	for _, fixed := range []string{"127.0.0.1:7100", "127.0.0.1:7200", "127.0.0.1:7400", "127.0.0.1:7500"} {
+		text = strings.Replace(text, fixed, freeAddress(t), 1)
+	}
+	s, err := settings.Parse("test", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// process is a running daemon.
+type process struct {
+	t        *testing.T
+	recorder *events.Recorder
+	signals  chan os.Signal
+	result   chan error
+}
+
+func start(t *testing.T, s *settings.Settings, m core.Machine, further ServiceFactory) *process {
+	t.Helper()
+	before := goleak.IgnoreCurrent()
+	t.Cleanup(func() { goleak.VerifyNone(t, before) })
+	recorder, logger := events.NewRecorder(nil)
+	p := &process{t: t, recorder: recorder, signals: make(chan os.Signal, 2), result: make(chan error, 1)}
+	go func() {
+		p.result <- Run(context.Background(), s, Options{
+			Machine:  func(MachineConfig) (core.Machine, error) { return m, nil },
+			Services: further,
+			Signals:  p.signals,
+			Logger:   logger,
+		})
+	}()
+	return p
+}
+
+func (p *process) waitFor(e *events.Event) {
+	p.t.Helper()
+	done := make(chan struct{})
+	defer time.AfterFunc(testLimit, func() { close(done) }).Stop()
+	if !p.recorder.Wait(e, done) {
+		p.t.Fatalf("event %s was not written", e.Number)
+	}
+}
+
+func (p *process) wait() error {
+	p.t.Helper()
+	select {
+	case err := <-p.result:
+		return err
+	case <-time.After(testLimit):
+		p.t.Fatal("daemon did not stop")
+		return nil
+	}
+}
+
+// exchange sends an Open to the VM and returns the answer.
+func exchange(t *testing.T, s *settings.Settings, flow message.FlowID) message.Body {
+	t.Helper()
+	conn, err := net.Dial("udp", s.Listen.Callers.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	data, err := wire.Append(nil, &message.Open{Flow: flow})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := conn.Write(data); err != nil {
+		t.Fatal(err)
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(testLimit)); err != nil {
+		t.Fatal(err)
+	}
+	buf := make([]byte, wire.MaxDatagram)
+	n, err := conn.Read(buf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := wire.Decode(buf[:n])
+	if err != nil {
+		t.Fatal(err)
+	}
+	return body
+}
+
+// Guards against parts that are not connected, and against a signal that does
+// not end in a complete leave.
+func TestServesUntilFirstSignal(t *testing.T) {
+	is := is.New(t)
+	s := testSettings(t)
+	p := start(t, s, &boundMachine{}, nil)
+	p.waitFor(events.DaemonStarted)
+	flow := message.FlowID{Hi: 3, Lo: 4}
+	is.Equal(exchange(t, s, flow), &message.Bound{Flow: flow})
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: testLimit}
+	response, err := client.Get("http://" + s.Listen.Admin.String() + "/v1/status")
+	is.NoErr(err)
+	body, err := io.ReadAll(response.Body)
+	is.NoErr(err)
+	is.NoErr(response.Body.Close())
+	is.True(strings.Contains(string(body), `"vm":"vm-1"`))
+	p.signals <- syscall.SIGTERM
+	is.NoErr(p.wait())
+	is.Equal(p.recorder.Count(events.LeaveStarted), 1)
+	is.Equal(p.recorder.Count(events.DaemonStopped), 1)
+}
+
+// Guards against a second signal that waits for the leave.
+func TestSecondSignalStopsAtOnce(t *testing.T) {
+	is := is.New(t)
+	p := start(t, testSettings(t), &boundMachine{stays: true}, nil)
+	p.waitFor(events.DaemonStarted)
+	p.signals <- syscall.SIGTERM
+	p.waitFor(events.LeaveStarted)
+	p.signals <- syscall.SIGINT
+	err := p.wait()
+	is.True(errors.Is(err, ErrStoppedAtOnce))
+	is.Equal(exitCode(err), ExitAtOnce)
+	is.Equal(p.recorder.Count(events.StopForced), 1)
+	is.Equal(p.recorder.Count(events.DaemonFailed), 0)
+}
+
+// Guards against a leave without end.
+func TestLeaveIsBounded(t *testing.T) {
+	is := is.New(t)
+	s := testSettings(t)
+	s.Timings.StopGrace = 50 * time.Millisecond
+	p := start(t, s, &boundMachine{stays: true}, nil)
+	p.waitFor(events.DaemonStarted)
+	p.signals <- syscall.SIGTERM
+	err := p.wait()
+	is.True(errors.Is(err, ErrLeaveOverran))
+	is.Equal(exitCode(err), ExitOverran)
+	is.Equal(p.recorder.Count(events.LeaveOverran), 1)
+}
+
+// failing is a further service whose blocker fails.
+type failing struct{ err error }
+
+func (*failing) Name() string                 { return "failing" }
+func (*failing) Needs() []string              { return []string{core.Name} }
+func (*failing) Setup(k *kernel.Kernel) error { return nil }
+func (f *failing) Connect(k *kernel.Kernel) error {
+	k.AddBlocker(kernel.Blocker{Name: "failing", Run: func(context.Context) error { return f.err }})
+	return nil
+}
+
+// Guards against a failed service that leaves the process running, and against
+// further services that are not started.
+func TestFailedServiceEndsTheProcess(t *testing.T) {
+	is := is.New(t)
+	cause := errors.New("store is on fire")
+	p := start(t, testSettings(t), &boundMachine{}, func(MachineConfig) ([]kernel.Service, error) {
+		return []kernel.Service{&failing{err: cause}}, nil
+	})
+	err := p.wait()
+	is.True(errors.Is(err, cause))
+	is.Equal(exitCode(err), ExitFailed)
+	is.Equal(p.recorder.Count(events.DaemonFailed), 1)
+}
+
+// Guards against factories whose errors are lost.
+func TestFactoryErrors(t *testing.T) {
+	is := is.New(t)
+	cause := errors.New("no machine")
+	_, logger := events.NewRecorder(nil)
+	err := Run(context.Background(), testSettings(t), Options{
+		Machine: func(MachineConfig) (core.Machine, error) { return nil, cause },
+		Logger:  logger,
+		Signals: make(chan os.Signal),
+	})
+	is.True(errors.Is(err, ErrAssemble))
+	is.True(errors.Is(err, cause))
+}
+
+// Guards against exit codes and output that differ from the documentation.
+func TestCommandLine(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	valid := write("valid.toml", settings.Example())
+	faulty := write("faulty.toml", strings.NewReplacer(`"vm-1"`, `"vm 1"`, "127.0.0.1:7500", "admin").Replace(settings.Example()))
+	cases := []struct {
+		name string
+		args []string
+		code int
+		out  []string // on standard output or standard error
+	}{
+		{"check valid", []string{"check", "--config", valid}, ExitOK, []string{"settings are valid"}},
+		{"check faulty", []string{"check", "--config", faulty}, ExitSettings, []string{faulty + ":4: vm.name", faulty + ":11: listen.admin"}},
+		{"run faulty", []string{"run", "--config", faulty}, ExitSettings, []string{"vm.name"}},
+		{"no file", []string{"check", "--config", filepath.Join(dir, "none")}, ExitSettings, []string{"can't be read"}},
+		{"no flag", []string{"run"}, ExitSettings, []string{"--config FILE is required"}},
+		{"unknown flag", []string{"run", "--fast"}, ExitSettings, []string{"--fast"}},
+		{"unknown command", []string{"fly"}, ExitSettings, []string{"fly"}},
+		{"no command", nil, ExitSettings, []string{"a command is required"}},
+		{"settings", []string{"settings"}, ExitOK, []string{settings.Example()}},
+		{"version", []string{"version"}, ExitOK, []string{"gypsumspand v1.2"}},
+		{"help", []string{"--help"}, ExitOK, []string{"Exit codes: 0", "run", "check", "settings", "version"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var out bytes.Buffer
+			code := Main(c.args, Options{Version: "v1.2", Stdout: &out, Stderr: &out})
+			is.Equal(code, c.code)
+			for _, text := range c.out {
+				is.True(strings.Contains(out.String(), text))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/daemon/signals.go
@@ -0,0 +1,86 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/gypsumspan/gypsumspan/events"
+	"github.com/gypsumspan/gypsumspan/kernel"
+	"github.com/gypsumspan/gypsumspan/services/logs"
+	"github.com/gypsumspan/gypsumspan/settings"
+)
+
+// signalCapacity holds the signals that arrive before the service starts.
+const signalCapacity = 2
+
+// signals returns the channel of stop signals and a function that releases it.
+func (o *Options) signals() (<-chan os.Signal, func()) {
+	if o.Signals != nil {
+		return o.Signals, func() {}
+	}
+	ch := make(chan os.Signal, signalCapacity)
+	signal.Notify(ch, syscall.SIGTERM, syscall.SIGINT)
+	return ch, func() { signal.Stop(ch) }
+}
+
+// signalService is the service "signals". The first signal starts the planned
+// leave, the second fails the service and so ends all others at once.
+type signalService struct {
+	settings *settings.Settings
+	signals  <-chan os.Signal
+	leave    func()
+	log      logs.Log
+}
+
+func newSignalService(s *settings.Settings, signals <-chan os.Signal, leave func()) *signalService {
+	return &signalService{settings: s, signals: signals, leave: leave}
+}
+
+// Name implements kernel.Service.
+func (s *signalService) Name() string { return "signals" }
+
+// Needs implements kernel.Service.
+func (s *signalService) Needs() []string { return []string{logs.Name} }
+
+// Setup implements kernel.Service.
+func (s *signalService) Setup(*kernel.Kernel) error { return nil }
+
+// Connect implements kernel.Service.
+func (s *signalService) Connect(k *kernel.Kernel) error {
+	var err error
+	if s.log, err = kernel.Lookup[logs.Log](k, logs.Name); err != nil {
+		return err
+	}
+	k.AddBlocker(kernel.Blocker{Name: "signals", Run: s.run})
+	return nil
+}
+
+func (s *signalService) run(ctx context.Context) error {
+	first, ok := s.next(ctx)
+	if !ok {
+		return nil
+	}
+	s.log.Log(events.LeaveStarted,
+		events.F("vm", s.settings.VM.Name),
+		events.F("signal", first),
+		events.F("grace", s.settings.Timings.StopGrace))
+	s.leave()
+	second, ok := s.next(ctx)
+	if !ok {
+		return nil
+	}
+	s.log.Log(events.StopForced, events.F("vm", s.settings.VM.Name), events.F("signal", second))
+	return fmt.Errorf("signal %s: %w", second, ErrStoppedAtOnce)
+}
+
+func (s *signalService) next(ctx context.Context) (os.Signal, bool) {
+	select {
+	case sig := <-s.signals:
+		return sig, true
+	case <-ctx.Done():
+		return nil, false
+	}
+}
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -197,6 +197,28 @@
 	is.Equal(a.Stats().DialsFailed, uint64(2))
 }
 
+// Guards against many unreachable peers that take all the time of a duty.
+func TestFailedAttemptsAreSpacedByTheirDuration(t *testing.T) {
+	checkLeaks(t)
+	is := is.New(t)
+	dead := startNode(t, Config{Self: 2})
+	to := dead.address()
+	dead.stop()
+	a, stepper := steppedNode(t, Config{Self: 1})
+	d := a.senders[0]
+	const took = 500 * time.Millisecond // a dial that times out
+	stepper.Advance(took)
+	d.noteFailure(d.peer(netip.MustParseAddrPort("127.0.0.9:1")), 0)
+	other := d.peer(to.Addr)
+	other.failures = 1 // its own back-off is over
+	d.send(message.Message{To: to, Body: heartbeat(1)})
+	is.Equal(a.Stats().BackoffDrops, uint64(1))
+	stepper.Advance(retryCost * took)
+	d.send(message.Message{To: to, Body: heartbeat(1)})
+	is.Equal(a.Stats().BackoffDrops, uint64(1))
+	is.Equal(a.Stats().DialsFailed, uint64(1))
+}
+
 // Guards against a peer that restarts at the same address and stays unreachable.
 func TestPeerRestartsAtSameAddress(t *testing.T) {
 	checkLeaks(t)
