Stop judging a write that races with the receiver's close

In TestBrokenSessions the receiver may close the session before Write returns, and yamux then reports 'session shutdown' for bytes that were sent: 7 of 120 cases failed in 20 runs. The test now ignores that error and instead names the expected cause in every case, which is stricter than before.

--- a/services/peers/doc.go
+++ b/services/peers/doc.go
@@ -10,4 +10,8 @@
 // with a bounded ring. Such a duty dials on demand, and drops messages to a
 // peer that could not be reached until the peer's back-off ends, so that a dead
 // peer holds up the others of the duty for at most a quarter of the time.
+//
+// Messages to one receiver arrive in order while a link lasts. When a link
+// fails, messages may be lost, and the last one may arrive twice, since it is
+// written again on a new link.
 package peers
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -18,6 +18,7 @@
 	"github.com/gypsumspan/gypsumspan/kernel"
 	"github.com/gypsumspan/gypsumspan/services/core"
 	"github.com/gypsumspan/gypsumspan/services/logs"
+	"github.com/gypsumspan/gypsumspan/wire"
 )
 
 // testLimit ends a test that waits for something that never happens.
@@ -293,11 +294,11 @@
 		data []byte // on a stream
 		want error
 	}{
-		{"garbage", []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), nil, nil},
+		{"garbage", []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), nil, yamux.ErrInvalidVersion},
 		{"no hello", nil, []byte("this is no hello"), ErrHello},
 		{"foreign version", nil, []byte("GSPL\x00\x02\x00\x00\x00\x00\x00\x00\x00\x07"), ErrVersion},
 		{"oversized message", nil, append(hello[:len(hello):len(hello)], 0, 16, 0, 1), ErrOversized},
-		{"malformed message", nil, append(hello[:len(hello):len(hello)], 0, 0, 0, 1, 0xff), nil},
+		{"malformed message", nil, append(hello[:len(hello):len(hello)], 0, 0, 0, 1, 0xff), wire.ErrMalformed},
 		{"datagram type", nil, frame(&message.Bound{}), ErrForeignMessage},
 	}
 	for _, c := range cases {
@@ -312,13 +313,16 @@
 				is.NoErr(err)
 			} else {
 				l := dialRaw(t, conn)
-				_, err = l.stream.Write(c.data)
-				is.NoErr(err)
+				// The receiver may close the session before Write returns, so Write's
+				// error says nothing; the event below shows what arrived.
+				_, _ = l.stream.Write(c.data)
 				defer l.session.Close()
 			}
 			b.waitFor(events.PeerSessionFailed)
 			logged := b.recorder.Lines()[0].Fields[1].Value.(error)
-			is.True(c.want == nil || errors.Is(logged, c.want))
+			if !errors.Is(logged, c.want) {
+				t.Fatalf("got error %v, want %v", logged, c.want)
+			}
 			_, err = io.Copy(io.Discard, conn) // ends when the session is closed
 			is.True(err == nil || !isTimeout(err))
 			conn.Close()
