--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"regexp"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -280,3 +282,20 @@
 		})
 	}
 }
+
+// Guards against a page that describes other exit codes.
+func TestPageListsEveryExitCode(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../docs/gypsumspand.md")
+	is.NoErr(err)
+	codes := regexp.MustCompile(`(?m)^\| (\d) \| \w`).FindAllStringSubmatch(string(page), -1)
+	var documented []string
+	for _, c := range codes {
+		documented = append(documented, c[1])
+	}
+	var declared []string
+	for _, code := range []int{ExitOK, ExitFailed, ExitSettings, ExitAtOnce, ExitOverran} {
+		declared = append(declared, strconv.Itoa(code))
+	}
+	is.Equal(documented, declared)
+}
--- a/events/events_test.go
+++ b/events/events_test.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"io/fs"
 	"os"
+	"path/filepath"
 	"regexp"
 	"strings"
 	"testing"
@@ -114,3 +116,27 @@
 	is.True(errors.Is(DaemonStopped.Check([]Field{F("wm", 1)}), ErrFields))
 	is.True(errors.Is(DaemonStopped.Check(nil), ErrFields))
 }
+
+// Guards against events that the catalogue lists and no code writes.
+func TestEveryEventIsWritten(t *testing.T) {
+	is := is.New(t)
+	catalogue, err := os.ReadFile("catalogue.go")
+	is.NoErr(err)
+	var code strings.Builder
+	err = filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
+		if err != nil || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		data, err := os.ReadFile(path)
+		code.Write(data)
+		return err
+	})
+	is.NoErr(err)
+	names := regexp.MustCompile(`(?m)^\t(\w+) += declare\(`).FindAllStringSubmatch(string(catalogue), -1)
+	is.Equal(len(names), len(All()))
+	for _, name := range names {
+		if !regexp.MustCompile(`\bevents\.` + name[1] + `\b`).MatchString(code.String()) {
+			t.Errorf("no code writes event %s", name[1])
+		}
+	}
+}
--- a/services/admin/admin_test.go
+++ b/services/admin/admin_test.go
@@ -7,6 +7,9 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
+	"regexp"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -155,6 +158,24 @@
 	}
 }
 
+// Guards against a page that misses a metric, or lists one that does not exist.
+func TestPageListsEveryMetric(t *testing.T) {
+	is := is.New(t)
+	s, _ := start(t, core.New(&plainMachine{}), testLimit)
+	_, body := get(t, s, "/metrics")
+	page, err := os.ReadFile("../../docs/gypsumspand.md")
+	is.NoErr(err)
+	var served, documented []string
+	for _, m := range regexp.MustCompile(`(?m)^# TYPE (\w+) (\w+)$`).FindAllStringSubmatch(body, -1) {
+		served = append(served, m[1]+" "+m[2])
+	}
+	for _, m := range regexp.MustCompile("(?m)^\\| `(gypsumspan_\\w+)` \\| (\\w+) \\|").FindAllStringSubmatch(string(page), -1) {
+		documented = append(documented, m[1]+" "+m[2])
+	}
+	slices.Sort(documented)
+	is.Equal(documented, served)
+}
+
 // Guards against faults that hang a request or look like an answer.
 func TestFaults(t *testing.T) {
 	cases := []struct {
--- a/services/peers/session.go
+++ b/services/peers/session.go
@@ -52,8 +52,13 @@
 	case err := <-panicked:
 		return err
 	default:
-		return errors.Join(err, releaseErr)
 	}
+	if s.flushing() {
+		// A reader may wait for room in the ring of a core that has stopped. It
+		// ends with the process.
+		return err
+	}
+	return errors.Join(err, releaseErr)
 }
 
 func (s *Service) acceptAll(ctx context.Context, pool *ants.Pool) error {
