--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -125,3 +125,16 @@
 	_, err = Load("does-not-exist.toml")
 	is.True(errors.Is(err, ErrFile))
 }
+
+// Guards against a file that stops the process instead of being refused.
+func FuzzParse(f *testing.F) {
+	f.Add(Example())
+	f.Add("vm = 3\nseeds = [{ name = \"a\" }, 4]\n[[listen]]\ncallers = [[1]]\n[log]\n\"a.b\".c = { d = {} }\n")
+	f.Add("[[seeds]]\n[seeds.x]\ny = 1979-05-27T07:32:00Z\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := Parse("f", []byte(text))
+		if (s == nil) == (err == nil) {
+			t.Fatalf("settings %v and error %v", s, err)
+		}
+	})
+}
