End incoming control sessions of dead VMs after 11 s

A session of a VM that is gone lasted until the read time-out of 2 minutes, so repeated cuts could use up the bound of 256 sessions. TCP keep-alives on accepted connections end it after 11 s; no test shows this, since loopback connections are never cut silently.

Measured: go test -race -count=10 ./services/peers passes.

--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -27,6 +27,16 @@
 	flushLimit = 2 * time.Second
 )
 
+// keepAlive ends the sessions of a VM that is gone after 11 s. Each new link of
+// a VM takes a session, so that dead ones would use up MaxSessions when VMs are
+// cut off and return several times within the read time-out.
+var keepAlive = net.KeepAliveConfig{
+	Enable:   true,
+	Idle:     5 * time.Second,
+	Interval: 2 * time.Second,
+	Count:    3,
+}
+
 // Defaults of Config.
 const (
 	DefaultDialTimeout  = 500 * time.Millisecond
@@ -125,7 +135,8 @@
 func (s *Service) Setup(k *kernel.Kernel) error {
 	var err error
 	s.kernel = k
-	s.listener, err = net.Listen("tcp", s.config.Listen.String())
+	listen := net.ListenConfig{KeepAliveConfig: keepAlive}
+	s.listener, err = listen.Listen(context.Background(), "tcp", s.config.Listen.String())
 	if err != nil {
 		return fmt.Errorf("listen on %s: %w", s.config.Listen, err)
 	}
