Add caller client over UDP sockets

Cause: callers need a client whose calls survive changes of the fleet. Change: package caller runs a session on a kernel with one duty for the session, one for sending and one for each socket; typed errors translate those of the session.

--- /dev/null
+++ b/caller/client.go
@@ -0,0 +1,245 @@
+package caller
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/caller/session"
+	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/kernel"
+)
+
+const (
+	// DefaultTimeout is the time-out of a call whose context has no deadline.
+	DefaultTimeout = 10 * time.Second
+	// stopGrace bounds the time that Close waits for datagrams to be sent.
+	stopGrace = 2 * time.Second
+)
+
+// Config holds the settings of a client.
+type Config struct {
+	// Fabric lists addresses that reach an entry VM. Each datagram goes to one
+	// of them at random. Unused if Transport is set.
+	Fabric []netip.AddrPort
+	// Transport replaces plain sockets.
+	Transport Transport
+	// Sockets is the number of UDP sockets; 0 means 1.
+	Sockets int
+	// Timeout is the time-out of calls without a deadline; 0: DefaultTimeout.
+	Timeout time.Duration
+	// Session holds protocol settings; zero fields take its defaults.
+	Session session.Config
+}
+
+// Request is one request to a service.
+type Request struct {
+	// Kind numbers the kind of work, in the order of the operators' table.
+	Kind message.KindID
+	// Idempotent allows the client to run the request more than once.
+	Idempotent bool
+	// Payload must not be changed until Do returns.
+	Payload []byte
+}
+
+// Client holds flows to services. All methods are safe for concurrent use.
+type Client struct {
+	sessions *Sessions
+	sockets  *Sockets
+	timeout  time.Duration
+	cancel   context.CancelFunc
+	done     chan struct{} // closed when the kernel has stopped
+	err      error         // of the kernel; valid after done
+}
+
+// Flow is one flow to a service: its requests reach one target while that
+// target lives.
+type Flow struct {
+	client *Client
+	id     session.FlowID
+}
+
+// Dial opens the sockets and starts the client's duties. It sends nothing. It
+// returns ErrNoFabric or an error of the transport.
+func Dial(config Config) (*Client, error) {
+	transport := config.Transport
+	if transport == nil && len(config.Fabric) == 0 {
+		return nil, fmt.Errorf("dial: %w", ErrNoFabric)
+	}
+	if transport == nil {
+		transport = fabricAddresses(config.Fabric)
+	}
+	var seed [32]byte
+	// Read of crypto/rand never fails.
+	_, _ = rand.Read(seed[:])
+	c := &Client{
+		sessions: NewSessions(session.New(config.Session, seed)),
+		sockets:  NewSockets(transport, config.Sockets),
+		timeout:  config.Timeout,
+		done:     make(chan struct{}),
+	}
+	if c.timeout <= 0 {
+		c.timeout = DefaultTimeout
+	}
+	if err := c.start(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// start runs the client's kernel.
+func (c *Client) start() error {
+	k := kernel.New(kernel.NewClock())
+	for _, s := range []kernel.Service{c.sockets, c.sessions} {
+		if err := k.Register(s); err != nil {
+			return fmt.Errorf("dial: %w", err)
+		}
+	}
+	if err := k.Assemble(); err != nil {
+		c.sockets.closeAll()
+		return fmt.Errorf("dial: %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c.cancel = cancel
+	go func() {
+		defer close(c.done)
+		c.err = k.Run(ctx, stopGrace)
+	}()
+	return nil
+}
+
+// Close closes all flows, ends their calls with ErrClosed and waits until the
+// duties have ended. It returns the error that stopped the client early, if any.
+func (c *Client) Close() error {
+	c.cancel()
+	<-c.done
+	if c.err != nil {
+		return fmt.Errorf("close client: %w", c.err)
+	}
+	return nil
+}
+
+// OpenFlow opens a flow to a service and waits for its target. It returns
+// ErrDeadline, ErrCancelled, ErrOverloaded or ErrClosed.
+func (c *Client) OpenFlow(ctx context.Context, service string) (*Flow, error) {
+	if c.isDone() {
+		return nil, fmt.Errorf("open flow: %w", ErrClosed)
+	}
+	opened := make(chan session.FlowID, 1)
+	handle, err := c.sessions.Open(message.ServiceIDOf(service), func(id session.FlowID) { opened <- id })
+	if err != nil {
+		return nil, Translate(err)
+	}
+	select {
+	case id := <-opened:
+		return &Flow{client: c, id: id}, nil
+	case <-c.done:
+		return nil, fmt.Errorf("open flow: %w", ErrClosed)
+	case <-ctx.Done():
+		_ = c.sessions.Abandon(handle)
+		return nil, contextError("open flow", ctx)
+	}
+}
+
+// isDone reports whether the client has stopped.
+func (c *Client) isDone() bool {
+	select {
+	case <-c.done:
+		return true
+	default:
+		return false
+	}
+}
+
+func contextError(what string, ctx context.Context) error {
+	kind := ErrCancelled
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		kind = ErrDeadline
+	}
+	return fmt.Errorf("%s: %w: %w", what, kind, ctx.Err())
+}
+
+// Do sends a request and waits for the whole answer. The context's deadline is
+// the request's deadline. Errors: ErrNotRun, ErrMayHaveRun, ErrDeadline,
+// ErrCancelled, ErrTooLarge, ErrOverloaded, ErrClosed; ErrDeadline, ErrCancelled
+// and ErrClosed come with ErrMayHaveRun or ErrNotRun when the outcome of a
+// non-idempotent request is known to be the one or the other.
+func (f *Flow) Do(ctx context.Context, request Request) ([]byte, error) {
+	if f.client.isDone() {
+		return nil, fmt.Errorf("call: %w", ErrClosed)
+	}
+	timeout := f.client.timeout
+	if deadline, ok := ctx.Deadline(); ok {
+		timeout = time.Until(deadline)
+	}
+	call := session.Call{
+		Kind:       request.Kind,
+		Idempotent: request.Idempotent,
+		Timeout:    timeout,
+		Payload:    request.Payload,
+	}
+	ended := make(chan session.Result, 1)
+	handle, err := f.client.sessions.Do(f.id, call, func(r session.Result) { ended <- r })
+	if err != nil {
+		return nil, Translate(err)
+	}
+	result, err := f.wait(ctx, handle, ended)
+	if err != nil {
+		return nil, err
+	}
+	return result.Payload, Translate(result.Err)
+}
+
+// wait returns the call's result. At the context's deadline the session ends the
+// call by itself; a cancelled context cancels it.
+func (f *Flow) wait(ctx context.Context, handle *Handle, ended <-chan session.Result) (session.Result, error) {
+	cancelled := ctx.Done()
+	for {
+		select {
+		case r := <-ended:
+			return r, nil
+		case <-f.client.done:
+			return f.lastResult(ended)
+		case <-cancelled:
+			cancelled = nil
+			if !errors.Is(ctx.Err(), context.DeadlineExceeded) {
+				_ = f.client.sessions.Cancel(handle)
+			}
+		}
+	}
+}
+
+// lastResult returns a result that came before the client stopped. Without one
+// it is unknown whether the request was sent.
+func (f *Flow) lastResult(ended <-chan session.Result) (session.Result, error) {
+	select {
+	case r := <-ended:
+		return r, nil
+	default:
+		return session.Result{}, fmt.Errorf("call: %w: %w", ErrClosed, ErrMayHaveRun)
+	}
+}
+
+// Close ends the flow. Its calls fail with ErrClosed.
+func (f *Flow) Close() error {
+	return Translate(f.client.sessions.Close(f.id))
+}
+
+// Counters returns the counters of the client's session. It returns ErrClosed
+// or ErrOverloaded.
+func (c *Client) Counters() (session.Counters, error) {
+	result := make(chan session.Counters, 1)
+	err := c.sessions.Inspect(func(s *session.Session) { result <- s.Counters() })
+	if err != nil {
+		return session.Counters{}, Translate(err)
+	}
+	select {
+	case counters := <-result:
+		return counters, nil
+	case <-c.done:
+		return session.Counters{}, fmt.Errorf("counters: %w", ErrClosed)
+	}
+}
--- /dev/null
+++ b/caller/doc.go
@@ -0,0 +1,8 @@
+// Package caller is the public caller library: a Client holds many flows over a
+// few UDP sockets. Each flow is bound to one target of its service; the balancer
+// fleet may be replaced while calls are in progress.
+//
+// A client is a kernel with two services: SessionName holds the protocol state
+// machine of package session on one duty, SocketsName has one reading duty per
+// socket and one sending duty.
+package caller
