--- /dev/null
+++ b/standin/fabric/fabric_test.go
@@ -0,0 +1,97 @@
+package fabric
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestLaneFaults guards against faults that differ from their probabilities,
+// and against datagrams that vanish without being counted.
+func TestLaneFaults(t *testing.T) {
+	is := is.New(t)
+	f := New(1, Settings{})
+	l := lane{fabric: f, rng: rand.New(rand.NewPCG(1, 1))}
+	s := &Settings{Loss: 0.1, Duplicate: 0.2, Reorder: 0.3}
+	const count = 10000
+	seen, outOfOrder, last := 0, 0, -1
+	for i := range count {
+		for _, d := range l.pass(s, []byte{byte(i >> 8), byte(i)}, "") {
+			n := int(d[0])<<8 | int(d[1])
+			seen++
+			if n < last {
+				outOfOrder++
+			}
+			last = max(last, n)
+		}
+	}
+	stats := f.Stats()
+	held := 0
+	if l.held != nil {
+		held = 1
+	}
+	is.Equal(seen, count-int(stats.Lost)+int(stats.Doubled)-held)
+	is.True(stats.Lost > 900 && stats.Lost < 1100)
+	is.True(stats.Doubled > 1000 && outOfOrder > 1000)
+	is.Equal(len(l.pass(&Settings{Cut: []string{"a"}}, []byte{0, 0}, "a")), 0)
+}
+
+// TestSprayAndCut guards against a fabric that prefers one VM or reaches a
+// failure domain that is cut off.
+func TestSprayAndCut(t *testing.T) {
+	is := is.New(t)
+	var vms []VM
+	var sockets []*net.UDPConn
+	for _, domain := range []string{"a", "b"} {
+		socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+		is.NoErr(err)
+		defer socket.Close()
+		sockets = append(sockets, socket)
+		vms = append(vms, VM{Addr: socket.LocalAddr().(*net.UDPAddr).AddrPort(), Domain: domain})
+	}
+	f := New(1, Settings{VMs: vms})
+	c, err := f.Open()
+	is.NoErr(err)
+	defer c.Close()
+	const count = 20
+	for range count {
+		is.NoErr(c.Send([]byte{1}))
+	}
+	f.Set(Settings{VMs: vms, Cut: []string{"a"}})
+	for range count {
+		is.NoErr(c.Send([]byte{2}))
+	}
+	marker, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	is.NoErr(err)
+	defer marker.Close()
+	var before, after [2]int
+	for i, socket := range sockets {
+		_, err = marker.WriteToUDPAddrPort([]byte{9}, vms[i].Addr)
+		is.NoErr(err)
+		before[i], after[i] = countUntilMarker(is, socket)
+	}
+	is.Equal(before[0]+before[1], count)
+	is.True(before[0] > 0 && before[1] > 0)
+	is.Equal(after[0], 0)
+	is.Equal(after[1], count-int(f.Stats().Lost))
+}
+
+// countUntilMarker counts datagrams 1 and 2 up to datagram 9.
+func countUntilMarker(is *is.I, socket *net.UDPConn) (ones, twos int) {
+	buf := make([]byte, 10)
+	for {
+		_, _, err := socket.ReadFromUDPAddrPort(buf)
+		is.NoErr(err)
+		switch buf[0] {
+		case 1:
+			ones++
+		case 2:
+			twos++
+		default:
+			return ones, twos
+		}
+	}
+}
