Replace the thin lab by a load generator and its oracle

Cause: the three main measures need open-loop load of the users' sizes and a check of every promise against the targets' own records.

--- /dev/null
+++ b/lab/load.go
@@ -0,0 +1,179 @@
+package lab
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/caller"
+	"github.com/gypsumspan/gypsumspan/caller/session"
+	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/kernel"
+	"github.com/gypsumspan/gypsumspan/standin/fabric"
+)
+
+// LoadOptions describe a load run.
+type LoadOptions struct {
+	Workload *Workload
+	Targets  []Target // of the workload, where their records are read
+	Fabric   fabric.Settings
+	Duration time.Duration // of load, after all flows are open
+	Sockets  int
+	Seed     uint64
+	Floods   map[string]float64 // factor of the rate of "service/kind"
+	Session  session.Config
+	// AllowMissing accepts a run in which some targets' records can't be read,
+	// for experiments that kill targets. Their executions are then not checked.
+	AllowMissing bool
+}
+
+// Load opens the workload's flows, makes the load and judges the result. It
+// returns a report, and with it ErrPromiseBroken if an invariant was broken and
+// ErrTarget if that could not be checked. Without a report it returns ErrOption,
+// the context's error or an error of the client.
+func Load(ctx context.Context, o LoadOptions) (*Report, error) {
+	if err := o.validate(); err != nil {
+		return nil, err
+	}
+	network := fabric.New(o.Seed, o.Fabric)
+	sockets := caller.NewSockets(network, o.Sockets)
+	// Flow ids and payloads must differ from those of earlier runs against the
+	// same fleet, so they do not depend on the seed alone.
+	run := rand.Uint64()
+	sessions := caller.NewSessions(session.New(o.Session, seedOf(o.Seed, run)))
+	g := newGenerator(o.Workload, o.Seed, run, o.Duration, o.Floods)
+	state, err := runLoad(ctx, g, sockets, sessions)
+	if err != nil {
+		return nil, err
+	}
+	report := g.report(ctx, o, state)
+	report.Sockets = sockets.Stats()
+	report.Fabric = network.Stats()
+	return report, report.verdict(o.AllowMissing)
+}
+
+func (o *LoadOptions) validate() error {
+	if o.Duration <= 0 || len(o.Fabric.VMs) == 0 {
+		return fmt.Errorf("a load run needs a duration and VMs: %w", ErrOption)
+	}
+	known := make(map[string]bool)
+	for _, s := range o.Workload.Services {
+		for _, k := range s.Kinds {
+			known[s.Name+"/"+k.Name] = true
+		}
+	}
+	for name, factor := range o.Floods {
+		if !known[name] || factor <= 0 {
+			return fmt.Errorf("flood %s=%v: unknown service/kind or factor not above 0: %w", name, factor, ErrOption)
+		}
+	}
+	return nil
+}
+
+// verdict returns ErrPromiseBroken or ErrTarget.
+func (r *Report) verdict(allowMissing bool) error {
+	if r.Promises.Broken() {
+		return fmt.Errorf("%+v: %w", r.Promises, ErrPromiseBroken)
+	}
+	if missing := r.missing(); missing > 0 && !allowMissing {
+		return fmt.Errorf("%d targets: %w", missing, ErrTarget)
+	}
+	return nil
+}
+
+func seedOf(seed, run uint64) (s [32]byte) {
+	binary.BigEndian.PutUint64(s[:], seed)
+	binary.BigEndian.PutUint64(s[8:], run)
+	return s
+}
+
+// sessionState is read from the session at the end of a run.
+type sessionState struct {
+	counters session.Counters
+	flows    map[message.TargetID]int
+}
+
+// runLoad runs the kernel until the generator is done.
+func runLoad(ctx context.Context, g *generator, sockets *caller.Sockets, sessions *caller.Sessions) (sessionState, error) {
+	k := kernel.New(kernel.NewClock())
+	for _, s := range []kernel.Service{sockets, sessions, g} {
+		if err := k.Register(s); err != nil {
+			return sessionState{}, err
+		}
+	}
+	running, stop := context.WithCancel(ctx)
+	defer stop()
+	ended := make(chan error, 1)
+	go func() { ended <- k.Run(running, stopGrace) }()
+	select {
+	case <-g.done:
+	case err := <-ended:
+		return sessionState{}, fmt.Errorf("load run stopped early: %w", errorOr(err, ctx.Err()))
+	}
+	state, err := g.inspect(ctx, sessions)
+	stop()
+	if runErr := <-ended; err == nil {
+		err = runErr
+	}
+	return state, err
+}
+
+func errorOr(err, other error) error {
+	if err != nil {
+		return err
+	}
+	return other
+}
+
+// inspect reads the session's counters and bindings on its duty.
+func (g *generator) inspect(ctx context.Context, sessions *caller.Sessions) (sessionState, error) {
+	result := make(chan sessionState, 1)
+	err := sessions.Inspect(func(s *session.Session) {
+		state := sessionState{counters: s.Counters(), flows: make(map[message.TargetID]int)}
+		for _, set := range g.services {
+			for _, flow := range set.flows {
+				binding, _ := s.Binding(flow)
+				state.flows[binding.Target]++
+			}
+		}
+		result <- state
+	})
+	if err != nil {
+		return sessionState{}, caller.Translate(err)
+	}
+	select {
+	case state := <-result:
+		return state, nil
+	case <-ctx.Done():
+		return sessionState{}, fmt.Errorf("read the session's counters: %w", ctx.Err())
+	}
+}
+
+// report reads the targets' records and judges the run.
+func (g *generator) report(ctx context.Context, o LoadOptions, state sessionState) *Report {
+	seen := make([]observation, len(o.Targets))
+	missing := make([]bool, len(o.Targets))
+	for i, t := range o.Targets {
+		var err error
+		seen[i], err = observe(ctx, t.Health)
+		missing[i] = err != nil
+	}
+	promises, work := judge(g.records, o.Targets, seen)
+	r := &Report{
+		Workload: o.Workload.Name, Seed: o.Seed, Seconds: o.Duration.Seconds(), BrokenFlows: state.counters.Broken,
+		Promises: promises, Kinds: g.kindReports(), Session: state.counters,
+		Targets: targetReports(o.Workload, o.Targets, state.flows, work),
+	}
+	for i := range r.Targets {
+		r.Targets[i].PeakInFlight = seen[i].stats.PeakInFlight
+		r.Targets[i].Shed = seen[i].stats.Shed
+		r.Targets[i].RecordsMissing = missing[i]
+	}
+	for _, k := range r.Kinds {
+		r.Promises.WrongAnswers += k.Wrong
+	}
+	r.Promises.FalseNotRun += int(state.counters.FalseNotRun)
+	return r
+}
--- /dev/null
+++ b/lab/load_test.go
@@ -0,0 +1,258 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/standin/fabric"
+	"github.com/gypsumspan/gypsumspan/wire"
+)
+
+const testWorkload = `
+name = "test"
+scale = 1.0
+open_rate = 2000
+[[services]]
+name = "a"
+slots = 3
+flows_per_target = 20
+targets = [{domain = "x", weights = [1, 2]}]
+kinds = [
+	{name = "once", rate = 100.0, request_bytes = 1500, answer_bytes = 3000, service_ms = 1.0, timeout_ms = 2000},
+	{name = "often", idempotent = true, rate = 100.0, request_bytes = 20, service_ms = 1.0, timeout_ms = 2000},
+]
+[[services]]
+name = "b"
+slots = 3
+flows_per_target = 20
+targets = [{domain = "y", weights = [1]}]
+kinds = [{name = "only", rate = 50.0, request_bytes = 20, service_ms = 1.0, timeout_ms = 2000}]
+`
+
+// fault is what a stub VM does wrong.
+type fault string
+
+const (
+	honest         fault = ""
+	doubles        fault = "dispatches every request twice"
+	falseNotRun    fault = "refuses dispatched requests as not run"
+	foreignTargets fault = "dispatches to another service's target"
+	mixesAnswers   fault = "sends the answer of an earlier request"
+)
+
+// stubVM stands for the whole fleet: one socket, no admission, no epochs.
+type stubVM struct {
+	conn    *net.UDPConn
+	targets []Target
+	w       *Workload
+	fault   fault
+	callers map[message.RequestKey]netip.AddrPort
+	answers map[message.RequestKey][]*message.Answer
+	seen    map[partKey]bool
+	last    []byte
+}
+
+// partKey names one part of one attempt.
+type partKey struct {
+	key     message.RequestKey
+	attempt uint32
+	part    uint16
+}
+
+func startStub(t *testing.T, w *Workload, targets []Target, f fault) netip.AddrPort {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	vm := &stubVM{
+		conn: conn, targets: targets, w: w, fault: f,
+		callers: make(map[message.RequestKey]netip.AddrPort), answers: make(map[message.RequestKey][]*message.Answer),
+		seen: make(map[partKey]bool),
+	}
+	go vm.run()
+	t.Cleanup(func() { conn.Close() })
+	return conn.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+func (v *stubVM) run() {
+	buf := make([]byte, wire.MaxDatagram)
+	for {
+		n, from, err := v.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if body, err := wire.Decode(buf[:n]); err == nil {
+			v.handle(from, body)
+		}
+	}
+}
+
+func (v *stubVM) handle(from netip.AddrPort, body message.Body) {
+	switch m := body.(type) {
+	case *message.Open:
+		v.send(from, &message.Bound{Flow: m.Flow, Binding: message.Binding{Target: v.target(m.Service, m.Flow).ID, Epoch: 1}})
+	case *message.Request:
+		v.request(from, m)
+	case *message.Answer:
+		v.answer(m)
+	case *message.Shed:
+		key := message.RequestKey{Flow: m.Flow, ID: m.ID}
+		v.send(v.callers[key], &message.Refusal{Flow: m.Flow, ID: m.ID, Attempt: m.Attempt, Reason: message.NotRun})
+	}
+}
+
+func (v *stubVM) target(service message.ServiceID, flow message.FlowID) Target {
+	var own []Target
+	for _, t := range v.targets {
+		isOwn := message.ServiceIDOf(v.w.Services[t.Service].Name) == service
+		if isOwn != (v.fault == foreignTargets) {
+			own = append(own, t)
+		}
+	}
+	return own[flow.Lo%uint64(len(own))]
+}
+
+// request dispatches a part once, and replays the answer to a retransmission.
+func (v *stubVM) request(from netip.AddrPort, m *message.Request) {
+	part := partKey{m.Key(), m.Attempt, m.Part}
+	if v.seen[part] {
+		for _, a := range v.answers[m.Key()] {
+			v.send(from, a)
+		}
+		return
+	}
+	v.seen[part] = true
+	v.callers[m.Key()] = from
+	t := v.target(m.Service, m.Flow)
+	d := &message.Dispatch{
+		Service: m.Service, Target: t.ID, Flow: m.Flow, ID: m.ID, Attempt: m.Attempt, Kind: m.Kind, Open: true,
+		Deadline: m.Deadline, Part: m.Part, Parts: m.Parts, Payload: m.Payload,
+	}
+	v.send(t.Requests, d)
+	if v.fault == doubles {
+		again := *d
+		again.Attempt += 1000 // so that parts of the two do not mix
+		v.send(t.Requests, &again)
+	}
+	if v.fault == falseNotRun {
+		refusal := &message.Refusal{Flow: m.Flow, ID: m.ID, Attempt: m.Attempt, Reason: message.NotRun, RetryAfter: time.Minute}
+		v.send(from, refusal)
+	}
+}
+
+func (v *stubVM) answer(m *message.Answer) {
+	if m.Attempt > 1000 || v.fault == falseNotRun {
+		return
+	}
+	if v.fault == mixesAnswers {
+		m.Payload, v.last = v.last, m.Payload
+	}
+	v.answers[m.Key()] = append(v.answers[m.Key()], m)
+	v.send(v.callers[m.Key()], m)
+}
+
+func (v *stubVM) send(to netip.AddrPort, body message.Body) {
+	if data, err := wire.Append(nil, body); err == nil {
+		_, _ = v.conn.WriteToUDPAddrPort(data, to)
+	}
+}
+
+// freePort returns the first of count free ports in a row.
+func freePort(t *testing.T, count uint16) uint16 {
+	for base := uint16(22000); base < 60000; base += 100 {
+		if portsAreFree(base, count) {
+			return base
+		}
+	}
+	t.Fatal("no free ports")
+	return 0
+}
+
+func portsAreFree(base, count uint16) bool {
+	for port := base; port < base+count; port++ {
+		addr := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port)
+		tcp, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
+		if err != nil {
+			return false
+		}
+		tcp.Close()
+		udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+		if err != nil {
+			return false
+		}
+		udp.Close()
+	}
+	return true
+}
+
+// runAgainstStub runs the test workload against targets and a stub VM.
+func runAgainstStub(t *testing.T, f fault, network fabric.Settings) (*Report, error) {
+	w, err := ParseWorkload([]byte(testWorkload))
+	if err != nil {
+		t.Fatal(err)
+	}
+	targets := w.Targets(netip.MustParseAddr("127.0.0.1"), freePort(t, 6))
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- ServeTargets(ctx, w, targets, "", TargetOptions{Seed: 1, Backlog: 100}) }()
+	defer func() {
+		stop()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}()
+	network.VMs = []fabric.VM{{Addr: startStub(t, w, targets, f), Domain: "x"}}
+	return Load(ctx, LoadOptions{
+		Workload: w, Targets: targets, Fabric: network, Duration: 500 * time.Millisecond, Sockets: 2, Seed: 1,
+	})
+}
+
+// TestLoadHonest guards against a generator or oracle that sees broken promises
+// where there are none, on a network with faults.
+func TestLoadHonest(t *testing.T) {
+	is := is.New(t)
+	report, err := runAgainstStub(t, honest, fabric.Settings{Loss: 0.02, Duplicate: 0.02, Reorder: 0.02})
+	is.NoErr(err)
+	ended, completed, flows, work := 0, 0, 0, 0
+	for _, k := range report.Kinds {
+		completed += k.Completed
+		ended += k.Completed + k.NotRun + k.MayHaveRun + k.Deadline + k.Cancelled + k.Overloaded
+		ended -= k.Offered
+	}
+	for _, target := range report.Targets {
+		flows += target.Flows
+		work += target.Work
+	}
+	is.Equal(ended, 0) // every offered call ended once
+	is.True(completed > 0)
+	is.True(work >= completed)
+	is.Equal(flows, 60)
+}
+
+// TestLoadFindsBrokenPromises guards against an oracle that misses a fault.
+func TestLoadFindsBrokenPromises(t *testing.T) {
+	cases := []struct {
+		fault fault
+		count func(Promises) int
+	}{
+		{doubles, func(p Promises) int { return p.DoubleExecutions }},
+		{falseNotRun, func(p Promises) int { return p.FalseNotRun }},
+		{foreignTargets, func(p Promises) int { return p.ForeignWork }},
+		{mixesAnswers, func(p Promises) int { return p.WrongAnswers }},
+	}
+	for _, tc := range cases {
+		t.Run(string(tc.fault), func(t *testing.T) {
+			is := is.New(t)
+			report, err := runAgainstStub(t, tc.fault, fabric.Settings{})
+			is.True(errors.Is(err, ErrPromiseBroken))
+			is.True(tc.count(report.Promises) > 0)
+		})
+	}
+}
--- /dev/null
+++ b/lab/report.go
@@ -0,0 +1,146 @@
+package lab
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"text/tabwriter"
+
+	"github.com/gypsumspan/gypsumspan/caller"
+	"github.com/gypsumspan/gypsumspan/caller/session"
+	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/standin/fabric"
+)
+
+// Report is the result of a load run.
+type Report struct {
+	Workload    string             `json:"workload"`
+	Seed        uint64             `json:"seed"`
+	Seconds     float64            `json:"seconds"` // of load, without opening and draining
+	BrokenFlows uint64             `json:"broken_flows"`
+	Promises    Promises           `json:"promises"`
+	Kinds       []KindReport       `json:"kinds"`
+	Targets     []TargetReport     `json:"targets"`
+	Session     session.Counters   `json:"session"`
+	Sockets     caller.SocketStats `json:"sockets"`
+	Fabric      fabric.Stats       `json:"fabric"`
+}
+
+// KindReport is the result of one kind.
+type KindReport struct {
+	Service string  `json:"service"`
+	Kind    string  `json:"kind"`
+	P50MS   float64 `json:"p50_ms"` // of completed calls, from the scheduled arrival
+	P99MS   float64 `json:"p99_ms"`
+	Outcomes
+}
+
+// TargetReport compares a target's flows and work with its weight.
+type TargetReport struct {
+	Service        string  `json:"service"`
+	Target         string  `json:"target"`
+	Domain         string  `json:"domain"`
+	Weight         uint32  `json:"weight"`
+	Slots          int     `json:"slots"`
+	Flows          int     `json:"flows"`           // bound to the target at the end, as callers see it
+	FlowDeviation  float64 `json:"flow_deviation"`  // from the weighted share, 0.05 is 5%
+	Work           int     `json:"work"`            // executions of this run
+	WorkDeviation  float64 `json:"work_deviation"`  // from the weighted share
+	PeakInFlight   int     `json:"peak_in_flight"`  // at the target, since it started
+	Shed           uint64  `json:"shed"`            // by the target, since it started
+	RecordsMissing bool    `json:"records_missing"` // the target did not answer the oracle
+}
+
+// WriteJSON writes the report as one JSON document.
+func (r *Report) WriteJSON(w io.Writer) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(r); err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
+	return nil
+}
+
+// WriteTable writes the report for people.
+func (r *Report) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintf(w, "%s, seed %d, %.0f s of load\n\n", r.Workload, r.Seed, r.Seconds)
+	fmt.Fprintln(t, "service\tkind\toffered\tcompleted\tnot run\tmay have run\tdeadline\toverloaded\twrong\tp50 ms\tp99 ms\t")
+	for _, k := range r.Kinds {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t\n", k.Service, k.Kind, k.Offered,
+			k.Completed, k.NotRun, k.MayHaveRun, k.Deadline, k.Overloaded, k.Wrong, k.P50MS, k.P99MS)
+	}
+	fmt.Fprintln(t)
+	fmt.Fprintln(t, "service\ttarget\tdomain\tweight\tflows\tdeviation\twork\tdeviation\tpeak\tslots\tshed\t")
+	for _, g := range r.Targets {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%+.1f%%\t%d\t%+.1f%%\t%d\t%d\t%d\t\n", g.Service, g.Target, g.Domain,
+			g.Weight, g.Flows, 100*g.FlowDeviation, g.Work, 100*g.WorkDeviation, g.PeakInFlight, g.Slots, g.Shed)
+	}
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
+	p := r.Promises
+	_, err := fmt.Fprintf(w, "\nbroken flows %d, wrong answers %d, double executions %d, false not run %d, foreign work %d, targets without records %d\n",
+		r.BrokenFlows, p.WrongAnswers, p.DoubleExecutions, p.FalseNotRun, p.ForeignWork, r.missing())
+	if err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
+	return nil
+}
+
+// missing counts the targets whose records could not be read.
+func (r *Report) missing() int {
+	count := 0
+	for _, t := range r.Targets {
+		if t.RecordsMissing {
+			count++
+		}
+	}
+	return count
+}
+
+// kindReports summarizes the generator's streams.
+func (g *generator) kindReports() []KindReport {
+	var all []KindReport
+	for _, s := range g.streams {
+		all = append(all, KindReport{
+			Service:  g.workload.Services[s.service].Name,
+			Kind:     s.spec.Name,
+			P50MS:    float64(s.tally.latency.ValueAtQuantile(50)) / 1000,
+			P99MS:    float64(s.tally.latency.ValueAtQuantile(99)) / 1000,
+			Outcomes: s.tally.outcomes,
+		})
+	}
+	return all
+}
+
+// targetReports compares targets with the shares of their weights.
+func targetReports(w *Workload, targets []Target, flows map[message.TargetID]int, work []int) []TargetReport {
+	all := make([]TargetReport, len(targets))
+	sums := make([]struct{ weight, flows, work float64 }, len(w.Services))
+	for i, t := range targets {
+		sum := &sums[t.Service]
+		sum.weight += float64(t.Weight)
+		sum.flows += float64(flows[t.ID])
+		sum.work += float64(work[i])
+	}
+	for i, t := range targets {
+		sum := sums[t.Service]
+		share := float64(t.Weight) / sum.weight
+		all[i] = TargetReport{
+			Service: w.Services[t.Service].Name, Target: t.Name, Domain: t.Domain, Weight: t.Weight, Slots: t.Slots,
+			Flows: flows[t.ID], FlowDeviation: deviation(float64(flows[t.ID]), share*sum.flows),
+			Work: work[i], WorkDeviation: deviation(float64(work[i]), share*sum.work),
+		}
+	}
+	return all
+}
+
+// deviation returns value/expected - 1, or 0 if nothing is expected.
+func deviation(value, expected float64) float64 {
+	if expected == 0 || math.IsNaN(expected) {
+		return 0
+	}
+	return value/expected - 1
+}
--- a/standin/target/config.go
+++ b/standin/target/config.go
@@ -108,3 +108,8 @@
 	}
 	return string(AnswerTo(payload, len(answer))) == string(answer)
 }
+
+// Echo returns the part of an answer of AnswerTo after the digest.
+func Echo(answer []byte) []byte {
+	return answer[min(digestSize, len(answer)):]
+}
