Close the rings of a service when its duties have ended

Cause: a reader of a control link could wait for ever in Put on the full control ring of a core that had already stopped. Change: the kernel knows the service of each ring and closes its rings after its duties.

--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -15,10 +15,19 @@
 	services map[string]Service
 	names    []string // in order of registration
 	order    []string // start order
-	rings    []interface{ Stats() RingStats }
+	rings    []ringEntry
 	duties   []dutyEntry
 	blockers []blockerEntry
-	owner    string // service that is being connected
+	owner    string // service that is being set up or connected
+}
+
+// ringEntry is a ring of a service.
+type ringEntry struct {
+	service string
+	ring    interface {
+		Stats() RingStats
+		Close()
+	}
 }
 
 type dutyEntry struct {
@@ -104,15 +113,28 @@
 	k.mu.Unlock()
 	stats := make([]RingStats, 0, len(rings))
 	for _, r := range rings {
-		stats = append(stats, r.Stats())
+		stats = append(stats, r.ring.Stats())
 	}
 	return stats
 }
 
-func (k *Kernel) addRing(r interface{ Stats() RingStats }) {
+func (k *Kernel) addRing(r interface {
+	Stats() RingStats
+	Close()
+}) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.rings = append(k.rings, r)
+	k.rings = append(k.rings, ringEntry{service: k.owner, ring: r})
+}
+
+// closeRings closes the rings of a service whose duties have ended, so that no
+// producer waits for room in them.
+func (k *Kernel) closeRings(service string) {
+	for _, r := range k.rings {
+		if r.service == service {
+			r.ring.Close()
+		}
+	}
 }
 
 // Assemble sets up and connects all services in the order of their needs. Run
@@ -126,6 +148,7 @@
 		return err
 	}
 	for _, name := range order {
+		k.owner = name
 		if err := k.services[name].Setup(k); err != nil {
 			return fmt.Errorf("set up service %s: %w", name, err)
 		}
--- a/kernel/kernel_test.go
+++ b/kernel/kernel_test.go
@@ -276,3 +276,33 @@
 	is.NoErr(k.Run(ctx, time.Second))
 	is.Equal(len(out), 20)
 }
+
+// Guards against a producer that waits for ever on a ring whose service has ended.
+func TestStoppedServiceReleasesItsProducers(t *testing.T) {
+	defer goleak.VerifyNone(t, goleak.IgnoreCurrent())
+	is := is.New(t)
+	k := New(NewClock())
+	gate := NewGate()
+	var ring *Ring[int]
+	result := make(chan error, 1)
+	mustRegister(t, k,
+		&fake{name: "producer", connect: func(k *Kernel) error {
+			k.AddBlocker(Blocker{Name: "producer", Run: func(ctx context.Context) error {
+				for {
+					if err := ring.Put(1); err != nil {
+						result <- err
+						return nil
+					}
+				}
+			}})
+			return nil
+		}},
+		&fake{name: "consumer", needs: []string{"producer"}, setup: func(k *Kernel) error {
+			ring = NewRing[int](k, "consumer.in", 1, Block, gate)
+			return nil
+		}})
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	is.NoErr(k.Run(ctx, time.Second))
+	is.True(errors.Is(<-result, ErrRingClosed))
+}
--- a/kernel/threaded.go
+++ b/kernel/threaded.go
@@ -137,6 +137,7 @@
 		}
 		r.groups[name].cancel()
 		r.groups[name].done.Wait()
+		r.kernel.closeRings(name)
 	}
 	return errors.Join(errs...)
 }
