Add ops: export, plan, apply, audit and wait

Cause: two operators edit the table at once, and a lost answer of the store must neither double a change nor report it falsely as failed.

Change: compare-and-swap transactions with an audit record each, whose key holds the change id and must not exist yet; lost races are planned anew and merged by cell; old audit records are deleted in the same transaction; services above one transaction are split where no VM can see a mixture.

--- /dev/null
+++ b/ops/audit_test.go
@@ -0,0 +1,82 @@
+package ops
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"time"
+
+	standin "github.com/gypsumspan/gypsumspan/standin/store"
+)
+
+// Guards against an audit trail without bound, and filters that miss records.
+func TestAudit(t *testing.T) {
+	r := newRig(t, standin.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
+	var middle time.Time
+	for i := range 9 {
+		r.apply(r.ops, r.weight("t1", fmt.Sprint(i+2)))
+		snapshot, err := r.ops.Export(t.Context())
+		r.NoErr(err)
+		r.exported = snapshot.Sheet
+		if i == 6 {
+			middle = time.Unix(0, r.clock.now.Load())
+		}
+	}
+	for _, c := range []struct {
+		filter Filter
+		want   []string
+	}{
+		{Filter{}, []string{"a5", "a6", "a7", "a8", "a9"}},
+		{Filter{Limit: 2}, []string{"a8", "a9"}},
+		{Filter{Since: middle}, []string{"a8", "a9"}},
+		{Filter{Change: "a6", Who: "ann", Service: "live"}, []string{"a6"}},
+		{Filter{Who: "bob"}, nil},
+		{Filter{Service: "docs"}, nil},
+	} {
+		records, err := r.ops.Audit(t.Context(), c.filter)
+		r.NoErr(err)
+		var got []string
+		for _, record := range records {
+			got = append(got, record.Change)
+		}
+		r.Equal(got, c.want)
+	}
+}
+
+// Guards against a change that is reported in force before every VM has it.
+func TestWait(t *testing.T) {
+	r := newRig(t, standin.Options{})
+	asked := 0
+	vm := func(domain string, from int) string {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			revision := 0
+			if asked >= from {
+				revision = 12
+			}
+			fmt.Fprintf(w, `{"vm":"v","domain":%q,"table_revision":%d}`, domain, revision)
+		}))
+		t.Cleanup(server.Close)
+		return server.URL
+	}
+	admins := []string{vm("a", 0), vm("a", 2), vm("b", 1)}
+	r.onSleep = func() { asked++ }
+	var reported []string
+	request := WaitRequest{Revision: 12, Admins: admins, Report: func(d DomainStatus) { reported = append(reported, d.Domain) }}
+	domains, err := r.ops.Wait(t.Context(), request)
+	r.NoErr(err)
+	r.Equal(reported, []string{"b", "a"})
+	r.Equal([]int{domains[0].VMs, domains[0].InForce, domains[1].VMs}, []int{2, 2, 1})
+	r.True(domains[1].After < domains[0].After)
+
+	ctx, cancel := context.WithCancel(t.Context())
+	r.onSleep = cancel
+	request.Admins = append(slices.Clone(admins), "127.0.0.1:1")
+	domains, err = r.ops.Wait(ctx, request)
+	r.True(errors.Is(err, ErrNotInForce))
+	r.Equal(domains[2].Domain, UnknownDomain)
+	r.Equal(domains[2].Missing, []string{"127.0.0.1:1"})
+}
--- a/standin/store/contract_test.go
+++ b/standin/store/contract_test.go
@@ -107,7 +107,7 @@
 		r.put(fmt.Sprintf("a/%d", i), fmt.Sprint(i))
 	}
 	last := r.put("b", "")
-	all, revision, err := store.ReadAll(r.t.Context(), r.client, store.Prefix("a/"), 3)
+	all, revision, err := store.ReadAll(r.t.Context(), r.client, store.RangeRequest{Span: store.Prefix("a/"), Limit: 3})
 	r.NoErr(err)
 	r.Equal(revision, last)
 	r.Equal(len(all), 7)
--- a/store/store.go
+++ b/store/store.go
@@ -134,15 +134,14 @@
 	Watch(ctx context.Context, span Span, from int64) (Watcher, error)
 }
 
-// ReadAll reads all keys of a span at one revision, page by page, and returns
-// them with that revision. Each page is one call.
-func ReadAll(ctx context.Context, s Store, span Span, page int64) ([]KV, int64, error) {
-	r := RangeRequest{Span: span, Limit: page}
+// ReadAll reads all keys that r asks for, at one revision, in pages of r.Limit
+// keys, and returns them with that revision. Each page is one call.
+func ReadAll(ctx context.Context, s Store, r RangeRequest) ([]KV, int64, error) {
 	var all []KV
 	for {
 		answer, err := s.Range(ctx, r)
 		if err != nil {
-			return nil, 0, fmt.Errorf("read %s: %w", span.Key, err)
+			return nil, 0, fmt.Errorf("read %s: %w", r.Span.Key, err)
 		}
 		all = append(all, answer.KVs...)
 		if r.Revision == 0 {
