--- a/caller/session/receive.go
+++ b/caller/session/receive.go
@@ -198,7 +198,7 @@
 		c.redirects++
 		return true
 	}
-	return c.class.budget.TryRetry()
+	return c.class.budget.TryRetry(s.now)
 }
 
 // retryDelay is zero for the first new attempt after "may have run", which is
--- a/caller/session/retry.go
+++ b/caller/session/retry.go
@@ -4,10 +4,10 @@
 
 // Budget limits retries to a share of requests.
 type Budget interface {
-	// OnRequest notes a first attempt.
-	OnRequest()
-	// TryRetry takes the right to one retry and reports whether there was one.
-	TryRetry() bool
+	// OnRequest notes a first attempt at now.
+	OnRequest(now time.Duration)
+	// TryRetry takes the right to one retry at now and reports whether there was one.
+	TryRetry(now time.Duration) bool
 }
 
 // Backoff computes delays before retries.
@@ -36,12 +36,12 @@
 }
 
 // OnRequest implements Budget.
-func (b *tokenBudget) OnRequest() {
+func (b *tokenBudget) OnRequest(time.Duration) {
 	b.tokens = min(b.tokens+budgetPerRequest, budgetMax)
 }
 
 // TryRetry implements Budget.
-func (b *tokenBudget) TryRetry() bool {
+func (b *tokenBudget) TryRetry(time.Duration) bool {
 	if b.tokens < 1 {
 		return false
 	}
--- a/caller/session/session.go
+++ b/caller/session/session.go
@@ -47,20 +47,20 @@
 
 // Counters counts events since the session's start.
 type Counters struct {
-	Opens         uint64 // Open datagrams sent
-	Requests      uint64 // Request datagrams sent
-	Retransmitted uint64 // of these, repetitions within an attempt
-	Retries       uint64 // attempts after the first
-	Broken        uint64 // flows answered "flow unknown" after they were bound
-	NotRun        uint64 // refusals by reason
-	MayHaveRun    uint64
-	FlowUnknown   uint64
-	Busy          uint64
-	OverBudget    uint64 // retries that the budget forbade
-	Unknown       uint64 // messages for no flow or call of the session
-	Dropped       uint64 // duplicate parts, parts that do not fit, late refusals and bindings
-	FalseNotRun   uint64 // answers to attempts that had been refused "not run"
-	NeverSent     uint64 // calls that reached their deadline without being sent
+	Opens         uint64 `json:"opens"`         // Open datagrams sent
+	Requests      uint64 `json:"requests"`      // Request datagrams sent
+	Retransmitted uint64 `json:"retransmitted"` // of these, repetitions within an attempt
+	Retries       uint64 `json:"retries"`       // attempts after the first
+	Broken        uint64 `json:"broken"`        // flows answered "flow unknown" after they were bound
+	NotRun        uint64 `json:"not_run"`       // refusals by reason
+	MayHaveRun    uint64 `json:"may_have_run"`
+	FlowUnknown   uint64 `json:"flow_unknown"`
+	Busy          uint64 `json:"busy"`
+	OverBudget    uint64 `json:"over_budget"`   // retries that the budget forbade
+	Unknown       uint64 `json:"unknown"`       // messages for no flow or call of the session
+	Dropped       uint64 `json:"dropped"`       // duplicate parts, parts that do not fit, late refusals and bindings
+	FalseNotRun   uint64 `json:"false_not_run"` // answers to attempts that had been refused "not run"
+	NeverSent     uint64 `json:"never_sent"`    // calls that reached their deadline without being sent
 }
 
 // Session holds the flows of one caller. It is not safe for concurrent use.
@@ -134,7 +134,7 @@
 	s.lastCall++
 	c := &call{id: s.lastCall, flow: f, request: request, parts: parts, deadline: now + request.Timeout}
 	c.class = s.classOf(f.service, int(request.Kind))
-	c.class.budget.OnRequest()
+	c.class.budget.OnRequest(now)
 	c.alarm = s.alarms.create(func() { s.callDue(c) })
 	s.calls[c.id] = c
 	f.calls = append(f.calls, c)
--- a/caller/sockets.go
+++ b/caller/sockets.go
@@ -43,10 +43,10 @@
 
 // SocketStats counts datagrams since start.
 type SocketStats struct {
-	Received uint64
-	Rejected uint64 // malformed, foreign version or foreign type
-	Sent     uint64
-	Failed   uint64 // not sent because of an error
+	Received uint64 `json:"received"`
+	Rejected uint64 `json:"rejected"` // malformed, foreign version or foreign type
+	Sent     uint64 `json:"sent"`
+	Failed   uint64 `json:"failed"` // not sent because of an error
 }
 
 // NewSockets returns a service with count sockets (at least one) of transport.
--- a/lab/command.go
+++ b/lab/command.go
@@ -204,6 +204,7 @@
 	flags.Float64Var(&scale, "scale", 1, "factor of the workload's scale")
 	flags.StringSliceVar(&floods, "flood", nil, "SERVICE/KIND=FACTOR of a kind's rate; repeatable")
 	flags.DurationVar(&o.Duration, "duration", 30*time.Second, "time of load after all flows are open")
+	flags.DurationVar(&o.OpenTimeout, "open-timeout", DefaultOpenTimeout, "time until all flows must be open")
 	flags.IntVar(&o.Sockets, "sockets", 4, "number of UDP sockets")
 	flags.Uint64Var(&o.Seed, "seed", 1, "seed of arrivals and network faults")
 	flags.Float64Var(&o.Fabric.Loss, "loss", 0, "probability that a datagram is lost, each way")
--- a/lab/errors.go
+++ b/lab/errors.go
@@ -8,6 +8,8 @@
 	ErrWorkload = errors.New("invalid workload")
 	// ErrOption means that an option is invalid.
 	ErrOption = errors.New("invalid option")
+	// ErrNotOpen means that the fleet did not bind all flows in time.
+	ErrNotOpen = errors.New("flows could not be opened")
 	// ErrPromiseBroken means that a run ended and broke an invariant of the
 	// system: a wrong answer, a double execution, a false "not run", or work at a
 	// target of another service.
--- a/standin/fabric/fabric.go
+++ b/standin/fabric/fabric.go
@@ -56,10 +56,10 @@
 
 // Stats counts datagrams of both directions since start.
 type Stats struct {
-	Sent      uint64 // passed to the network by callers
-	Lost      uint64 // dropped by Loss or Cut
-	Doubled   uint64
-	Reordered uint64
+	Sent      uint64 `json:"sent"` // passed to the network by callers
+	Lost      uint64 `json:"lost"` // dropped by Loss or Cut
+	Doubled   uint64 `json:"doubled"`
+	Reordered uint64 `json:"reordered"`
 }
 
 // New returns a fabric. For one seed and one order of datagrams on a socket,
--- a/standin/target/control.go
+++ b/standin/target/control.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"github.com/gypsumspan/gypsumspan/decide/message"
 )
 
 // ErrControl means that a Control has an unknown or out-of-range value.
@@ -108,6 +110,18 @@
 	}
 }
 
+// Report returns what the endpoint says at now as the message that a VM makes of it.
+func (m *Machine) Report(now time.Duration) *message.TargetReport {
+	h, reached := m.Health(now)
+	if !reached {
+		return &message.TargetReport{Target: m.config.ID}
+	}
+	return &message.TargetReport{
+		Target: m.config.ID, Reached: true,
+		Healthy: h.Healthy, Draining: h.Draining, Cold: h.Cold, InFlight: h.InFlight,
+	}
+}
+
 // note records the truth for a health endpoint that lags.
 func (m *Machine) note(now time.Duration) {
 	m.health.record(now, Health{
--- a/standin/target/machine.go
+++ b/standin/target/machine.go
@@ -17,18 +17,18 @@
 
 // Stats counts events since the machine was created, across crashes.
 type Stats struct {
-	Dispatches   uint64 // datagrams
-	Started      uint64
-	Answered     uint64
-	Shed         uint64
-	Cancelled    uint64
-	TooLate      uint64 // not started, or answer dropped, because of the deadline
-	UnknownFlows uint64 // requests of unknown flows without the open marker
-	Copies       uint64 // datagrams dropped as copies
-	Crashes      uint64
-	Flows        int // connections now
-	PeakInFlight int // largest number of requests running and waiting
-	PeakRunning  int
+	Dispatches   uint64 `json:"dispatches"` // datagrams
+	Started      uint64 `json:"started"`
+	Answered     uint64 `json:"answered"`
+	Shed         uint64 `json:"shed"`
+	Cancelled    uint64 `json:"cancelled"`
+	TooLate      uint64 `json:"too_late"`      // not started, or answer dropped, because of the deadline
+	UnknownFlows uint64 `json:"unknown_flows"` // requests of unknown flows without the open marker
+	Copies       uint64 `json:"copies"`        // datagrams dropped as copies
+	Crashes      uint64 `json:"crashes"`
+	Flows        int    `json:"flows"`          // connections now
+	PeakInFlight int    `json:"peak_in_flight"` // largest number of requests running and waiting
+	PeakRunning  int    `json:"peak_running"`
 }
 
 // Machine is the pure target. It is not safe for concurrent use.
