Add admission to the slots of an owned target

Cause: one kind of work, or one caller, that floods must not take the slots and the queue from the others, and work that can't finish in time must be refused before it is dispatched.

Change: decide/admission with start-time fair queuing over kinds, caller buckets within a kind, a bounded queue that sheds from the kind most over its share, refusal by expected finish time, back-pressure with hysteresis, and slots with expiry. Kinds that offer more than their share are served after the others and hold a limited number of slots.

Offer, Next and Finish allocate nothing.

--- /dev/null
+++ b/decide/admission/queue_test.go
@@ -0,0 +1,337 @@
+package admission
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/decide/table"
+)
+
+// TestMain gives rapid a fixed seed; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	m.Run()
+}
+
+const far = time.Hour
+
+func item(id int, kind message.KindID, caller uint64, deadline time.Duration) Item {
+	return Item{Key: message.RequestKey{ID: message.RequestID(id)}, Attempt: 1, Kind: kind, Caller: caller, Deadline: deadline}
+}
+
+// small returns a queue with one slot, room for four items and two kinds of
+// shares 3 and 1.
+func small() *Queue {
+	return New(Config{Limit: 1, QueueCapacity: 4, Kinds: []KindConfig{{table.Urgent, 3}, {table.Bulk, 1}}})
+}
+
+// fill offers items from one caller for each id, ids from first on.
+func fill(q *Queue, first, n int, kind message.KindID, callers int) {
+	for i := range n {
+		q.Offer(0, item(first+i, kind, uint64(i%callers), far))
+	}
+}
+
+// Each case guards against a wrong outcome or victim for item 100 of kind 0.
+func TestOfferFaults(t *testing.T) {
+	steady := func(q *Queue) { // a service time of 100 ms is known, the slot is taken
+		q.Offer(0, item(1, 0, 1, far))
+		q.Finish(0, item(1, 0, 1, far).Key, 100*time.Millisecond)
+		q.Offer(0, item(2, 0, 1, far))
+	}
+	cases := []struct {
+		name    string
+		prepare func(q *Queue)
+		item    Item
+		outcome Outcome
+		cause   message.Cause
+		victims bool
+		ofKind  message.KindID
+	}{
+		{name: "free slot", item: item(100, 0, 1, far), outcome: Dispatch},
+		{name: "free slot, deadline passed", item: item(100, 0, 1, 0), outcome: Refused, cause: message.CauseDeadline},
+		{name: "unknown kind", item: item(100, 7, 1, far), outcome: Refused, cause: message.CauseUnknownTable},
+		{name: "removed kind", prepare: func(q *Queue) { q.SetKinds(nil) }, item: item(100, 0, 1, far), outcome: Refused, cause: message.CauseUnknownTable},
+		{name: "slot taken", prepare: steady, item: item(100, 0, 1, far), outcome: Queued},
+		{name: "limit of 0", prepare: func(q *Queue) { q.SetLimit(0) }, item: item(100, 0, 1, far), outcome: Queued},
+		{name: "slot used by the previous owner", prepare: func(q *Queue) { q.Occupy(message.RequestKey{ID: 1}, far) }, item: item(100, 0, 1, far), outcome: Queued},
+		{name: "copy of a waiting item", prepare: func(q *Queue) { steady(q); q.Offer(0, item(100, 0, 1, far)) }, item: item(100, 0, 1, far), outcome: Queued},
+		{name: "copy of a dispatched item", prepare: func(q *Queue) { q.Offer(0, item(100, 0, 1, far)) }, item: item(100, 0, 1, far), outcome: Queued},
+		{name: "shorter than one service time", prepare: steady, item: item(100, 0, 1, 90*time.Millisecond), outcome: Refused, cause: message.CauseDeadline},
+		{name: "shorter than the wait", prepare: func(q *Queue) { steady(q); fill(q, 3, 3, 0, 1) }, item: item(100, 0, 0, 350*time.Millisecond), outcome: Refused, cause: message.CauseDeadline},
+		{name: "longer than the wait", prepare: func(q *Queue) { steady(q); fill(q, 3, 3, 0, 1) }, item: item(100, 0, 0, 450*time.Millisecond), outcome: Queued},
+		{name: "full of the same caller", prepare: func(q *Queue) { steady(q); fill(q, 3, 4, 0, 1) }, item: item(100, 0, 0, far), outcome: Refused, cause: message.CauseQueueFull},
+		{name: "full of another caller", prepare: func(q *Queue) { steady(q); fill(q, 3, 4, 0, 1) }, item: item(100, 0, 5, far), outcome: Queued, cause: message.CauseQueueFull, victims: true},
+		{name: "full of another kind", prepare: func(q *Queue) { steady(q); fill(q, 3, 4, 1, 1) }, item: item(100, 0, 5, far), outcome: Queued, cause: message.CauseQueueFull, victims: true, ofKind: 1},
+		{name: "full, own kind over its share", prepare: func(q *Queue) { steady(q); fill(q, 3, 3, 1, 3); fill(q, 6, 1, 0, 1) }, item: item(100, 1, 0, far), outcome: Refused, cause: message.CauseQueueFull},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			q := small()
+			if c.prepare != nil {
+				c.prepare(q)
+			}
+			v := q.Offer(0, c.item)
+			is.Equal(v.Outcome.String(), c.outcome.String())
+			is.Equal(v.Cause, c.cause)
+			is.Equal(v.HasVictim, c.victims)
+			is.Equal(v.Victim.Kind, c.ofKind)
+			is.Equal(v.RetryAfter > 0, c.cause == message.CauseQueueFull || c.cause == message.CauseDeadline)
+		})
+	}
+}
+
+// Guards slots against leaks and double use when answers, owners or the table change.
+func TestSlots(t *testing.T) {
+	is := is.New(t)
+	q := small()
+	first, second := item(1, 0, 1, time.Second), item(2, 0, 1, far)
+	is.Equal(q.Offer(0, first).Outcome, Dispatch)
+	q.Occupy(message.RequestKey{ID: 9}, time.Minute)
+	is.Equal(q.Offer(0, second).Outcome, Queued)
+	is.Equal(q.InFlight(), 2)
+	is.True(!q.Cancel(first.Key)) // it runs
+	var expired []message.RequestKey
+	report := func(key message.RequestKey) { expired = append(expired, key) }
+	q.Expire(time.Second+slotGrace-1, report)
+	is.Equal(len(expired), 0)
+	q.Expire(time.Second+slotGrace, report)
+	is.Equal(expired, []message.RequestKey{first.Key})
+	q.Finish(0, first.Key, time.Second) // late: the slot was freed already
+	is.Equal(q.InFlight(), 1)
+	_, _, ok := q.Next(0)
+	is.True(!ok) // the previous owner's request holds the slot
+	q.Release(message.RequestKey{ID: 9})
+	got, v, ok := q.Next(0)
+	is.True(ok)
+	is.Equal(v.Outcome, Dispatch)
+	is.Equal(got, second)
+	q.Offer(0, item(3, 0, 1, far))
+	is.True(q.Cancel(message.RequestKey{ID: 3}))
+	is.Equal(q.Len(), 0)
+	q.Offer(0, item(4, 1, 1, far))
+	q.SetKinds([]KindConfig{{table.Urgent, 1}})
+	q.Release(second.Key)
+	_, v, _ = q.Next(0)
+	is.Equal(v.Cause, message.CauseUnknownTable)
+}
+
+// Guards against waiting items that nobody refuses once they are hopeless, even
+// while no slot is free.
+func TestHopelessItems(t *testing.T) {
+	is := is.New(t)
+	q := small()
+	q.Offer(0, item(1, 0, 1, far))
+	q.Offer(0, item(2, 0, 1, far))
+	q.Offer(0, item(3, 0, 1, time.Second))
+	_, _, ok := q.Next(time.Second - initialService)
+	is.True(!ok)
+	got, v, ok := q.Next(time.Second - initialService + 1)
+	is.True(ok)
+	is.Equal(got.Key.ID, message.RequestID(3))
+	is.Equal(v.Cause, message.CauseDeadline)
+}
+
+// Guards against a kind that stays closed after a few very slow answers.
+func TestEstimateRecovers(t *testing.T) {
+	is := is.New(t)
+	q := small()
+	q.Offer(0, item(1, 0, 1, far))
+	q.Finish(0, item(1, 0, 1, far).Key, time.Minute)
+	q.Offer(0, item(2, 1, 1, far)) // the other kind keeps the slot
+	is.Equal(q.Offer(probeAfter, item(3, 0, 1, probeAfter+time.Second)).Outcome, Refused)
+	is.Equal(q.Offer(probeAfter+1, item(4, 0, 1, probeAfter+time.Second)).Outcome, Queued)
+}
+
+// Guards the ingress VMs against a kind that flaps, and the callers of a kind
+// against being shut out because one of them floods.
+func TestClosedFor(t *testing.T) {
+	is := is.New(t)
+	spread := New(Config{Limit: 1, QueueCapacity: 64, Kinds: []KindConfig{{table.Urgent, 1}, {table.Bulk, 1}}})
+	fill(spread, 1, 50, 0, 50)
+	is.Equal(spread.ClosedFor(0, 0), time.Duration(0))
+	fill(spread, 51, 15, 0, 50)
+	is.True(spread.ClosedFor(0, 0) > 0)
+	is.Equal(spread.ClosedFor(0, 1), time.Duration(0))
+	for id := 2; id <= 30; id++ {
+		spread.Cancel(message.RequestKey{ID: message.RequestID(id)})
+	}
+	is.True(spread.ClosedFor(0, 0) > 0) // 35 wait: hysteresis
+	for id := 31; id <= 40; id++ {
+		spread.Cancel(message.RequestKey{ID: message.RequestID(id)})
+	}
+	is.Equal(spread.ClosedFor(0, 0), time.Duration(0))
+	one := New(Config{Limit: 1, QueueCapacity: 64, Kinds: []KindConfig{{table.Urgent, 1}}})
+	fill(one, 1, 65, 0, 1)
+	is.Equal(one.Len(), 64)
+	is.Equal(one.ClosedFor(0, 0), time.Duration(0))
+}
+
+// Guards a handover against lost items and against an order that favours one kind.
+func TestDrain(t *testing.T) {
+	is := is.New(t)
+	q := New(Config{Kinds: []KindConfig{{table.Bulk, 1}, {table.Urgent, 1}}})
+	fill(q, 1, 2, 0, 1)
+	fill(q, 3, 2, 1, 1)
+	var ids []message.RequestID
+	q.Drain(func(i Item) { ids = append(ids, i.Key.ID) })
+	is.Equal(ids, []message.RequestID{3, 1, 4, 2})
+	is.Equal(q.Len(), 0)
+}
+
+// Guards the limit and the accounting of items: whatever the sequence of calls,
+// nothing is dispatched above the limit, and each item waits, runs or has ended.
+func TestQueueAgainstOracle(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New(Config{Limit: 2, QueueCapacity: 5, Kinds: []KindConfig{{table.Urgent, 2}, {table.Normal, 1}, {table.Bulk, 1}}})
+		now, limit, id := time.Duration(0), 2, 0
+		waits, runs := map[message.RequestKey]bool{}, map[message.RequestKey]bool{}
+		dispatched := func(key message.RequestKey) {
+			if runs[key] || len(runs) >= limit {
+				t.Fatalf("dispatched %v with %d in progress, limit %d", key, len(runs), limit)
+			}
+			delete(waits, key)
+			runs[key] = true
+		}
+		pick := func() message.RequestKey {
+			return message.RequestKey{ID: message.RequestID(rapid.IntRange(1, max(id, 1)).Draw(t, "id"))}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"offer": func(*rapid.T) {
+				id++
+				i := item(id, message.KindID(rapid.IntRange(0, 2).Draw(t, "kind")), rapid.Uint64Range(0, 3).Draw(t, "caller"), 0)
+				i.Deadline = now + time.Duration(rapid.IntRange(0, 500).Draw(t, "budget"))*time.Millisecond
+				v := q.Offer(now, i)
+				switch v.Outcome {
+				case Dispatch:
+					dispatched(i.Key)
+				case Queued:
+					waits[i.Key] = true
+				}
+				if v.HasVictim && !waits[v.Victim.Key] {
+					t.Fatalf("victim %v does not wait", v.Victim.Key)
+				}
+				delete(waits, v.Victim.Key)
+			},
+			"next": func(*rapid.T) {
+				i, v, ok := q.Next(now)
+				if ok && !waits[i.Key] {
+					t.Fatalf("%v does not wait", i.Key)
+				}
+				if v.Outcome == Dispatch {
+					dispatched(i.Key)
+				}
+				delete(waits, i.Key)
+			},
+			"finish": func(*rapid.T) {
+				key := pick()
+				q.Finish(now, key, time.Duration(rapid.IntRange(0, 100).Draw(t, "took"))*time.Millisecond)
+				delete(runs, key)
+			},
+			"release": func(*rapid.T) {
+				key := pick()
+				q.Release(key)
+				delete(runs, key)
+			},
+			"cancel": func(*rapid.T) {
+				key := pick()
+				if q.Cancel(key) != waits[key] {
+					t.Fatalf("%v waits: %v", key, waits[key])
+				}
+				delete(waits, key)
+			},
+			"occupy": func(*rapid.T) {
+				id++
+				key := message.RequestKey{ID: message.RequestID(id)}
+				q.Occupy(key, now+time.Second)
+				runs[key] = true
+			},
+			"limit": func(*rapid.T) {
+				limit = rapid.IntRange(0, 4).Draw(t, "limit")
+				q.SetLimit(limit)
+			},
+			"advance": func(*rapid.T) {
+				now += time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond
+				q.Expire(now, func(key message.RequestKey) { delete(runs, key) })
+			},
+			"": func(*rapid.T) {
+				if q.Len() != len(waits) || q.InFlight() != len(runs) || len(q.known) != len(waits)+len(runs) || len(q.byEnd) != len(waits) {
+					t.Fatalf("%d wait, %d run; want %d and %d", q.Len(), q.InFlight(), len(waits), len(runs))
+				}
+			},
+		})
+	})
+}
+
+// cycle offers one item to a queue whose slots are all in use, ends one request
+// and dispatches the next item.
+type cycle struct {
+	q       *Queue
+	id      int
+	running []message.RequestKey
+}
+
+func newCycle() *cycle {
+	c := &cycle{q: newQueue(1)}
+	for len(c.running) < slots {
+		c.id++
+		c.running = append(c.running, message.RequestKey{ID: message.RequestID(c.id)})
+		c.q.Offer(0, item(c.id, message.KindID(c.id%len(works)), uint64(c.id), far))
+	}
+	for range DefaultQueueCapacity - 1 {
+		c.step()
+		c.id++
+		c.q.Offer(c.now(), item(c.id, message.KindID(c.id%len(works)), uint64(c.id), c.now()+far))
+	}
+	return c
+}
+
+func (c *cycle) now() time.Duration { return time.Duration(c.id) * time.Millisecond }
+
+func (c *cycle) step() {
+	c.id++
+	c.q.Offer(c.now(), item(c.id, message.KindID(c.id%len(works)), uint64(c.id%500), c.now()+far))
+	slot := c.id % len(c.running)
+	c.q.Finish(c.now(), c.running[slot], 3*time.Millisecond)
+	next, v, ok := c.q.Next(c.now())
+	if !ok || v.Outcome != Dispatch {
+		panic("nothing to dispatch")
+	}
+	c.running[slot] = next.Key
+}
+
+// Guards the data path against garbage collection under load.
+func TestNoAllocations(t *testing.T) {
+	c := newCycle()
+	allocs := testing.AllocsPerRun(100_000, c.step)
+	if allocs != 0 {
+		t.Fatalf("%v allocations per request", allocs)
+	}
+}
+
+func BenchmarkOfferNextFinish(b *testing.B) {
+	c := newCycle()
+	b.ReportAllocs()
+	for b.Loop() {
+		c.step()
+	}
+}
+
+// BenchmarkOfferFull measures the path that a flood takes: the queue is full and
+// an item gives way.
+func BenchmarkOfferFull(b *testing.B) {
+	c := newCycle()
+	b.ReportAllocs()
+	for b.Loop() {
+		c.id++
+		c.q.Offer(c.now(), item(c.id, 0, uint64(c.id%500), c.now()+far))
+	}
+}
