--- /dev/null
+++ b/daemon/machine.go
@@ -0,0 +1,21 @@
+package daemon
+
+import (
+	"github.com/gypsumspan/gypsumspan/decide/membership"
+	"github.com/gypsumspan/gypsumspan/decide/vm"
+	"github.com/gypsumspan/gypsumspan/services/core"
+)
+
+// NewVM is the MachineFactory of the load balancer's decisions.
+func NewVM(c MachineConfig) (core.Machine, error) {
+	config := vm.Config{
+		Self:        c.Self,
+		Seed:        c.Seed,
+		ExpectPeers: len(c.Seeds) > 0 || c.Settings.VMList.URL != "",
+		Membership:  membership.Config{},
+	}
+	for _, seed := range c.Seeds {
+		config.Membership.Seeds = append(config.Membership.Seeds, seed.Control)
+	}
+	return vm.New(config, 0), nil
+}
--- a/decide/message/message.go
+++ b/decide/message/message.go
@@ -94,6 +94,8 @@
 	// Busy: this copy of the datagram was dropped. It is not final, since another
 	// copy of the attempt may have taken another path.
 	Busy
+	// NumReasons is the number of reasons, counting the unused 0.
+	NumReasons
 )
 
 // String returns the reason as it appears in logs and metrics.
@@ -118,7 +120,7 @@
 // The causes of refusals.
 const (
 	CauseNone         Cause = iota
-	CauseNoStamp            // non-idempotent request without an epoch
+	CauseNoStamp            // request without an epoch
 	CauseStaleEpoch         // epoch of another ownership
 	CauseQueueFull          // queue limit of the target or kind
 	CauseDeadline           // can't finish before the deadline
@@ -132,8 +134,23 @@
 	CauseOwnerMoved         // ownership was given up while the request waited
 	CauseCancelled          // cancelled by the caller
 	CauseOldAttempt         // an attempt that was already refused
+	// NumCauses is the number of causes.
+	NumCauses
 )
 
+// String returns the cause as it appears in logs, metrics and explanations.
+func (c Cause) String() string {
+	names := [NumCauses]string{
+		"none", "no_stamp", "stale_epoch", "queue_full", "deadline", "kind_closed", "no_target",
+		"target_lost", "unreachable", "unknown_flow", "unknown_table", "log_evicted", "owner_moved",
+		"cancelled", "old_attempt",
+	}
+	if c >= NumCauses {
+		return "unknown"
+	}
+	return names[c]
+}
+
 // Refusal is a typed negative answer.
 type Refusal struct {
 	Flow       FlowID
--- a/decide/ownership/owners.go
+++ b/decide/ownership/owners.go
@@ -41,6 +41,7 @@
 
 type owner struct {
 	vm      message.VMID
+	domain  message.DomainID // an operator may move a target to another one
 	score   float64
 	version int
 }
@@ -122,11 +123,13 @@
 		return o.ownerElsewhere(now, target, domain)
 	}
 	entry, ok := o.cache[target]
+	ok = ok && entry.domain == domain
 	if ok && entry.version == o.version {
 		return entry.vm, true
 	}
 	if !ok || !o.catchUp(&entry, target, domain) {
 		entry.vm, entry.score = first(target, vms, 0)
+		entry.domain = domain
 	}
 	entry.version = o.version
 	o.cache[target] = entry
--- /dev/null
+++ b/decide/ownership/owners_test.go
@@ -0,0 +1,108 @@
+package ownership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/gypsumspan/gypsumspan/decide/message"
+)
+
+// member returns a VM of one of three failure domains.
+func member(id int) message.Member {
+	return message.Member{ID: message.VMID(id), Domain: message.DomainID(id%3 + 1)}
+}
+
+// Guards against a cached owner that differs from one computed anew, after any
+// sequence of joins and leaves.
+func TestOwnerFollowsMembership(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cached := NewOwners()
+		live := make(map[int]bool)
+		now := EmptyDomainWait
+		for range rapid.IntRange(1, 40).Draw(t, "changes") {
+			// More changes than maxChanges between two questions must work too.
+			for range rapid.SampledFrom([]int{1, 3, maxChanges}).Draw(t, "burst") {
+				id := rapid.IntRange(1, 30).Draw(t, "vm")
+				live[id] = !live[id]
+				cached.Update(now, members(live))
+			}
+			now += time.Second
+			fresh := NewOwners()
+			fresh.Update(0, members(live))
+			target := message.TargetID(rapid.Uint64Range(1, 20).Draw(t, "target"))
+			domain := message.DomainID(rapid.Uint32Range(1, 3).Draw(t, "domain"))
+			want, ok := fresh.Owner(0, target, domain)
+			if !ok {
+				continue
+			}
+			got, _ := cached.Owner(now, target, domain)
+			if got != want {
+				t.Fatalf("owner of target %d in failure domain %d is %d, computed anew %d", target, domain, got, want)
+			}
+		}
+	})
+}
+
+func members(live map[int]bool) []message.Member {
+	var list []message.Member
+	for id, ok := range live {
+		if ok {
+			list = append(list, member(id))
+		}
+	}
+	return list
+}
+
+// Guards against two owners of a target on both sides of a short cut, and against
+// targets without an owner after a failure domain is lost for good.
+func TestEmptyDomainIsTakenOverLate(t *testing.T) {
+	is := is.New(t)
+	o := NewOwners()
+	o.Update(0, members(map[int]bool{1: true, 2: true}))
+	o.Update(20*time.Second, members(map[int]bool{1: true}))
+	_, ok := o.Owner(20*time.Second+EmptyDomainWait-1, 7, member(2).Domain)
+	is.True(!ok)
+	owner, ok := o.Owner(20*time.Second+EmptyDomainWait, 7, member(2).Domain)
+	is.True(ok)
+	is.Equal(owner, message.VMID(1))
+	o.Update(40*time.Second, members(map[int]bool{1: true, 2: true}))
+	owner, ok = o.Owner(40*time.Second, 7, member(2).Domain)
+	is.True(ok)
+	is.Equal(owner, message.VMID(2))
+}
+
+// Guards against a wrong standby: it must be the owner once the owner is gone.
+func TestNextIsTheOwnerAfterALoss(t *testing.T) {
+	is := is.New(t)
+	o := NewOwners()
+	live := map[int]bool{3: true, 6: true, 9: true, 12: true}
+	o.Update(0, members(live))
+	domain := member(3).Domain
+	for target := message.TargetID(1); target < 50; target++ {
+		owner, _ := o.Owner(0, target, domain)
+		next, ok := o.Next(target, domain, owner)
+		is.True(ok)
+		without := NewOwners()
+		rest := map[int]bool{3: true, 6: true, 9: true, 12: true}
+		rest[int(owner)] = false
+		without.Update(0, members(rest))
+		want, _ := without.Owner(0, target, domain)
+		is.Equal(next, want)
+	}
+}
+
+func BenchmarkOwnerCached(b *testing.B) {
+	o := NewOwners()
+	var list []message.Member
+	for id := range 1900 {
+		list = append(list, message.Member{ID: message.VMID(id + 1), Domain: 1})
+	}
+	o.Update(0, list)
+	b.ReportAllocs()
+	for i := range b.N {
+		o.Owner(0, message.TargetID(i%1000+1), 1)
+	}
+}
--- a/decide/ownership/phase.go
+++ b/decide/ownership/phase.go
@@ -52,6 +52,8 @@
 	// EarlierLeaving: a VM that is leaving, and still answers, comes before
 	// Self in the order of the target.
 	EarlierLeaving bool
+	// Kept: the VM has state of an earlier ownership of its own.
+	Kept bool
 	// ReceiverDead: the VM that a handover is sent to is no longer reachable.
 	ReceiverDead bool
 }
@@ -130,8 +132,7 @@
 
 func (m *Machine) stepWaiting(now time.Duration, v View) Action {
 	if v.Owner != v.Self {
-		m.enter(now, Idle)
-		return Drop
+		return m.stopWaiting(now, v)
 	}
 	waited := now - m.since
 	ready := v.Alone || waited >= LeaveWait || (!v.EarlierLeaving && waited >= JoinWait)
@@ -142,6 +143,18 @@
 	return Activate
 }
 
+// stopWaiting ends the wait of a VM that is not the owner by order any more.
+func (m *Machine) stopWaiting(now time.Duration, v View) Action {
+	if v.Kept && v.Owner != 0 {
+		return m.send(now, v.Owner)
+	}
+	if v.Kept {
+		return None
+	}
+	m.enter(now, Idle)
+	return Drop
+}
+
 func (m *Machine) stepActive(now time.Duration, v View) Action {
 	if v.Owner == v.Self || v.Owner == 0 {
 		return None
--- /dev/null
+++ b/decide/vm/answers.go
@@ -0,0 +1,213 @@
+package vm
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/decide/health"
+	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/decide/table"
+)
+
+// relay is a request that this VM dispatched before it handed the target over.
+// What the target says about it goes to the new owner.
+type relay struct {
+	target message.TargetID
+	domain message.DomainID
+	addr   netip.AddrPort
+	until  time.Duration
+}
+
+// shedRetry is the delay after which a caller repeats a request that its target shed.
+const shedRetry = 100 * time.Millisecond
+
+// targetAnswer handles one part of an answer from a target.
+func (v *VM) targetAnswer(from message.Address, m *message.Answer) {
+	key := m.Key()
+	if t := v.inFlight[key]; t != nil {
+		if from.Addr == t.row.Addr {
+			v.answer(t, m)
+		}
+		return
+	}
+	r, ok := v.relays[key]
+	if !ok || from.Addr != r.addr {
+		v.counters.StrayAnswers++
+		return
+	}
+	v.passOn(r, &message.Released{Target: r.target, Answer: m})
+}
+
+// passOn sends a target's words to the owner that took the target over.
+func (v *VM) passOn(r relay, m *message.Released) {
+	owner, ok := v.ownerOf(r.target, r.domain)
+	if !ok {
+		return
+	}
+	if owner == v.config.Self.ID {
+		v.released(m)
+		return
+	}
+	v.sendControl(owner, m)
+}
+
+// released handles what a target said to the previous owner.
+func (v *VM) released(m *message.Released) {
+	t := v.targets[m.Target]
+	if t == nil {
+		return
+	}
+	if m.Answer != nil && v.inFlight[m.Answer.Key()] == t {
+		v.answer(t, m.Answer)
+	}
+	if m.Shed != nil {
+		v.shed(t, m.Shed)
+	}
+}
+
+// answer records a part, passes it to the caller and frees the slot after the last.
+func (v *VM) answer(t *target, m *message.Answer) {
+	p := t.pending[m.Key()]
+	if p == nil || p.attempt != m.Attempt {
+		v.counters.StrayAnswers++
+		return
+	}
+	t.reached = true
+	complete := t.log.RecordPart(v.now, p.key, m.Attempt, m)
+	v.sendAnswer(t, p.caller, m)
+	if !complete {
+		return
+	}
+	delete(t.pending, p.key)
+	delete(v.inFlight, p.key)
+	t.queue.Finish(v.now, p.key, v.now-p.sentAt)
+	t.health.Outcome(v.now, health.Success)
+	v.counters.Completed++
+	v.pump(t)
+}
+
+func (v *VM) sendAnswer(t *target, caller netip.AddrPort, m *message.Answer) {
+	part := *m
+	part.Binding = t.binding()
+	v.send(message.CallerAddress(caller), &part)
+}
+
+// replay sends a recorded answer again.
+func (v *VM) replay(t *target, caller netip.AddrPort, key message.RequestKey) {
+	v.counters.Replays++
+	for _, part := range t.log.Answer(key) {
+		v.sendAnswer(t, caller, part)
+	}
+}
+
+// targetShed handles a target's refusal of a request that it did not start.
+func (v *VM) targetShed(m *message.Shed) {
+	key := message.RequestKey{Flow: m.Flow, ID: m.ID}
+	if t := v.inFlight[key]; t != nil {
+		v.shed(t, m)
+		return
+	}
+	if r, ok := v.relays[key]; ok {
+		v.passOn(r, &message.Released{Target: r.target, Shed: m})
+	}
+}
+
+func (v *VM) shed(t *target, m *message.Shed) {
+	key := message.RequestKey{Flow: m.Flow, ID: m.ID}
+	p := t.pending[key]
+	if p == nil || !p.dispatched || !t.log.Withdraw(v.now, key, m.Attempt) {
+		return
+	}
+	t.queue.Release(key)
+	t.health.Outcome(v.now, health.Shed)
+	v.counters.Shed++
+	v.refuse(t, p, message.CauseTargetLost, shedRetry)
+	v.setLimit(t)
+}
+
+// lapse ends a dispatched request whose deadline passed without a whole answer.
+func (v *VM) lapse(t *target, key message.RequestKey) {
+	t.log.Lapse(v.now, key)
+	delete(t.pending, key)
+	delete(v.inFlight, key)
+	t.health.Outcome(v.now, health.Timeout)
+	v.counters.Lapsed++
+}
+
+// targetReport handles what a target's health endpoint says.
+func (v *VM) targetReport(m *message.TargetReport) {
+	t := v.targets[m.Target]
+	if t == nil {
+		return
+	}
+	t.reached = t.reached || m.Reached
+	t.health.Report(v.now, m)
+}
+
+// tickHealth follows the target's health.
+func (v *VM) tickHealth(t *target) {
+	switch t.health.State(v.now) {
+	case health.Lost:
+		v.loseTarget(t)
+	case health.Ejected:
+		v.eject(t)
+	default:
+		t.ejected = false
+	}
+}
+
+// eject takes a target out of service for new flows, unless too many targets of
+// its service are out already.
+func (v *VM) eject(t *target) {
+	if t.ejected {
+		return
+	}
+	s := v.table.Service(t.service)
+	if s == nil {
+		return
+	}
+	out := 0
+	for id, l := range v.loads[t.service] {
+		if id != t.id && l.ejected && v.now-l.at <= loadRetention {
+			out++
+		}
+	}
+	if health.MayEject(activeTargets(s), out) {
+		t.ejected = true
+		v.counters.Ejections++
+		v.trace.add(v, decision{action: actionEject, target: t.id})
+	}
+}
+
+func activeTargets(s *table.Service) int {
+	n := 0
+	for i := range s.Targets {
+		if s.Targets[i].State == table.Active {
+			n++
+		}
+	}
+	return n
+}
+
+// loseTarget handles a crash of the target: its flows are gone. Their stamps are
+// given up and kept, so that their packets are answered "flow unknown".
+func (v *VM) loseTarget(t *target) {
+	t.ejected = true
+	if t.flows.Len() == 0 {
+		return
+	}
+	v.counters.FlowsLost += uint64(t.flows.Len())
+	v.counters.TargetsLost++
+	v.trace.add(v, decision{action: actionLost, target: t.id})
+	v.refuseQueued(t)
+	for _, p := range t.sortedPending() {
+		t.queue.Release(p.key)
+		v.refuse(t, p, message.CauseTargetLost, 0)
+	}
+	t.flows.Clear()
+	t.lost = append(t.lost, t.epochs...)
+	if extra := len(t.lost) - 2*maxEpochs; extra > 0 {
+		t.lost = t.lost[extra:]
+	}
+	t.epochs = []message.Epoch{v.newEpoch()}
+}
--- /dev/null
+++ b/decide/vm/counters.go
@@ -0,0 +1,168 @@
+package vm
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/decide/ownership"
+	"github.com/gypsumspan/gypsumspan/decide/table"
+)
+
+// Counters counts events since the VM's start.
+type Counters struct {
+	Forwarded         uint64 // datagrams passed to other VMs
+	FlowsOpened       uint64
+	FlowsAdopted      uint64 // taken over by their binding
+	FlowsMoved        uint64 // received from leaving targets
+	FlowsClosed       uint64
+	FlowsUnknown      uint64 // answered "flow unknown": broken flows
+	FlowsLost         uint64 // with a crashed target
+	TargetsLost       uint64
+	Ejections         uint64
+	Dispatched        uint64
+	Completed         uint64
+	Shed              uint64 // refused by the target
+	Lapsed            uint64 // no answer before the deadline
+	Replays           uint64 // recorded answers sent again
+	StrayAnswers      uint64 // answers that no request waits for
+	Takeovers         uint64 // ownerships with a new epoch
+	HandoversSent     uint64
+	HandoversReceived uint64
+	Revocations       uint64 // epochs given up after an unconfirmed handover
+	MovesAbandoned    uint64
+	Pauses            uint64
+	TableRejected     uint64 // malformed table entries
+	Refused           [message.NumReasons][message.NumCauses]uint64
+}
+
+func (c *Counters) refused(reason message.RefusalReason, cause message.Cause) {
+	c.Refused[reason][cause]++
+}
+
+// Stats returns a copy of the counters.
+func (v *VM) Stats() Counters {
+	return v.counters
+}
+
+// Counters calls yield with the name and value of every counter, for metrics.
+func (v *VM) Counters(yield func(name string, value int64) bool) {
+	c := &v.counters
+	named := []struct {
+		name  string
+		value uint64
+	}{
+		{"forwarded", c.Forwarded},
+		{"flows_opened", c.FlowsOpened},
+		{"flows_adopted", c.FlowsAdopted},
+		{"flows_moved", c.FlowsMoved},
+		{"flows_closed", c.FlowsClosed},
+		{"flows_unknown", c.FlowsUnknown},
+		{"flows_lost", c.FlowsLost},
+		{"targets_lost", c.TargetsLost},
+		{"ejections", c.Ejections},
+		{"dispatched", c.Dispatched},
+		{"completed", c.Completed},
+		{"shed", c.Shed},
+		{"lapsed", c.Lapsed},
+		{"replays", c.Replays},
+		{"stray_answers", c.StrayAnswers},
+		{"takeovers", c.Takeovers},
+		{"handovers_sent", c.HandoversSent},
+		{"handovers_received", c.HandoversReceived},
+		{"revocations", c.Revocations},
+		{"moves_abandoned", c.MovesAbandoned},
+		{"pauses", c.Pauses},
+		{"table_rejected", c.TableRejected},
+	}
+	for _, n := range named {
+		if !yield(n.name, int64(n.value)) {
+			return
+		}
+	}
+	for reason := range c.Refused {
+		for cause, n := range c.Refused[reason] {
+			if n > 0 && !yield(label(message.RefusalReason(reason), message.Cause(cause)), int64(n)) {
+				return
+			}
+		}
+	}
+}
+
+// Gauges calls yield with the name, tags and value of every gauge: for each owned
+// target its flows, its drift from the share in the table, and its slots.
+func (v *VM) Gauges(yield func(name string, tags map[string]string, value float64) bool) {
+	for _, t := range v.order {
+		tags := map[string]string{"target": v.targetName(t.id)}
+		ok := yield("flows", tags, float64(t.flows.Len())) &&
+			yield("in_flight", tags, float64(t.queue.InFlight())) &&
+			yield("queued", tags, float64(t.queue.Len())) &&
+			yield("limit", tags, float64(t.row.Limit)) &&
+			yield("share_drift", tags, v.drift(t))
+		if !ok {
+			return
+		}
+	}
+}
+
+// drift returns by which part of its share a target's flows exceed it, from the
+// reports of the service's other owners; negative below the share.
+func (v *VM) drift(t *target) float64 {
+	flows, weight := v.serviceLoad(t)
+	if flows == 0 || weight == 0 || t.row.Weight == 0 {
+		return 0
+	}
+	share := float64(flows) * float64(t.row.Weight) / float64(weight)
+	return float64(t.flows.Len())/share - 1
+}
+
+// HealthTargets calls yield for every target whose health this VM must check.
+func (v *VM) HealthTargets(yield func(target message.TargetID, health netip.AddrPort) bool) {
+	for _, t := range v.order {
+		if t.machine.Phase() == ownership.Idle || !t.row.Health.IsValid() {
+			continue
+		}
+		if !yield(t.id, t.row.Health) {
+			return
+		}
+	}
+}
+
+// IsRelay reports whether this VM watches the store for its failure domain.
+func (v *VM) IsRelay() bool {
+	return !v.leaving && v.members.IsRelay()
+}
+
+// KnowsPeers reports whether the VM knows another live VM.
+func (v *VM) KnowsPeers() bool {
+	return len(v.members.Live()) > 1
+}
+
+// TableVersion returns the highest revision of the table that this VM has.
+func (v *VM) TableVersion() uint64 {
+	return v.replica.Version()
+}
+
+// TableSince returns the time at which the table last changed at this VM.
+func (v *VM) TableSince() time.Duration {
+	return v.tableSince
+}
+
+// Table returns the services in force. The caller must not change them.
+func (v *VM) Table() *table.Table {
+	return v.table
+}
+
+// Owns reports whether the VM is the active owner of a target.
+func (v *VM) Owns(id message.TargetID) bool {
+	t := v.targets[id]
+	return t != nil && t.machine.Phase() == ownership.Active
+}
+
+// Flows returns the number of flows of an owned target.
+func (v *VM) Flows(id message.TargetID) int {
+	if t := v.targets[id]; t != nil {
+		return t.flows.Len()
+	}
+	return 0
+}
--- /dev/null
+++ b/decide/vm/explain.go
@@ -0,0 +1,204 @@
+package vm
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/decide/message"
+)
+
+// traceSize is the number of recent decisions that a VM remembers.
+const traceSize = 4096
+
+// action is the kind of a recorded decision.
+type action uint8
+
+const (
+	actionForward action = iota + 1
+	actionOpen
+	actionAdopt
+	actionDispatch
+	actionRefuse
+	actionActivate
+	actionHandover
+	actionEject
+	actionLost
+)
+
+func (a action) String() string {
+	names := [...]string{
+		"", "forward", "open", "adopt", "dispatch", "refuse", "activate", "handover", "eject", "target_lost",
+	}
+	return names[a]
+}
+
+// decision is one recorded decision.
+type decision struct {
+	at      time.Duration
+	table   uint64
+	action  action
+	reason  message.RefusalReason
+	cause   message.Cause
+	flow    message.FlowID
+	request message.RequestID
+	target  message.TargetID
+	vm      message.VMID
+}
+
+// trace is a ring of the last decisions.
+type trace struct {
+	ring []decision
+	next int
+}
+
+func (t *trace) add(v *VM, d decision) {
+	d.at = v.now
+	d.table = v.replica.Version()
+	if len(t.ring) < traceSize {
+		t.ring = append(t.ring, d)
+		return
+	}
+	t.ring[t.next] = d
+	t.next = (t.next + 1) % traceSize
+}
+
+// all calls yield for every recorded decision, oldest first.
+func (t *trace) all(yield func(*decision) bool) {
+	for i := range t.ring {
+		if !yield(&t.ring[(t.next+i)%len(t.ring)]) {
+			return
+		}
+	}
+}
+
+// Explained is one recent decision, for operators.
+type Explained struct {
+	AgeSeconds    float64 `json:"age_seconds"`
+	Action        string  `json:"action"`
+	Flow          string  `json:"flow"`
+	Request       uint64  `json:"request,omitempty"`
+	Target        string  `json:"target,omitempty"`
+	VM            string  `json:"vm,omitempty"`
+	Reason        string  `json:"reason,omitempty"`
+	Cause         string  `json:"cause,omitempty"`
+	TableRevision uint64  `json:"table_revision"`
+}
+
+// Explanation answers why a flow or request went where it did.
+type Explanation struct {
+	VM        string      `json:"vm"`
+	Flow      string      `json:"flow"`
+	Bound     string      `json:"bound,omitempty"` // the target, if this VM owns the flow
+	Decisions []Explained `json:"decisions"`       // oldest first
+}
+
+// Explain returns this VM's recent decisions on a flow.
+func (v *VM) Explain(flow message.FlowID) any {
+	e := Explanation{VM: v.config.Self.Name, Flow: flow.String(), Decisions: []Explained{}}
+	for _, t := range v.order {
+		if t.flows.Get(flow) != nil {
+			e.Bound = v.targetName(t.id)
+		}
+	}
+	v.trace.all(func(d *decision) bool {
+		if d.flow == flow {
+			e.Decisions = append(e.Decisions, v.explained(d))
+		}
+		return true
+	})
+	return e
+}
+
+func (v *VM) explained(d *decision) Explained {
+	e := Explained{
+		AgeSeconds:    (v.now - d.at).Seconds(),
+		Action:        d.action.String(),
+		Flow:          d.flow.String(),
+		Request:       uint64(d.request),
+		Target:        v.targetName(d.target),
+		TableRevision: d.table,
+	}
+	if d.vm != 0 {
+		e.VM = v.memberName(d.vm)
+	}
+	if d.action == actionRefuse {
+		e.Reason = d.reason.String()
+		e.Cause = d.cause.String()
+	}
+	return e
+}
+
+func (v *VM) targetName(id message.TargetID) string {
+	if id == 0 {
+		return ""
+	}
+	if t, s := v.table.Target(id); t != nil {
+		return s.Name + "/" + t.Name
+	}
+	return fmt.Sprintf("%016x", uint64(id))
+}
+
+func (v *VM) memberName(id message.VMID) string {
+	if m, ok := v.members.Member(id); ok {
+		return m.Name
+	}
+	return fmt.Sprintf("%016x", uint64(id))
+}
+
+// OwnedTarget is the state of one owned target, for operators.
+type OwnedTarget struct {
+	Target   string `json:"target"`
+	Phase    string `json:"phase"`
+	State    string `json:"state"`
+	Flows    int    `json:"flows"`
+	InFlight int    `json:"in_flight"`
+	Queued   int    `json:"queued"`
+	Limit    int    `json:"limit"`
+	Ejected  bool   `json:"ejected"`
+}
+
+// Status is the state of a VM, for operators.
+type Status struct {
+	VM            string        `json:"vm"`
+	Domain        string        `json:"domain"`
+	TableRevision uint64        `json:"table_revision"`
+	Leaving       bool          `json:"leaving"`
+	Relay         bool          `json:"relay"`
+	Members       []string      `json:"members"`
+	Owned         []OwnedTarget `json:"owned"`
+}
+
+// Status returns the VM's state. The failure domain's name is filled in by the
+// caller, since decisions know only its id.
+func (v *VM) Status() any {
+	s := Status{
+		VM:            v.config.Self.Name,
+		TableRevision: v.replica.Version(),
+		Leaving:       v.leaving,
+		Relay:         v.IsRelay(),
+		Members:       []string{},
+		Owned:         []OwnedTarget{},
+	}
+	for _, m := range v.members.Live() {
+		s.Members = append(s.Members, m.Name)
+	}
+	for _, t := range v.order {
+		s.Owned = append(s.Owned, OwnedTarget{
+			Target:   v.targetName(t.id),
+			Phase:    t.machine.Phase().String(),
+			State:    t.row.State.String(),
+			Flows:    t.flows.Len(),
+			InFlight: t.queue.InFlight(),
+			Queued:   t.queue.Len(),
+			Limit:    int(t.row.Limit),
+			Ejected:  t.ejected,
+		})
+	}
+	return s
+}
+
+// label returns the name of a metric that counts one kind of refusal.
+func label(reason message.RefusalReason, cause message.Cause) string {
+	return strings.Join([]string{"refused", reason.String(), cause.String()}, "_")
+}
--- /dev/null
+++ b/decide/vm/flows.go
@@ -0,0 +1,276 @@
+package vm
+
+import (
+	"slices"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/decide/flowtable"
+	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/decide/table"
+)
+
+// maxPasses is how often a new flow may be passed to the next rank because a
+// target has more than its share. Then the owner accepts it.
+const maxPasses = 3
+
+// serve handles a message at the active owner of its target.
+func (v *VM) serve(t *target, f *message.Forward) {
+	if m := t.moving[flowOf(f.Inner)]; m != nil {
+		m.keep(f)
+		return
+	}
+	if !t.reached && !isNewOpen(f.Inner) {
+		// The target's failure domain is cut off. VMs on its side go on serving the
+		// flow, so this side must not adopt it.
+		v.busy(f, message.CauseUnreachable, busyRetry)
+		return
+	}
+	switch m := f.Inner.(type) {
+	case *message.Open:
+		v.serveOpen(t, f, m)
+	case *message.Request:
+		v.serveRequest(t, f, m)
+	case *message.Cancel:
+		v.serveCancel(t, m)
+	case *message.Close:
+		v.serveClose(t, m)
+	}
+}
+
+// isNewOpen reports whether a message starts a flow, which may go to any target.
+func isNewOpen(body message.Body) bool {
+	open, ok := body.(*message.Open)
+	return ok && !open.Refresh
+}
+
+func (v *VM) serveOpen(t *target, f *message.Forward, m *message.Open) {
+	if flow := t.flows.Get(m.Flow); flow != nil {
+		t.flows.Touch(v.now, flow)
+		v.bound(t, f, m.Flow)
+		return
+	}
+	if m.Refresh {
+		if v.findFlow(t, f) != nil {
+			v.bound(t, f, m.Flow)
+		}
+		return
+	}
+	if !v.takesFlow(t, f) {
+		if !v.searchNext(f, takesNewFlows) {
+			v.busy(f, message.CauseNoTarget, tableRetry)
+		}
+		return
+	}
+	if t.flows.Open(v.now, t.service, m.Flow, true) == nil {
+		v.flowUnknown(f, message.CauseUnknownFlow)
+		return
+	}
+	v.counters.FlowsOpened++
+	v.trace.add(v, decision{action: actionOpen, flow: m.Flow, target: t.id})
+	v.bound(t, f, m.Flow)
+}
+
+func (v *VM) bound(t *target, f *message.Forward, flow message.FlowID) {
+	v.send(message.CallerAddress(f.Caller), &message.Bound{Flow: flow, Binding: t.binding()})
+}
+
+// takesFlow reports whether a target takes a new flow now.
+func (v *VM) takesFlow(t *target, f *message.Forward) bool {
+	if t.row.State != table.Active || t.ejected || t.health.Draining(v.now) || !t.reached {
+		return false
+	}
+	if f.Hops > maxPasses {
+		return true
+	}
+	return v.withinShare(t)
+}
+
+// findFlow returns the flow of a message whose flow is not in the target's
+// table. If it returns nil, the message was passed on or answered.
+func (v *VM) findFlow(t *target, f *message.Forward) *flowtable.Flow {
+	id := flowOf(f.Inner)
+	if moved, ok := t.moved[id]; ok {
+		v.passToTarget(f, moved.to)
+		return nil
+	}
+	if v.adoptable(t, f) {
+		if flow := t.flows.Open(v.now, t.service, id, false); flow != nil {
+			v.counters.FlowsAdopted++
+			v.trace.add(v, decision{action: actionAdopt, flow: id, target: t.id})
+			return flow
+		}
+		v.flowUnknown(f, message.CauseUnknownFlow)
+		return nil
+	}
+	if f.Hinted && slices.Contains(t.lost, bindingOf(f.Inner).Epoch) {
+		v.flowUnknown(f, message.CauseTargetLost)
+		return nil
+	}
+	if f.Hinted {
+		v.searchFromFirst(f)
+		return nil
+	}
+	if !v.searchNext(f, isRanked) {
+		v.flowUnknown(f, message.CauseUnknownFlow)
+	}
+	return nil
+}
+
+// adoptable reports whether the binding proves that an unknown flow belongs to
+// the target: an earlier owner's state is gone, or the flow was idle for long.
+func (v *VM) adoptable(t *target, f *message.Forward) bool {
+	b := bindingOf(f.Inner)
+	if !f.Hinted || b.Target != t.id || b.Epoch == 0 {
+		return false
+	}
+	return t.row.State != table.Leaving && !slices.Contains(t.lost, b.Epoch)
+}
+
+// searchFromFirst searches for a flow along the whole ranking, because the
+// target in its binding is leaving and may have handed it over.
+func (v *VM) searchFromFirst(f *message.Forward) {
+	first, ok := v.firstRanked(v.table.Service(serviceOf(f.Inner)), flowOf(f.Inner))
+	if !ok || first.target == f.Target {
+		v.flowUnknown(f, message.CauseUnknownFlow)
+		return
+	}
+	v.passToTarget(f, first.target)
+}
+
+// passToTarget passes a message to the owner of another target of the service.
+func (v *VM) passToTarget(f *message.Forward, to message.TargetID) {
+	if f.Hops >= message.MaxHops {
+		v.busy(f, message.CauseUnreachable, busyRetry)
+		return
+	}
+	next := *f
+	next.Target = to
+	next.Hinted = false
+	next.Hops++
+	v.deliver(&next)
+}
+
+func (v *VM) flowUnknown(f *message.Forward, cause message.Cause) {
+	v.counters.FlowsUnknown++
+	v.reply(f, message.Refusal{Reason: message.FlowUnknown, Cause: cause})
+}
+
+func (v *VM) serveClose(t *target, m *message.Close) {
+	if !t.flows.Close(v.now, m.Flow) {
+		return
+	}
+	v.counters.FlowsClosed++
+	v.send(message.TargetAddress(t.id, t.row.Addr), &message.FlowEnd{Target: t.id, Flow: m.Flow})
+}
+
+// load is what another owner said about its target.
+type load struct {
+	flows   uint32
+	weight  uint32
+	ejected bool
+	at      time.Duration
+}
+
+const (
+	// reportInterval is the time between two load reports of a target.
+	reportInterval = time.Second
+	// reportReceivers bounds the owners that get one report, so that the cost
+	// does not grow with the square of a large service. They change every time.
+	reportReceivers = 16
+	// loadRetention is how long a report counts.
+	loadRetention = 20 * time.Second
+	// shareExcess is the part of its share by which a target may exceed it before
+	// new flows are passed on. It leaves room to the bound of 5%.
+	shareExcess = 0.03
+	// shareSlack is the number of flows that a target may have beyond its share
+	// in any case, so that few flows don't travel along the ranking.
+	shareSlack = 4
+)
+
+// withinShare reports whether a target may take one more flow by its weight,
+// compared with the service's other targets (bounded loads: Mirrokni, Thorup,
+// Zadimoghaddam, "Consistent hashing with bounded loads", SODA 2018).
+func (v *VM) withinShare(t *target) bool {
+	flows, weight := v.serviceLoad(t)
+	if weight == 0 {
+		return true
+	}
+	share := float64(flows+1) * float64(t.row.Weight) / float64(weight)
+	bound := (share*(1+shareExcess) + shareSlack) * v.coldShare(t)
+	return float64(t.flows.Len()) < bound
+}
+
+// serviceLoad returns the flows and weights of a service's targets as far as
+// they are known, with the target's own.
+func (v *VM) serviceLoad(t *target) (flows, weight uint64) {
+	flows = uint64(t.flows.Len())
+	weight = uint64(t.row.Weight)
+	for id, l := range v.loads[t.service] {
+		if id == t.id || l.ejected || v.now-l.at > loadRetention {
+			continue
+		}
+		flows += uint64(l.flows)
+		weight += uint64(l.weight)
+	}
+	return flows, weight
+}
+
+// coldShare is the part of its share that a target takes during slow start.
+func (v *VM) coldShare(t *target) float64 {
+	return t.health.Share(v.now)
+}
+
+// sendLoadReports tells the other owners of each service about owned targets.
+func (v *VM) sendLoadReports() {
+	if v.now < v.reports {
+		return
+	}
+	v.reports = v.now + reportInterval
+	for _, t := range v.order {
+		if len(t.epochs) == 0 || t.row.State == table.Leaving {
+			continue
+		}
+		v.reportLoad(t)
+	}
+}
+
+func (v *VM) reportLoad(t *target) {
+	s := v.table.Service(t.service)
+	if s == nil {
+		return
+	}
+	report := &message.LoadReport{
+		Service: t.service,
+		Target:  t.id,
+		Flows:   uint32(t.flows.Len()),
+		Weight:  t.row.Weight,
+		Ejected: t.ejected,
+	}
+	v.loadReport(report)
+	var receivers []message.VMID
+	start := v.rng.IntN(len(s.Targets))
+	for i := range s.Targets {
+		row := &s.Targets[(start+i)%len(s.Targets)]
+		owner, ok := v.ownerOf(row.ID, row.DomainID)
+		if !ok || owner == v.config.Self.ID || slices.Contains(receivers, owner) {
+			continue
+		}
+		receivers = append(receivers, owner)
+		v.sendControl(owner, report)
+		if len(receivers) == reportReceivers {
+			return
+		}
+	}
+}
+
+func (v *VM) loadReport(m *message.LoadReport) {
+	if _, ok := v.row(m.Service, m.Target); !ok {
+		return
+	}
+	loads := v.loads[m.Service]
+	if loads == nil {
+		loads = make(map[message.TargetID]load)
+		v.loads[m.Service] = loads
+	}
+	loads[m.Target] = load{flows: m.Flows, weight: m.Weight, ejected: m.Ejected, at: v.now}
+}
--- /dev/null
+++ b/decide/vm/ingress.go
@@ -0,0 +1,348 @@
+package vm
+
+import (
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/decide/ownership"
+	"github.com/gypsumspan/gypsumspan/decide/rendezvous"
+	"github.com/gypsumspan/gypsumspan/decide/table"
+)
+
+// Delays after which a caller tries again.
+const (
+	// busyRetry follows a passing obstacle, such as an owner that is not known.
+	busyRetry = 200 * time.Millisecond
+	// tableRetry follows a service that this VM's table does not have yet.
+	tableRetry = time.Second
+)
+
+// maxRanked is the number of ranks that a packet can reach: the first and one
+// for each hop.
+const maxRanked = message.MaxHops + 1
+
+// door is one kind of work of one target, which an ingress may refuse.
+type door struct {
+	target message.TargetID
+	kind   message.KindID
+}
+
+// fromCaller routes a caller's message: this VM is its ingress.
+func (v *VM) fromCaller(from message.Address, body message.Body) {
+	v.route(&message.Forward{Ingress: v.config.Self.ID, Caller: from.Addr, Inner: body})
+}
+
+// forwarded handles a datagram that another VM passed on.
+func (v *VM) forwarded(f *message.Forward) {
+	if v.table.Service(serviceOf(f.Inner)) == nil {
+		v.busy(f, message.CauseUnknownTable, tableRetry)
+		return
+	}
+	v.handle(f)
+}
+
+// route chooses the target of a caller's message and delivers it to its owner.
+func (v *VM) route(f *message.Forward) {
+	s := v.table.Service(serviceOf(f.Inner))
+	if s == nil {
+		v.busy(f, message.CauseUnknownTable, tableRetry)
+		return
+	}
+	choice, ok := v.choose(s, f.Inner)
+	if !ok {
+		v.busy(f, message.CauseNoTarget, tableRetry)
+		return
+	}
+	f.Target = choice.target
+	f.Hinted = choice.hinted
+	if wait := v.doorClosed(f); wait > 0 {
+		v.busy(f, message.CauseDoor, wait)
+		return
+	}
+	v.deliver(f)
+}
+
+// choice is the result of a routing decision.
+type choice struct {
+	target message.TargetID
+	domain message.DomainID
+	hinted bool // from the binding
+}
+
+// choose decides which target's owner gets a message. It allocates nothing.
+func (v *VM) choose(s *table.Service, body message.Body) (choice, bool) {
+	if b := bindingOf(body); !b.IsZero() {
+		if row, ok := v.row(s.ID, b.Target); ok {
+			return choice{target: row.ID, domain: row.DomainID, hinted: true}, true
+		}
+	}
+	var ranks [maxRanked]rendezvous.Ranked
+	if open, ok := body.(*message.Open); ok && !open.Refresh {
+		return v.place(s, open, rank(ranks[:], s, open.Flow, takesNewFlows))
+	}
+	return v.firstRanked(s, flowOf(body))
+}
+
+// firstRanked returns the first target of a flow's ranking.
+func (v *VM) firstRanked(s *table.Service, flow message.FlowID) (choice, bool) {
+	var ranks [1]rendezvous.Ranked
+	ranking := rank(ranks[:], s, flow, isRanked)
+	if len(ranking) == 0 {
+		return choice{}, false
+	}
+	row := &s.Targets[ranking[0].Index]
+	return choice{target: row.ID, domain: row.DomainID}, true
+}
+
+// place chooses the target of a new flow: the first of the ranking whose owner is
+// known. Every second attempt starts one rank later, so that a new flow does not
+// wait until a dead owner is detected.
+func (v *VM) place(s *table.Service, open *message.Open, ranking []rendezvous.Ranked) (choice, bool) {
+	if len(ranking) == 0 {
+		return choice{}, false
+	}
+	start := 0
+	if open.Attempt > 1 {
+		start = int(open.Attempt-1) / 2 % len(ranking)
+	}
+	for i := range ranking {
+		row := &s.Targets[ranking[(start+i)%len(ranking)].Index]
+		if _, ok := v.ownerOf(row.ID, row.DomainID); ok {
+			return choice{target: row.ID, domain: row.DomainID}, true
+		}
+	}
+	return choice{}, false
+}
+
+// rank returns the best targets of a service for a flow, among those that use accepts.
+func rank(dst []rendezvous.Ranked, s *table.Service, flow message.FlowID, use func(*table.Target) bool) []rendezvous.Ranked {
+	key := rendezvous.Mix(flow.Hi, flow.Lo)
+	return rendezvous.Top(dst, key, len(s.Targets), func(i int) (uint64, uint32) {
+		row := &s.Targets[i]
+		if !use(row) {
+			return 0, 0
+		}
+		return uint64(row.ID), row.Weight
+	})
+}
+
+// takesNewFlows reports whether the table lets a target take new flows.
+func takesNewFlows(row *table.Target) bool {
+	return row.State == table.Active
+}
+
+// isRanked accepts every row: established flows may be at any of them.
+func isRanked(*table.Target) bool {
+	return true
+}
+
+// doorClosed returns for how long the owner wants no more requests of this kind.
+func (v *VM) doorClosed(f *message.Forward) time.Duration {
+	r, ok := f.Inner.(*message.Request)
+	if !ok {
+		return 0
+	}
+	until, ok := v.doors[door{target: f.Target, kind: r.Kind}]
+	if !ok {
+		return 0
+	}
+	return until - v.now
+}
+
+// closeDoor notes an owner's back-pressure.
+func (v *VM) closeDoor(m *message.KindClosed) {
+	v.doors[door{target: m.Target, kind: m.Kind}] = v.now + m.ClosedFor
+}
+
+// deliver brings a message to the owner of its target, here or at another VM.
+func (v *VM) deliver(f *message.Forward) {
+	owner, ok := v.ownerOf(f.Target, v.domainOf(f))
+	switch {
+	case !ok:
+		v.busy(f, message.CauseUnreachable, busyRetry)
+	case owner == v.config.Self.ID:
+		v.handle(f)
+	default:
+		v.forward(f, owner)
+	}
+}
+
+// domainOf returns the failure domain of a message's target.
+func (v *VM) domainOf(f *message.Forward) message.DomainID {
+	row, _ := v.row(serviceOf(f.Inner), f.Target)
+	return row.DomainID
+}
+
+// forward passes a message to another VM. The hop limit ends loops between VMs
+// whose views differ.
+func (v *VM) forward(f *message.Forward, to message.VMID) {
+	if f.Hops >= message.MaxHops {
+		v.busy(f, message.CauseUnreachable, busyRetry)
+		return
+	}
+	next := *f
+	next.Hops++
+	if to == v.config.Self.ID {
+		v.handle(&next)
+		return
+	}
+	if !v.sendData(to, &next) {
+		v.busy(f, message.CauseUnreachable, busyRetry)
+		return
+	}
+	v.counters.Forwarded++
+	v.trace.add(v, decision{action: actionForward, flow: flowOf(f.Inner), target: f.Target, vm: to})
+}
+
+// handle serves a message if this VM owns its target, or passes it on.
+func (v *VM) handle(f *message.Forward) {
+	row, ok := v.row(serviceOf(f.Inner), f.Target)
+	if !ok {
+		// The target is gone, or belongs to another service: choose anew.
+		v.reroute(f)
+		return
+	}
+	t := v.targets[f.Target]
+	owner, known := v.ownerOf(row.ID, row.DomainID)
+	if t == nil {
+		if !known || owner != v.config.Self.ID {
+			v.passToOwner(f, owner, known)
+			return
+		}
+		t = v.addTarget(v.table.Service(serviceOf(f.Inner)), row)
+		v.tickOwnership(t)
+	}
+	switch t.machine.Phase() {
+	case ownership.Active:
+		v.serve(t, f)
+	case ownership.Sending:
+		v.forward(f, t.machine.Receiver())
+	case ownership.Waiting:
+		v.passBack(t, f)
+	default:
+		v.passToOwner(f, owner, known)
+	}
+}
+
+// reroute chooses the target of a message again, after its target has left the table.
+func (v *VM) reroute(f *message.Forward) {
+	if f.Hops >= message.MaxHops {
+		v.busy(f, message.CauseUnreachable, busyRetry)
+		return
+	}
+	next := *f
+	next.Hops++
+	v.route(&next)
+}
+
+func (v *VM) passToOwner(f *message.Forward, owner message.VMID, known bool) {
+	if !known || owner == v.config.Self.ID {
+		v.busy(f, message.CauseUnreachable, busyRetry)
+		return
+	}
+	v.forward(f, owner)
+}
+
+// passBack passes a message to the VM that presumably owned the target before,
+// while this VM waits for its handover.
+func (v *VM) passBack(t *target, f *message.Forward) {
+	if t.incoming != nil && t.incoming.keep(f) {
+		return
+	}
+	if earlier, ok := v.earlierLeaving(t); ok {
+		v.forward(f, earlier)
+		return
+	}
+	if previous, ok := v.owners.Next(t.id, t.row.DomainID, v.config.Self.ID); ok {
+		v.forward(f, previous)
+		return
+	}
+	v.busy(f, message.CauseUnreachable, busyRetry)
+}
+
+// searchNext passes a message of an unknown flow to the owner of the next target
+// of the ranking. It returns false at the end of the ranking.
+func (v *VM) searchNext(f *message.Forward, use func(*table.Target) bool) bool {
+	s := v.table.Service(serviceOf(f.Inner))
+	if s == nil || f.Hops >= message.MaxHops {
+		return false
+	}
+	var ranks [maxRanked]rendezvous.Ranked
+	ranking := rank(ranks[:], s, flowOf(f.Inner), use)
+	for i, r := range ranking {
+		if s.Targets[r.Index].ID != f.Target || i+1 == len(ranking) {
+			continue
+		}
+		next := *f
+		next.Target = s.Targets[ranking[i+1].Index].ID
+		next.Hinted = false
+		next.Hops++
+		v.deliver(&next)
+		return true
+	}
+	return false
+}
+
+// busy answers that this copy of a message was dropped. It is not final.
+func (v *VM) busy(f *message.Forward, cause message.Cause, retryAfter time.Duration) {
+	v.reply(f, message.Refusal{Reason: message.Busy, Cause: cause, RetryAfter: retryAfter})
+}
+
+// reply sends a refusal of the message in f to its caller.
+func (v *VM) reply(f *message.Forward, r message.Refusal) {
+	r.Flow = flowOf(f.Inner)
+	switch m := f.Inner.(type) {
+	case *message.Request:
+		r.ID = m.ID
+		r.Attempt = m.Attempt
+	case *message.Open:
+	default:
+		return
+	}
+	v.refusal(f.Caller, &r, f.Target)
+}
+
+func serviceOf(body message.Body) message.ServiceID {
+	switch m := body.(type) {
+	case *message.Open:
+		return m.Service
+	case *message.Request:
+		return m.Service
+	case *message.Cancel:
+		return m.Service
+	case *message.Close:
+		return m.Service
+	default:
+		return 0
+	}
+}
+
+func flowOf(body message.Body) message.FlowID {
+	switch m := body.(type) {
+	case *message.Open:
+		return m.Flow
+	case *message.Request:
+		return m.Flow
+	case *message.Cancel:
+		return m.Flow
+	case *message.Close:
+		return m.Flow
+	default:
+		return message.FlowID{}
+	}
+}
+
+func bindingOf(body message.Body) message.Binding {
+	switch m := body.(type) {
+	case *message.Open:
+		return m.Binding
+	case *message.Request:
+		return m.Binding
+	case *message.Cancel:
+		return m.Binding
+	case *message.Close:
+		return m.Binding
+	default:
+		return message.Binding{}
+	}
+}
--- /dev/null
+++ b/decide/vm/requests.go
@@ -0,0 +1,303 @@
+package vm
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/decide/admission"
+	"github.com/gypsumspan/gypsumspan/decide/flowtable"
+	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/decide/rendezvous"
+	"github.com/gypsumspan/gypsumspan/decide/requestlog"
+	"github.com/gypsumspan/gypsumspan/decide/table"
+)
+
+// serveRequest decides on one part of a request at the active owner.
+func (v *VM) serveRequest(t *target, f *message.Forward, m *message.Request) {
+	flow := t.flows.Get(m.Flow)
+	if flow == nil {
+		if flow = v.findFlow(t, f); flow == nil {
+			return
+		}
+	}
+	t.flows.Touch(v.now, flow)
+	if !v.checkStamp(t, f, flow, m) {
+		return
+	}
+	switch t.log.Begin(v.now, m.Key(), m.Attempt, v.now+m.Deadline, m.Idempotent) {
+	case requestlog.Fresh:
+		v.admit(t, v.newPending(t, f, m), m)
+	case requestlog.Pending:
+		v.joinPending(t, f, m)
+	case requestlog.Replay:
+		v.replay(t, f.Caller, m.Key())
+	case requestlog.RefusedBefore:
+		cause := t.log.Cause(m.Key())
+		v.reply(f, message.Refusal{Reason: message.NotRun, Cause: cause, Binding: t.binding()})
+	case requestlog.Evicted:
+		v.evicted(t, f, m)
+	}
+}
+
+// checkStamp refuses requests that another log, or none, decides on.
+func (v *VM) checkStamp(t *target, f *message.Forward, flow *flowtable.Flow, m *message.Request) bool {
+	switch stamp := m.Binding.Epoch; {
+	case stamp == 0:
+		// No owner ever dispatches a request without a stamp.
+		v.reply(f, message.Refusal{Reason: message.NotRun, Cause: message.CauseNoStamp, Binding: t.binding()})
+		return false
+	case t.accepts(stamp) || flow.Accepts(stamp):
+		return true
+	default:
+		v.reply(f, message.Refusal{Reason: message.MayHaveRun, Cause: message.CauseStaleEpoch, Binding: t.binding()})
+		return false
+	}
+}
+
+// evicted answers a request that may have run and whose answer is not here.
+func (v *VM) evicted(t *target, f *message.Forward, m *message.Request) {
+	if t.log.Elsewhere(m.Key()) {
+		// The previous owner passes the answer on when it arrives.
+		return
+	}
+	v.reply(f, message.Refusal{Reason: message.MayHaveRun, Cause: message.CauseLogEvicted, Binding: t.binding()})
+}
+
+func (v *VM) newPending(t *target, f *message.Forward, m *message.Request) *pending {
+	p := &pending{
+		key:      m.Key(),
+		attempt:  m.Attempt,
+		kind:     m.Kind,
+		caller:   f.Caller,
+		ingress:  f.Ingress,
+		deadline: v.now + m.Deadline,
+		parts:    make([]*message.Request, m.Parts),
+		missing:  int(m.Parts),
+	}
+	t.pending[p.key] = p
+	return p
+}
+
+// admit takes the first part of a new request.
+func (v *VM) admit(t *target, p *pending, m *message.Request) {
+	s := v.table.Service(t.service)
+	if s == nil || int(p.kind) >= len(s.Kinds) {
+		v.refuse(t, p, message.CauseUnknownTable, tableRetry)
+		return
+	}
+	v.collect(t, p, m)
+}
+
+// joinPending takes a further part or copy of a request that is not answered yet.
+func (v *VM) joinPending(t *target, f *message.Forward, m *message.Request) {
+	p := t.pending[m.Key()]
+	if p == nil {
+		// The entry came with a handover before all parts had arrived. Dispatch is
+		// still decided by the log.
+		p = v.newPending(t, f, m)
+	}
+	p.caller = f.Caller
+	if p.missing > 0 && p.attempt == m.Attempt && len(p.parts) == int(m.Parts) {
+		v.collect(t, p, m)
+	}
+}
+
+// collect adds a part and offers the request when it is whole. At a leaving
+// target it waits for the move of its flow instead.
+func (v *VM) collect(t *target, p *pending, m *message.Request) {
+	if p.parts[m.Part] != nil {
+		return
+	}
+	p.parts[m.Part] = m
+	p.missing--
+	if p.missing == 0 && t.row.State != table.Leaving {
+		v.offer(t, p)
+	}
+}
+
+func (v *VM) offer(t *target, p *pending) {
+	verdict := t.queue.Offer(v.now, admission.Item{
+		Key:      p.key,
+		Attempt:  p.attempt,
+		Kind:     p.kind,
+		Caller:   callerHash(p.caller),
+		Deadline: p.deadline,
+	})
+	if verdict.HasVictim {
+		v.refuseKey(t, verdict.Victim.Key, message.CauseQueueFull, verdict.RetryAfter)
+	}
+	switch verdict.Outcome {
+	case admission.Dispatch:
+		v.dispatch(t, p)
+	case admission.Refused:
+		v.refuse(t, p, verdict.Cause, verdict.RetryAfter)
+	}
+}
+
+// callerHash identifies a caller for fair shares: one process is one address.
+func callerHash(addr netip.AddrPort) uint64 {
+	b := addr.Addr().As16()
+	h := uint64(addr.Port())
+	for _, x := range b {
+		h = rendezvous.Mix(h, uint64(x))
+	}
+	return h
+}
+
+// dispatch sends a request to the target, if the log still allows it.
+func (v *VM) dispatch(t *target, p *pending) {
+	if !t.log.Dispatch(v.now, p.key, p.attempt) {
+		t.queue.Release(p.key)
+		delete(t.pending, p.key)
+		return
+	}
+	open := false
+	if flow := t.flows.Get(p.key.Flow); flow != nil {
+		open = flow.Fresh
+		flow.Fresh = false
+	}
+	p.dispatched = true
+	p.sentAt = v.now
+	v.inFlight[p.key] = t
+	v.counters.Dispatched++
+	v.trace.add(v, decision{action: actionDispatch, flow: p.key.Flow, request: p.key.ID, target: t.id})
+	for _, part := range p.parts {
+		v.send(message.TargetAddress(t.id, t.row.Addr), &message.Dispatch{
+			Service:  t.service,
+			Target:   t.id,
+			Flow:     part.Flow,
+			ID:       part.ID,
+			Attempt:  part.Attempt,
+			Open:     open,
+			Kind:     part.Kind,
+			Deadline: p.deadline - v.now,
+			Part:     part.Part,
+			Parts:    part.Parts,
+			Payload:  part.Payload,
+		})
+	}
+	p.parts = nil
+}
+
+// pump dispatches or refuses what the queue gives out.
+func (v *VM) pump(t *target) {
+	for {
+		item, verdict, ok := t.queue.Next(v.now)
+		if !ok {
+			return
+		}
+		p := t.pending[item.Key]
+		if p == nil {
+			t.queue.Release(item.Key)
+			continue
+		}
+		if verdict.Outcome == admission.Dispatch {
+			v.dispatch(t, p)
+			continue
+		}
+		v.refuse(t, p, verdict.Cause, verdict.RetryAfter)
+	}
+}
+
+func (v *VM) refuseKey(t *target, key message.RequestKey, cause message.Cause, retryAfter time.Duration) {
+	if p := t.pending[key]; p != nil {
+		v.refuse(t, p, cause, retryAfter)
+	}
+}
+
+// refuse ends a request that was not answered. The log decides whether "not run"
+// is certain.
+func (v *VM) refuse(t *target, p *pending, cause message.Cause, retryAfter time.Duration) {
+	reason := message.MayHaveRun
+	if t.log.Refuse(v.now, p.key, p.attempt, cause) {
+		reason = message.NotRun
+	}
+	delete(t.pending, p.key)
+	delete(v.inFlight, p.key)
+	v.refusal(p.caller, &message.Refusal{
+		Flow:       p.key.Flow,
+		ID:         p.key.ID,
+		Attempt:    p.attempt,
+		Reason:     reason,
+		Cause:      cause,
+		RetryAfter: retryAfter,
+		Binding:    t.binding(),
+	}, t.id)
+	v.tellClosed(t, p)
+}
+
+// tellClosed tells the ingress of a refused request that its kind is closed.
+func (v *VM) tellClosed(t *target, p *pending) {
+	if p.ingress == 0 {
+		// The request came with a handover; its ingress is not known.
+		return
+	}
+	wait := t.queue.ClosedFor(v.now, p.kind)
+	if wait <= 0 {
+		return
+	}
+	closed := &message.KindClosed{Service: t.service, Target: t.id, Kind: p.kind, ClosedFor: wait}
+	if p.ingress == v.config.Self.ID {
+		v.closeDoor(closed)
+		return
+	}
+	v.sendData(p.ingress, closed)
+}
+
+// refusal sends a refusal to a caller and records it.
+func (v *VM) refusal(caller netip.AddrPort, r *message.Refusal, target message.TargetID) {
+	v.counters.refused(r.Reason, r.Cause)
+	v.trace.add(v, decision{
+		action: actionRefuse, flow: r.Flow, request: r.ID, target: target, reason: r.Reason, cause: r.Cause,
+	})
+	v.send(message.CallerAddress(caller), r)
+}
+
+// refuseQueued refuses everything that was not dispatched. It is certain not to
+// run, since no other owner accepts its stamp.
+func (v *VM) refuseQueued(t *target) {
+	t.queue.Drain(func(item admission.Item) {
+		v.refuseKey(t, item.Key, message.CauseOwnerMoved, busyRetry)
+	})
+	for _, p := range t.sortedPending() {
+		if !p.dispatched {
+			v.refuse(t, p, message.CauseOwnerMoved, busyRetry)
+		}
+	}
+}
+
+// sortedPending returns the pending requests in an order that does not depend on
+// the map, so that runs can be repeated.
+func (t *target) sortedPending() []*pending {
+	list := make([]*pending, 0, len(t.pending))
+	for _, p := range t.pending {
+		list = append(list, p)
+	}
+	slices.SortFunc(list, func(a, b *pending) int { return compareKeys(a.key, b.key) })
+	return list
+}
+
+func compareKeys(a, b message.RequestKey) int {
+	return cmp.Or(compareFlows(a.Flow, b.Flow), cmp.Compare(a.ID, b.ID))
+}
+
+func compareFlows(a, b message.FlowID) int {
+	return cmp.Or(cmp.Compare(a.Hi, b.Hi), cmp.Compare(a.Lo, b.Lo))
+}
+
+// serveCancel withdraws a request: from the queue, or at the target.
+func (v *VM) serveCancel(t *target, m *message.Cancel) {
+	key := message.RequestKey{Flow: m.Flow, ID: m.ID}
+	p := t.pending[key]
+	if p == nil {
+		return
+	}
+	if p.dispatched {
+		v.send(message.TargetAddress(t.id, t.row.Addr), &message.TargetCancel{Target: t.id, Flow: m.Flow, ID: m.ID})
+		return
+	}
+	t.queue.Cancel(key)
+	v.refuse(t, p, message.CauseCancelled, 0)
+}
--- a/decide/vm/vm.go
+++ b/decide/vm/vm.go
@@ -1,126 +1,269 @@
-// Package vm composes the decisions of one VM. A front end drives it with
-// Receive and Tick; it needs no socket, clock or codec.
+// Package vm composes the decisions of one VM: routing at the ingress, ownership
+// of targets, admission and at-most-once execution at the owner, membership and
+// the table. A front end drives it with Receive and Tick; it needs no socket,
+// clock or codec.
+//
+// A VM is one state machine. For the same configuration and the same calls it
+// returns the same messages.
 package vm
 
 import (
-	"net/netip"
+	"cmp"
+	"math/rand/v2"
+	"slices"
 	"time"
 
+	"github.com/gypsumspan/gypsumspan/decide/membership"
 	"github.com/gypsumspan/gypsumspan/decide/message"
-	"github.com/gypsumspan/gypsumspan/decide/rendezvous"
+	"github.com/gypsumspan/gypsumspan/decide/ownership"
 	"github.com/gypsumspan/gypsumspan/decide/table"
 )
 
-// Config is the identity of a VM.
+// Defaults of Config.
+const (
+	// DefaultFlowIdle is the time without a packet after which a flow ends. Flows
+	// of trackers and terminals are silent for many minutes.
+	DefaultFlowIdle = 2 * time.Hour
+	// DefaultQueueCapacity is the number of requests that may wait for one target.
+	DefaultQueueCapacity = 256
+	// DefaultAnswerBytes bounds the recorded answers of one target, in bytes.
+	DefaultAnswerBytes = 256 << 10
+)
+
+// Config is the identity of a VM and its limits.
 type Config struct {
-	Self  message.Member
-	Epoch message.Epoch // epoch of the VM's ownerships
+	Self message.Member // with the incarnation to start with
+	// Seed feeds all random choices: epochs, neighbours, transfer ids.
+	Seed uint64
+	// Peers are VMs known at the start.
+	Peers []message.Member
+	// ExpectPeers says that other VMs may be found, from Peers or the VM list.
+	// The VM then waits before it takes over targets by itself.
+	ExpectPeers   bool
+	Membership    membership.Config // Self is filled in
+	FlowIdle      time.Duration
+	QueueCapacity int
+	AnswerBytes   int
 }
 
 // VM is one VM's decisions. It is not safe for concurrent use.
 type VM struct {
 	config  Config
-	table   *table.Table
-	flows   map[message.FlowID]message.TargetID
-	pending map[message.RequestKey]netip.AddrPort
-	out     []message.Message
-	leaving bool
-}
-
-// New returns the decisions of a VM that serves t.
-func New(config Config, t *table.Table) *VM {
-	return &VM{
-		config:  config,
-		table:   t,
-		flows:   make(map[message.FlowID]message.TargetID),
-		pending: make(map[message.RequestKey]netip.AddrPort),
+	now     time.Duration
+	started time.Duration // start, or end of the last pause
+	rng     *rand.Rand
+
+	members     *membership.View
+	membersSeen uint64
+	leavingVMs  []message.Member // other VMs that leave and still answer
+	leavingDue  time.Duration    // next search for them
+	owners      *ownership.Owners
+	replica     *table.Replica
+	table       *table.Table
+	tablePulled time.Duration
+	tableSince  time.Duration // when the version last rose
+	removed     map[message.TargetID]removedTarget
+
+	targets   map[message.TargetID]*target // targets with state at this VM
+	order     []*target                    // the same, sorted by id
+	inFlight  map[message.RequestKey]*target
+	relays    map[message.RequestKey]relay
+	moves     map[uint64]*move
+	loads     map[message.ServiceID]map[message.TargetID]load
+	doors     map[door]time.Duration
+	reconcile time.Duration // next full search for targets to own
+	reports   time.Duration // next load reports
+
+	leaving   bool
+	leaveIdle time.Duration // since when nothing is left to hand over
+	trace     trace
+	counters  Counters
+	out       []message.Message
+}
+
+// New returns the decisions of a VM that starts at now.
+func New(config Config, now time.Duration) *VM {
+	config.FlowIdle = cmp.Or(config.FlowIdle, DefaultFlowIdle)
+	config.QueueCapacity = cmp.Or(config.QueueCapacity, DefaultQueueCapacity)
+	config.AnswerBytes = cmp.Or(config.AnswerBytes, DefaultAnswerBytes)
+	config.Membership.Self = config.Self
+	v := &VM{
+		config:   config,
+		now:      now,
+		started:  now,
+		rng:      rand.New(rand.NewPCG(config.Seed, uint64(config.Self.ID))),
+		owners:   ownership.NewOwners(),
+		replica:  table.NewReplica(),
+		removed:  make(map[message.TargetID]removedTarget),
+		targets:  make(map[message.TargetID]*target),
+		inFlight: make(map[message.RequestKey]*target),
+		relays:   make(map[message.RequestKey]relay),
+		moves:    make(map[uint64]*move),
+		loads:    make(map[message.ServiceID]map[message.TargetID]load),
+		doors:    make(map[door]time.Duration),
+	}
+	v.table = v.replica.Table()
+	v.members = membership.New(config.Membership, v.rng.Uint64(), now)
+	if len(config.Peers) > 0 {
+		v.members.Receive(now, platformMessage(&message.VMList{Members: config.Peers}))
 	}
+	v.followMembers()
+	return v
+}
+
+func platformMessage(body message.Body) message.Message {
+	return message.Message{From: message.Address{Kind: message.PeerPlatform}, Body: body}
 }
 
-// Receive decides on one message and returns the messages to send. The result
-// is valid until the next call.
+// Receive decides on one message at time now and returns the messages to send.
+// The result is valid until the next call.
 func (v *VM) Receive(now time.Duration, m message.Message) []message.Message {
-	v.out = v.out[:0]
+	v.begin(now)
 	switch body := m.Body.(type) {
-	case *message.Open:
-		v.open(m.From, body)
-	case *message.Request:
-		v.request(m.From, body)
+	case *message.Open, *message.Request, *message.Cancel, *message.Close:
+		v.fromCaller(m.From, body)
+	case *message.Forward:
+		v.forwarded(body)
+	case *message.KindClosed:
+		v.closeDoor(body)
 	case *message.Answer:
-		v.answer(body)
+		v.targetAnswer(m.From, body)
+	case *message.Shed:
+		v.targetShed(body)
+	case *message.TargetReport:
+		v.targetReport(body)
+	case *message.LoadReport:
+		v.loadReport(body)
+	case *message.Handover:
+		v.receiveHandover(m.From, body)
+	case *message.HandoverAck:
+		v.handoverAck(body)
+	case *message.Released:
+		v.released(body)
+	case *message.TablePull:
+		v.tablePull(m.From, body)
+	case *message.TableDelta:
+		v.tableDelta(body)
+	default:
+		v.memberMessage(m)
 	}
 	return v.out
 }
 
-// Tick does the work that is due at now and returns the messages to send.
+// Tick does the work that is due at now and returns the messages to send. It
+// shall be called every 10 ms. The result is valid until the next call.
 func (v *VM) Tick(now time.Duration) []message.Message {
-	return nil
+	v.begin(now)
+	v.tickMembers()
+	v.findTargets()
+	for _, t := range slices.Clone(v.order) {
+		v.tickTarget(t)
+	}
+	v.tickMoves()
+	v.sendLoadReports()
+	v.expire()
+	return v.out
+}
+
+func (v *VM) begin(now time.Duration) {
+	v.now = now
+	v.out = v.out[:0]
 }
 
-// Leave starts the planned leave.
+// Leave starts the planned leave: the VM hands over what it owns and finishes
+// the requests in flight. Left reports the end.
 func (v *VM) Leave(now time.Duration) []message.Message {
+	v.begin(now)
 	v.leaving = true
-	return nil
+	v.leaveIdle = now
+	v.emit(v.members.Leave(now))
+	v.followMembers()
+	return v.out
 }
 
+// leaveLinger is how long a VM that has handed everything over still passes on
+// datagrams that were sent to it before its leave was known.
+const leaveLinger = time.Second
+
 // Left reports whether the planned leave has ended.
 func (v *VM) Left() bool {
-	return v.leaving && len(v.pending) == 0
+	return v.leaving && v.now-v.leaveIdle >= leaveLinger
 }
 
-func (v *VM) open(from message.Address, m *message.Open) {
-	s := v.table.Service(m.Service)
-	if s == nil {
-		v.send(from, &message.Refusal{Flow: m.Flow, Reason: message.NotRun, Cause: message.CauseUnknownTable})
+// noteLeaveProgress restarts the linger time while anything is left to do.
+func (v *VM) noteLeaveProgress() {
+	if !v.leaving {
 		return
 	}
-	var top [1]rendezvous.Ranked
-	ranking := rendezvous.Top(top[:], rendezvous.Mix(m.Flow.Hi, m.Flow.Lo), len(s.Targets), func(i int) (uint64, uint32) {
-		return uint64(s.Targets[i].ID), s.Targets[i].Weight
-	})
-	if len(ranking) == 0 {
-		v.send(from, &message.Refusal{Flow: m.Flow, Reason: message.Busy, Cause: message.CauseNoTarget})
-		return
+	if len(v.inFlight) > 0 || len(v.relays) > 0 || len(v.moves) > 0 || v.ownsFlows() {
+		v.leaveIdle = v.now
 	}
-	target := s.Targets[ranking[0].Index].ID
-	v.flows[m.Flow] = target
-	v.send(from, &message.Bound{Flow: m.Flow, Binding: message.Binding{Target: target, Epoch: v.config.Epoch}})
 }
 
-func (v *VM) request(from message.Address, m *message.Request) {
-	target, ok := v.flows[m.Flow]
-	if !ok {
-		v.send(from, &message.Refusal{Flow: m.Flow, ID: m.ID, Attempt: m.Attempt, Reason: message.FlowUnknown, Cause: message.CauseUnknownFlow})
-		return
+// ownsFlows reports whether a target still has flows or requests that another VM
+// can take over.
+func (v *VM) ownsFlows() bool {
+	for _, t := range v.order {
+		if len(t.pending) > 0 {
+			return true
+		}
+		if _, ok := v.ownerOf(t.id, t.row.DomainID); ok && t.flows.Len() > 0 {
+			return true
+		}
 	}
-	t, _ := v.table.Target(target)
-	v.pending[m.Key()] = from.Addr
-	v.send(message.TargetAddress(t.ID, t.Addr), &message.Dispatch{
-		Service:  m.Service,
-		Target:   t.ID,
-		Flow:     m.Flow,
-		ID:       m.ID,
-		Attempt:  m.Attempt,
-		Kind:     m.Kind,
-		Deadline: m.Deadline,
-		Part:     m.Part,
-		Parts:    m.Parts,
-		Payload:  m.Payload,
-	})
-}
-
-func (v *VM) answer(m *message.Answer) {
-	caller, ok := v.pending[m.Key()]
+	return false
+}
+
+func (v *VM) send(to message.Address, body message.Body) {
+	v.out = append(v.out, message.Message{To: to, Body: body})
+}
+
+func (v *VM) emit(messages []message.Message) {
+	v.out = append(v.out, messages...)
+}
+
+// sendData sends a datagram to a VM. It reports whether the VM is known.
+func (v *VM) sendData(vm message.VMID, body message.Body) bool {
+	m, ok := v.members.Member(vm)
 	if !ok {
-		return
+		return false
 	}
-	if m.Part+1 == m.Parts {
-		delete(v.pending, m.Key())
+	v.send(message.VMAddress(vm, m.Data), body)
+	return true
+}
+
+// sendControl sends a control message to a VM. It reports whether the VM is known.
+func (v *VM) sendControl(vm message.VMID, body message.Body) bool {
+	m, ok := v.members.Member(vm)
+	if !ok {
+		return false
 	}
-	m.Binding = message.Binding{Target: v.flows[m.Flow], Epoch: v.config.Epoch}
-	v.send(message.CallerAddress(caller), m)
+	v.send(message.VMAddress(vm, m.Control), body)
+	return true
 }
 
-func (v *VM) send(to message.Address, body message.Body) {
-	v.out = append(v.out, message.Message{To: to, Body: body})
+// newEpoch returns a random epoch other than 0.
+func (v *VM) newEpoch() message.Epoch {
+	return message.Epoch(v.rng.Uint64() | 1)
+}
+
+// expire forgets what has lost its meaning.
+func (v *VM) expire() {
+	for id, r := range v.removed {
+		if v.now >= r.until {
+			delete(v.removed, id)
+			v.owners.Forget(id)
+		}
+	}
+	for key, r := range v.relays {
+		if v.now >= r.until {
+			delete(v.relays, key)
+		}
+	}
+	for d, until := range v.doors {
+		if v.now >= until {
+			delete(v.doors, d)
+		}
+	}
+	v.noteLeaveProgress()
 }
--- /dev/null
+++ b/lab/fleet/faults_test.go
@@ -0,0 +1,97 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/decide/table"
+	"github.com/gypsumspan/gypsumspan/standin/target"
+)
+
+// planned faults must break no flow and fail no call. After crashes only calls in
+// flight may fail, and only as "may have run".
+func TestFaultsUnderTraffic(t *testing.T) {
+	cases := []struct {
+		name string
+		// fault runs while traffic flows; traffic sends calls for a time.
+		fault func(f *Fleet, traffic func(time.Duration))
+		// failures that the case allows: none when planned.
+		crash bool
+	}{
+		{name: "one VM killed", crash: true, fault: func(f *Fleet, traffic func(time.Duration)) {
+			f.KillVM("vm03")
+			traffic(8 * time.Second)
+		}},
+		{name: "two VMs of one failure domain killed at once", crash: true, fault: func(f *Fleet, traffic func(time.Duration)) {
+			f.KillVM("vm02")
+			f.KillVM("vm05")
+			traffic(8 * time.Second)
+		}},
+		{name: "every VM replaced in turn", fault: func(f *Fleet, traffic func(time.Duration)) {
+			for _, name := range append([]string(nil), f.VMs()...) {
+				domain := f.Domain(name)
+				f.StartVM(name+"n", domain)
+				traffic(5 * time.Second)
+				f.LeaveVM(name)
+				traffic(3 * time.Second)
+				f.Reap()
+			}
+		}},
+		{name: "a VM paused for 8 s", crash: true, fault: func(f *Fleet, traffic func(time.Duration)) {
+			f.SetPaused("vm04", true)
+			traffic(8 * time.Second)
+			f.SetPaused("vm04", false)
+			traffic(8 * time.Second)
+		}},
+		{name: "a target drained", fault: func(f *Fleet, traffic func(time.Duration)) {
+			f.SetState("tracking", "t03", table.Draining)
+			traffic(4 * time.Second)
+		}},
+		{name: "a target leaving", fault: func(f *Fleet, traffic func(time.Duration)) {
+			f.SetState("tracking", "t03", table.Leaving)
+			traffic(4 * time.Second)
+		}},
+		{name: "weights edited", fault: func(f *Fleet, traffic func(time.Duration)) {
+			f.SetWeight("tracking", "t01", 3)
+			f.SetWeight("tracking", "t02", 2)
+			traffic(4 * time.Second)
+		}},
+		{name: "store down", fault: func(f *Fleet, traffic func(time.Duration)) {
+			f.SetStoreDown(true)
+			traffic(2 * time.Second)
+			f.StartVM("vm99", "a")
+			traffic(6 * time.Second)
+			f.SetStoreDown(false)
+		}},
+		{name: "a failure domain cut for 60 s", crash: true, fault: func(f *Fleet, traffic func(time.Duration)) {
+			f.SetCut("b", true)
+			traffic(60 * time.Second)
+			f.SetCut("b", false)
+			traffic(15 * time.Second)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := New(wales(7))
+			spec := tracking(14)
+			f.AddService(spec)
+			f.StartVMs(15)
+			f.Advance(6 * time.Second)
+			l := f.NewLoad(spec, 200)
+			traffic := func(d time.Duration) { f.Run(d, 5*time.Millisecond, l) }
+			traffic(2 * time.Second)
+			c.fault(f, traffic)
+			f.Drain(10 * time.Second)
+			check(t, f)
+			ok, failed := failures(f)
+			t.Logf("%d calls answered, failed: %v, broken flows: %d", ok, failed, f.Broken())
+			if f.Broken() > 0 {
+				t.Errorf("%d flows broke on targets that stayed alive", f.Broken())
+			}
+			if !c.crash && len(failed) > 0 {
+				t.Errorf("a planned change failed calls: %v", failed)
+			}
+		})
+	}
+	_ = target.Control{}
+}
--- /dev/null
+++ b/lab/fleet/fuzz_test.go
@@ -0,0 +1,211 @@
+package fleet
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/decide/table"
+	"github.com/gypsumspan/gypsumspan/standin/target"
+)
+
+// TestMain fixes the seed and the number of rapid's checks, so that CI gives the
+// same verdict every time. Flags on the command line win.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20261204", "rapid.checks": "15", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// fuzzer is the state of one fuzz run: the fleet and what is wrong with it now.
+type fuzzer struct {
+	f       *Fleet
+	specs   []ServiceSpec
+	loads   []*Load
+	started int
+	paused  map[string]bool
+	cut     map[string]bool
+	crashed map[*Target]bool
+}
+
+func newFuzzer(t *rapid.T) *fuzzer {
+	o := wales(rapid.Uint64().Draw(t, "seed"))
+	o.Loss = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss")
+	o.Duplicate = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "duplicate")
+	o.DuplicateDelay = rapid.SampledFrom([]time.Duration{0, 20 * time.Millisecond, 4 * time.Second}).Draw(t, "duplicate delay")
+	o.Jitter = rapid.SampledFrom([]time.Duration{0, 5 * time.Millisecond}).Draw(t, "jitter")
+	z := &fuzzer{
+		f:       New(o),
+		specs:   []ServiceSpec{tracking(7), courses(3)},
+		paused:  make(map[string]bool),
+		cut:     make(map[string]bool),
+		crashed: make(map[*Target]bool),
+	}
+	for _, spec := range z.specs {
+		z.f.AddService(spec)
+	}
+	z.started = 9
+	z.f.StartVMs(z.started)
+	z.f.Advance(6 * time.Second)
+	for _, spec := range z.specs {
+		z.loads = append(z.loads, z.f.NewLoad(spec, 10))
+	}
+	return z
+}
+
+// courses is a second service with bulk work.
+func courses(targets int) ServiceSpec {
+	return ServiceSpec{
+		Name: "courses", Targets: targets, Slots: 3,
+		Kinds: []KindSpec{{
+			Kind:       table.Kind{Name: "file", Urgency: table.Bulk, Share: 1},
+			Idempotent: true,
+			Work:       target.Work{Median: 30 * time.Millisecond, Sigma: 0.5, Answer: 20000},
+			Timeout:    4 * time.Second,
+		}},
+	}
+}
+
+func (z *fuzzer) vm(t *rapid.T) string {
+	if len(z.f.VMs()) == 0 {
+		return ""
+	}
+	return rapid.SampledFrom(z.f.VMs()).Draw(t, "vm")
+}
+
+func (z *fuzzer) target(t *rapid.T) (service, name string) {
+	spec := rapid.SampledFrom(z.specs).Draw(t, "service")
+	return spec.Name, fmt.Sprintf("t%02d", rapid.IntRange(0, spec.Targets-1).Draw(t, "target"))
+}
+
+func (z *fuzzer) domain(t *rapid.T) string {
+	return rapid.SampledFrom(z.f.options.Domains).Draw(t, "domain")
+}
+
+// actions are traffic and the faults of the platform, the VMs and the targets.
+func (z *fuzzer) actions() map[string]func(*rapid.T) {
+	f := z.f
+	return map[string]func(*rapid.T){
+		"calls": func(t *rapid.T) {
+			l := rapid.SampledFrom(z.loads).Draw(t, "load")
+			for range rapid.IntRange(1, 30).Draw(t, "calls") {
+				l.Send(message.KindID(rapid.IntRange(0, len(l.Kinds)-1).Draw(t, "kind")))
+				f.Advance(2 * time.Millisecond)
+			}
+		},
+		"wait": func(t *rapid.T) {
+			f.Advance(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond)
+			f.Reap()
+		},
+		"open": func(t *rapid.T) {
+			l := rapid.SampledFrom(z.loads).Draw(t, "load")
+			l.Flows = append(l.Flows, l.Caller.Open(l.Service))
+		},
+		"close": func(t *rapid.T) {
+			l := rapid.SampledFrom(z.loads).Draw(t, "load")
+			if len(l.Flows) > 3 {
+				l.Caller.Close(l.Flows[0])
+				l.Flows = l.Flows[1:]
+			}
+		},
+		"start VM": func(t *rapid.T) {
+			z.started++
+			f.StartVM(fmt.Sprintf("vm%02d", z.started), z.domain(t))
+		},
+		"kill VM": func(t *rapid.T) {
+			if len(f.VMs()) > 4 {
+				f.KillVM(z.vm(t))
+			}
+		},
+		"leave VM": func(t *rapid.T) {
+			if len(f.VMs()) > 4 {
+				f.LeaveVM(z.vm(t))
+			}
+		},
+		"pause or resume VM": func(t *rapid.T) {
+			name := z.vm(t)
+			z.paused[name] = !z.paused[name]
+			f.SetPaused(name, z.paused[name])
+		},
+		"cut or heal": func(t *rapid.T) {
+			domain := z.domain(t)
+			z.cut[domain] = !z.cut[domain]
+			f.SetCut(domain, z.cut[domain])
+		},
+		"store": func(t *rapid.T) {
+			f.SetStoreDown(rapid.Bool().Draw(t, "down"))
+		},
+		"table": func(t *rapid.T) {
+			service, name := z.target(t)
+			if rapid.Bool().Draw(t, "weight") {
+				f.SetWeight(service, name, rapid.Uint32Range(1, 3).Draw(t, "value"))
+				return
+			}
+			f.SetState(service, name, rapid.SampledFrom([]table.State{table.Active, table.Draining, table.Leaving}).Draw(t, "state"))
+		},
+		"crash or restart target": func(t *rapid.T) {
+			service, name := z.target(t)
+			node := f.Target(service, name)
+			z.crashed[node] = !z.crashed[node]
+			down := z.crashed[node]
+			node.Control(target.Control{Crash: &down})
+		},
+		"lie": func(t *rapid.T) {
+			service, name := z.target(t)
+			lie := rapid.SampledFrom([]string{target.LieNone, target.LieHealthy, target.LieUnhealthy}).Draw(t, "lie")
+			f.Target(service, name).Control(target.Control{Lie: &lie})
+		},
+		"slow": func(t *rapid.T) {
+			service, name := z.target(t)
+			factor := rapid.SampledFrom([]float64{1, 20}).Draw(t, "factor")
+			f.Target(service, name).Control(target.Control{Slow: &factor})
+		},
+	}
+}
+
+// heal ends all faults and waits until the fleet has settled.
+func (z *fuzzer) heal() {
+	for name := range z.paused {
+		z.f.SetPaused(name, false)
+	}
+	for domain := range z.cut {
+		z.f.SetCut(domain, false)
+	}
+	z.f.SetStoreDown(false)
+	up := false
+	one := 1.0
+	for _, node := range z.f.targets {
+		node.Control(target.Control{Crash: &up, Slow: &one})
+	}
+	z.f.Drain(20 * time.Second)
+}
+
+// Guards against any broken promise under any mix of faults: a doubled or falsely
+// refused request, a wrong answer, work for a leaving target or another service,
+// and a table that goes back or does not arrive.
+func TestPromisesHoldUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		z := newFuzzer(t)
+		t.Repeat(z.actions())
+		z.heal()
+		for _, v := range z.f.Oracle().Violations() {
+			t.Errorf("%s", v)
+		}
+		if n := z.f.callsInProgress(); n > 0 {
+			t.Errorf("%d calls have not ended", n)
+		}
+		z.f.Advance(30 * time.Second)
+		if len(z.f.VMs()) > 0 && !z.f.InForce() {
+			t.Errorf("table revision %d is not in force everywhere after all faults have ended", z.f.Revision())
+		}
+	})
+}
