Count only real answers of new neighbours as evidence of life

Cause: a neighbour chosen a short time ago counted as answering, so gossip of its death was dropped and its own time-out of 3 s ran in full.

Change: a neighbour is evidence against gossip only after its first answer. The faster candidate probing before the join is removed, since a joining VM pulls from a candidate in each interval anyway.

--- a/decide/membership/candidates.go
+++ b/decide/membership/candidates.go
@@ -67,7 +67,7 @@
 }
 
 func (v *View) candidateInterval(now time.Duration) time.Duration {
-	if now < v.hotUntil || !v.joined {
+	if now < v.hotUntil {
 		return v.config.Interval
 	}
 	factor := (v.reachable + 1) / (probersPerCandidate * len(v.candidates))
--- a/decide/membership/gossip.go
+++ b/decide/membership/gossip.go
@@ -205,6 +205,7 @@
 func (v *View) touch(now time.Duration, id message.VMID) {
 	if n := v.neighbour(id); n != nil {
 		n.lastAnswer = now
+		n.answered = true
 	}
 }
 
--- a/decide/membership/neighbours.go
+++ b/decide/membership/neighbours.go
@@ -14,7 +14,8 @@
 // neighbour is a member that this VM sends heartbeats to.
 type neighbour struct {
 	record     *record
-	lastAnswer time.Duration
+	lastAnswer time.Duration // or, before the first one, when it was chosen
+	answered   bool
 	knowsUs    bool // it has this VM's addresses, so that short records do
 }
 
@@ -170,7 +171,7 @@
 // answers reports whether this VM itself has a recent answer of r.
 func (v *View) answers(now time.Duration, r *record) bool {
 	n := v.neighbour(r.member.ID)
-	return n != nil && now-n.lastAnswer < v.config.SuspectAfter
+	return n != nil && n.answered && now-n.lastAnswer < v.config.SuspectAfter
 }
 
 func (v *View) suspect(now time.Duration, r *record, incarnation uint64) {
