--- a/caller/session/session_test.go
+++ b/caller/session/session_test.go
@@ -172,3 +172,28 @@
 	is.True(errors.Is(out.Results[0].Err, ErrMayHaveRun))
 	is.True(!errors.Is(out.Results[0].Err, ErrNotRun))
 }
+
+// TestTimeout guards against a time-out that does not follow RFC 6298 and
+// against retransmissions above the bound per second.
+func TestTimeout(t *testing.T) {
+	is := is.New(t)
+	e := estimator{initial: time.Second, lowest: time.Millisecond, highest: time.Minute}
+	is.Equal(e.timeout(), time.Second)
+	e.sample(100 * time.Millisecond)
+	is.Equal(e.timeout(), 300*time.Millisecond)
+	e.sample(180 * time.Millisecond)
+	is.Equal(e.timeout(), 110*time.Millisecond+4*57500*time.Microsecond)
+
+	s := New(Config{RetransmitRate: 10}, [32]byte{1})
+	flow, out := s.OpenFlow(0, 5)
+	s.Receive(0, message.Message{Body: &message.Bound{Flow: out.Messages[0].Body.(*message.Open).Flow, Binding: first}})
+	for range 100 {
+		_, _, err := s.Do(0, flow, Call{Timeout: time.Minute})
+		is.NoErr(err)
+	}
+	for s.NextWake() <= 3*time.Second {
+		s.Tick(s.NextWake())
+	}
+	is.True(s.Counters().Retransmitted > 20)
+	is.True(s.Counters().Retransmitted <= 10+3*10)
+}
