Find a moved flow after the old owner of its leaving target has died

Cause: the search began at the first rank of all targets. A flow sits at its first rank as a rule, so that was the leaving target itself, and the packet was answered flow unknown. Ruled out: the move itself; the new owner knew the flows. Change: the search leaves the target of the binding out.

--- a/decide/vm/flows.go
+++ b/decide/vm/flows.go
@@ -126,11 +126,12 @@
 	return t.row.State != table.Leaving && !slices.Contains(t.lost, b.Epoch)
 }
 
-// searchFromFirst searches for a flow along the whole ranking, because the
-// target in its binding is leaving and may have handed it over.
+// searchFromFirst searches for a flow along the ranking of the other targets,
+// because the target in its binding is leaving and may have handed it over.
 func (v *VM) searchFromFirst(f *message.Forward) {
-	first, ok := v.firstRanked(v.table.Service(serviceOf(f.Inner)), flowOf(f.Inner))
-	if !ok || first.target == f.Target {
+	elsewhere := func(row *table.Target) bool { return row.ID != f.Target }
+	first, ok := v.firstRanked(v.table.Service(serviceOf(f.Inner)), flowOf(f.Inner), elsewhere)
+	if !ok {
 		v.flowUnknown(f, message.CauseUnknownFlow)
 		return
 	}
--- a/decide/vm/ingress.go
+++ b/decide/vm/ingress.go
@@ -80,13 +80,13 @@
 	if open, ok := body.(*message.Open); ok && !open.Refresh {
 		return v.place(s, open, rank(ranks[:], s, open.Flow, takesNewFlows))
 	}
-	return v.firstRanked(s, flowOf(body))
+	return v.firstRanked(s, flowOf(body), isRanked)
 }
 
-// firstRanked returns the first target of a flow's ranking.
-func (v *VM) firstRanked(s *table.Service, flow message.FlowID) (choice, bool) {
+// firstRanked returns the first target of a flow's ranking that use accepts.
+func (v *VM) firstRanked(s *table.Service, flow message.FlowID, use func(*table.Target) bool) (choice, bool) {
 	var ranks [1]rendezvous.Ranked
-	ranking := rank(ranks[:], s, flow, isRanked)
+	ranking := rank(ranks[:], s, flow, use)
 	if len(ranking) == 0 {
 		return choice{}, false
 	}
--- a/lab/fleet/faults_test.go
+++ b/lab/fleet/faults_test.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/decide/table"
-	"github.com/gypsumspan/gypsumspan/standin/target"
 )
 
 // planned faults must break no flow and fail no call. After crashes only calls in
@@ -93,5 +92,4 @@
 			}
 		})
 	}
-	_ = target.Control{}
 }
