Cover late copies after expired log entries and lost confirmations

Cause: trial mutations of the epochs after an unconfirmed handover and of the floors in a handover survived the tests. Change: three more ownership changes in the test of delayed copies, a message filter in the fake network, and a test that a draining target takes no new flow from an ingress with an older table.

--- a/decide/vm/vm_test.go
+++ b/decide/vm/vm_test.go
@@ -295,3 +295,15 @@
 	}
 	b.is.True(b.Left())
 }
+
+// Guards against a draining target that gets new flows from an ingress whose
+// table is older.
+func TestDrainingTargetTakesNoNewFlows(t *testing.T) {
+	b := newBench(t)
+	binding := b.open("a")
+	b.put("a", targetAddrs[0], table.Draining)
+	open := &message.Open{Service: message.ServiceIDOf("a"), Flow: message.FlowID{Hi: 5}, Attempt: 1}
+	forward := &message.Forward{Ingress: 5, Caller: callerAddr, Target: binding.Target, Inner: open}
+	b.expectRefusal(b.receive(message.VMAddress(5, callerAddr), forward), message.Busy, message.CauseNoTarget)
+	b.expectDispatch(b.call(b.request(1, binding)))
+}
--- a/lab/fleet/copies_test.go
+++ b/lab/fleet/copies_test.go
@@ -37,6 +37,29 @@
 			f.Advance(30 * time.Millisecond)
 			f.KillVM(successor)
 		}},
+		{"owner leaves after the log entries have expired", func(f *Fleet, owner, _ string) {
+			f.Advance(16 * time.Second)
+			f.LeaveVM(owner)
+			f.Advance(2 * time.Second)
+		}},
+		{"target leaves after the log entries have expired", func(f *Fleet, _, target string) {
+			f.Advance(16 * time.Second)
+			f.SetState("tracking", target, table.Leaving)
+			f.Advance(2 * time.Second)
+		}},
+		{"a better VM joins, its confirmations are lost, it is killed", func(f *Fleet, owner, target string) {
+			f.net.drop = func(m message.Message) bool {
+				_, ok := m.Body.(*message.HandoverAck)
+				return ok
+			}
+			name := f.betterVM(owner, target)
+			f.StartVM(name, f.Domain(owner))
+			f.Advance(4 * time.Second)
+			sendCheckins(f, f.loads[0], 200)
+			f.KillVM(name)
+			f.net.drop = nil
+			f.Advance(5 * time.Second)
+		}},
 		{"owner leaves, cut off before the confirmation", func(f *Fleet, owner, target string) {
 			f.LeaveVM(owner)
 			f.Advance(10 * time.Millisecond)
@@ -45,7 +68,7 @@
 			f.SetPaused(owner, false)
 		}},
 	}
-	delays := []time.Duration{500 * time.Millisecond, 4 * time.Second, 17 * time.Second}
+	delays := []time.Duration{500 * time.Millisecond, 4 * time.Second, 12 * time.Second, 19 * time.Second}
 	for _, c := range changes {
 		for _, delay := range delays {
 			t.Run(fmt.Sprintf("%s, copies after %v", c.name, delay), func(t *testing.T) {
@@ -101,6 +124,18 @@
 	return vm, target
 }
 
+// betterVM returns the name of a VM that comes before the owner in the order of
+// the target.
+func (f *Fleet) betterVM(owner, target string) string {
+	id := message.TargetIDOf("tracking", target)
+	for i := 0; ; i++ {
+		name := fmt.Sprintf("new%d", i)
+		if ownership.Before(id, message.VMIDOf(name), message.VMIDOf(owner)) {
+			return name
+		}
+	}
+}
+
 // successor returns the VM that will own the target when its owner is gone.
 func (f *Fleet) successor(owner, target string) string {
 	row, _ := f.vms[owner].machine.Table().Target(message.TargetIDOf("tracking", target))
--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -44,6 +44,7 @@
 	order     []string // names of running VMs, sorted
 	targets   map[message.TargetID]*Target
 	callers   []*Caller
+	loads     []*Load
 	list      vmList
 	fabric    []fabricEntry
 	entries   []message.TableEntry // the store's content
--- a/lab/fleet/network.go
+++ b/lab/fleet/network.go
@@ -48,6 +48,8 @@
 	vms     map[message.VMID]*endpoint
 	targets map[message.TargetID]*endpoint
 	callers map[message.Address]*endpoint
+	// drop discards the messages that it accepts; nil discards none.
+	drop func(message.Message) bool
 	// controlBytes counts encoded control messages by sender.
 	controlBytes map[message.VMID]uint64
 }
@@ -111,6 +113,9 @@
 	if to == nil || n.separated(p.from, to.domain) {
 		return
 	}
+	if n.drop != nil && n.drop(p.m) {
+		return
+	}
 	if message.IsControl(p.m.Body) {
 		n.countControl(p)
 		n.push(p, now+n.latency(p.from, to.domain))
--- a/lab/fleet/workload.go
+++ b/lab/fleet/workload.go
@@ -113,6 +113,7 @@
 	for range n {
 		l.Flows = append(l.Flows, l.Caller.Open(spec.Name))
 	}
+	f.loads = append(f.loads, l)
 	return l
 }
 
