--- a/decide/table/replica.go
+++ b/decide/table/replica.go
@@ -218,6 +218,23 @@
 // Table returns the services in force. It follows later merges.
 func (r *Replica) Table() *Table { return r.table }
 
+// LiveKeys returns the keys of all entries that are not deleted, in no
+// particular order.
+func (r *Replica) LiveKeys() []string {
+	var keys []string
+	for _, st := range r.states {
+		if st.meta.count > 0 {
+			keys = append(keys, MetaKey(st.name))
+		}
+		for number := range st.shards {
+			if st.shards[number].of > 0 {
+				keys = append(keys, ShardKey(st.name, number))
+			}
+		}
+	}
+	return keys
+}
+
 // place names one entry of the replica.
 type place struct {
 	state    *state
--- a/decide/table/table_test.go
+++ b/decide/table/table_test.go
@@ -62,6 +62,11 @@
 	is.Equal(len(rejected), 0)
 	is.Equal(changed, []message.ServiceID{want.ID})
 	is.Equal(r.Table().Service(want.ID), want)
+	is.Equal(len(r.LiveKeys()), 5)
+	r.Merge([]message.TableEntry{{Key: ShardKey("track", 3), Revision: 6}})
+	is.Equal(len(r.LiveKeys()), 4)
+	is.Equal(r.Table().Service(want.ID), want)
+	entries[4] = message.TableEntry{Key: ShardKey("track", 3), Revision: 6}
 	var got []message.TableEntry
 	r.Since(0, func(e message.TableEntry) bool { got = append(got, e); return true })
 	is.Equal(got, entries)
