Add gypsumctl

Cause: operators need a command for the table, its audit trail and the state of the VMs.

A fault of a row that is in no file names the row.

--- /dev/null
+++ b/ctl/settings.go
@@ -0,0 +1,100 @@
+package ctl
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+const (
+	// configVariable names the settings file in the environment.
+	configVariable = "GYPSUMCTL_CONFIG"
+	// defaultConfig is the settings file in the user's configuration folder.
+	defaultConfig = "gypsumspan/gypsumctl.toml"
+)
+
+// settings are the settings of gypsumctl, from flags and the settings file.
+type settings struct {
+	Operator string   `toml:"operator"`
+	Store    []string `toml:"store"`
+	Admin    []string `toml:"admin"`
+}
+
+// loadSettings reads the settings file and puts the flags over it.
+func (a *app) loadSettings() (settings, error) {
+	s, err := a.readFile()
+	if err != nil {
+		return settings{}, err
+	}
+	if a.flags.Operator != "" {
+		s.Operator = a.flags.Operator
+	}
+	if len(a.flags.Store) > 0 {
+		s.Store = a.flags.Store
+	}
+	if len(a.flags.Admin) > 0 {
+		s.Admin = a.flags.Admin
+	}
+	if s.Operator == "" {
+		s.Operator = a.env.Getenv("USER")
+	}
+	return s, nil
+}
+
+func (a *app) readFile() (settings, error) {
+	path, named := a.settingsPath()
+	if path == "" {
+		return settings{}, nil
+	}
+	data, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) && !named {
+		return settings{}, nil
+	}
+	if err != nil {
+		return settings{}, fmt.Errorf("%w: %w", ErrSettings, err)
+	}
+	var s settings
+	decoder := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
+	if err := decoder.Decode(&s); err != nil {
+		return settings{}, fmt.Errorf("%w: %s: %w", ErrSettings, path, describeTOML(err))
+	}
+	return s, nil
+}
+
+// settingsPath returns the file and whether the operator named it.
+func (a *app) settingsPath() (path string, named bool) {
+	if a.config != "" {
+		return a.config, true
+	}
+	if path := a.env.Getenv(configVariable); path != "" {
+		return path, true
+	}
+	dir := a.env.Getenv("XDG_CONFIG_HOME")
+	if dir == "" {
+		home := a.env.Getenv("HOME")
+		if home == "" {
+			return "", false
+		}
+		dir = filepath.Join(home, ".config")
+	}
+	return filepath.Join(dir, defaultConfig), false
+}
+
+// describeTOML adds the place of the fault to an error of the decoder.
+func describeTOML(err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		return fmt.Errorf("unknown setting:\n%s", strict.String())
+	}
+	var syntax *toml.DecodeError
+	if errors.As(err, &syntax) {
+		row, column := syntax.Position()
+		return fmt.Errorf("line %d, column %d: %w", row, column, err)
+	}
+	return err
+}
--- a/decide/sheet/sheet.go
+++ b/decide/sheet/sheet.go
@@ -45,25 +45,25 @@
 
 // KindRow is one row of the first section: a kind of work of a service.
 type KindRow struct {
-	Line    int // in the file, from 1; 0 if the row does not come from a file
-	Service string
-	Address string // of the service, the same in all its rows
-	Kind    string
-	Urgency string
-	Share   string
+	Line    int    `json:"-"` // in the file, from 1; 0 if the row does not come from a file
+	Service string `json:"service"`
+	Address string `json:"address"` // of the service, the same in all its rows
+	Kind    string `json:"kind"`
+	Urgency string `json:"urgency"`
+	Share   string `json:"share"`
 }
 
 // TargetRow is one row of the second section.
 type TargetRow struct {
-	Line    int // in the file, from 1; 0 if the row does not come from a file
-	Service string
-	Target  string
-	Domain  string
-	Address string
-	Health  string
-	Weight  string
-	Limit   string
-	State   string
+	Line    int    `json:"-"` // in the file, from 1; 0 if the row does not come from a file
+	Service string `json:"service"`
+	Target  string `json:"target"`
+	Domain  string `json:"domain"`
+	Address string `json:"address"`
+	Health  string `json:"health"`
+	Weight  string `json:"weight"`
+	Limit   string `json:"limit"`
+	State   string `json:"state"`
 }
 
 // Sheet is a table whose cells are text, checked or not. The order of a
@@ -71,9 +71,9 @@
 type Sheet struct {
 	// Revision is the store's revision that the sheet was exported at, 0 if it is
 	// not known. Merging needs it to tell an edit from a cell that is only old.
-	Revision int64
-	Kinds    []KindRow
-	Targets  []TargetRow
+	Revision int64       `json:"revision"`
+	Kinds    []KindRow   `json:"kinds"`
+	Targets  []TargetRow `json:"targets"`
 }
 
 // column is one column of a section.
@@ -219,6 +219,7 @@
 // Fault is one thing to correct in a sheet.
 type Fault struct {
 	Line    int    // 0 if the row does not come from a file
+	Row     string // names the row, for rows without a line
 	Column  string // empty if the whole row or file is meant
 	Problem string
 	Remedy  string // what to do
@@ -229,6 +230,8 @@
 	var place []string
 	if f.Line > 0 {
 		place = append(place, fmt.Sprintf("line %d", f.Line))
+	} else if f.Row != "" {
+		place = append(place, f.Row)
 	}
 	if f.Column != "" {
 		place = append(place, "column "+f.Column)
@@ -247,7 +250,7 @@
 
 // Error implements error.
 func (e *InvalidError) Error() string {
-	lines := []string{fmt.Sprintf("%v (%d faults)", ErrInvalid, len(e.Faults))}
+	lines := []string{fmt.Sprintf("%v (number of faults: %d)", ErrInvalid, len(e.Faults))}
 	for _, f := range e.Faults {
 		lines = append(lines, f.String())
 	}
--- a/decide/sheet/validate.go
+++ b/decide/sheet/validate.go
@@ -17,11 +17,16 @@
 		addresses: make(map[string]TargetRow),
 	}
 	for i := range s.Kinds {
-		c.kindRow(&s.Kinds[i])
+		r := &s.Kinds[i]
+		c.row = func() string { return "service " + r.Service + ", kind " + r.Kind }
+		c.kindRow(r)
 	}
 	for i := range s.Targets {
-		c.targetRow(&s.Targets[i])
+		r := &s.Targets[i]
+		c.row = func() string { return "service " + r.Service + ", target " + r.Target }
+		c.targetRow(r)
 	}
+	c.row = nil
 	c.sizes()
 	return sortFaults(c.faults)
 }
@@ -29,6 +34,7 @@
 // checker collects what later rows are compared with.
 type checker struct {
 	faults    []Fault
+	row       func() string // names the row that is checked
 	services  map[string]*serviceCheck
 	ids       map[columnID]string
 	addresses map[string]TargetRow // the first row of each target address
@@ -49,7 +55,11 @@
 }
 
 func (c *checker) fault(line int, column, problem, remedy string) {
-	c.faults = append(c.faults, Fault{Line: line, Column: column, Problem: problem, Remedy: remedy})
+	f := Fault{Line: line, Column: column, Problem: problem, Remedy: remedy}
+	if c.row != nil {
+		f.Row = c.row()
+	}
+	c.faults = append(c.faults, f)
 }
 
 func (c *checker) kindRow(r *KindRow) {
--- a/ops/errors.go
+++ b/ops/errors.go
@@ -12,16 +12,17 @@
 
 // Errors of the package.
 var (
-	// ErrInvalid means that the table is invalid; it wraps a sheet.InvalidError.
-	ErrInvalid = errors.New("table is invalid, nothing was changed")
+	// ErrInvalid means that the changed table would be invalid; it wraps a
+	// sheet.InvalidError.
+	ErrInvalid = errors.New("change is refused")
 	// ErrConflict means that another operator changed the same cell.
 	ErrConflict = errors.New("another operator changed the same cell")
 	// ErrUnavailable means that the store did not take the change.
-	ErrUnavailable = errors.New("store is unavailable, nothing was changed")
+	ErrUnavailable = errors.New("store is unavailable")
 	// ErrUncertain means that it is not known whether the change was made.
 	ErrUncertain = errors.New("it is not known whether the change was made")
 	// ErrContended means that other changes kept coming first.
-	ErrContended = errors.New("other changes kept coming first, nothing was changed")
+	ErrContended = errors.New("other changes kept coming first")
 	// ErrTooLarge means that a service does not fit into one transaction.
 	ErrTooLarge = errors.New("change is too large for one transaction of the store")
 	// ErrBaseGone means that the store no longer keeps the revision of the export.
--- a/standin/store/contract_test.go
+++ b/standin/store/contract_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http/httptest"
 	"sync/atomic"
 	"testing"
@@ -102,6 +103,36 @@
 	return client
 }
 
+// Guards against a server that does not end with its context, or leaves expired
+// leases to the next call.
+func TestServeEngine(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	time := &clock{}
+	e := NewEngine(Options{Clock: time})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error)
+	go func() { ended <- ServeEngine(ctx, listener, e) }()
+	client, err := store.NewHTTP(store.HTTPConfig{Endpoints: []string{"http://" + listener.Addr().String()}})
+	is.NoErr(err)
+	defer client.Close()
+	lease, err := client.Grant(ctx, 1)
+	is.NoErr(err)
+	_, err = client.Txn(ctx, store.Txn{Puts: []store.Put{{Key: "k", Lease: lease}}})
+	is.NoErr(err)
+	watch, err := client.Watch(ctx, store.Key("k"), 0)
+	is.NoErr(err)
+	time.advance(1e9)
+	batch, err := watch.Next()
+	is.NoErr(err)
+	is.True(batch.Events[0].Deleted)
+	cancel()
+	is.NoErr(<-ended)
+	_, err = watch.Next()
+	is.True(errors.Is(err, store.ErrUnavailable))
+}
+
 func contractPages(r *rig) {
 	for i := range 7 {
 		r.put(fmt.Sprintf("a/%d", i), fmt.Sprint(i))
