Plan the change of one cell from its service's keys only

Cause: in a trial with 18,000 services and 162,000 targets a change of one cell read 36,000 keys and took 6.8 s, more than half of the 12 s that a change may take until it is in force everywhere.

--- a/ctl/table.go
+++ b/ctl/table.go
@@ -196,15 +196,7 @@
 	if err != nil {
 		return err
 	}
-	snapshot, err := o.Export(ctx)
-	if err != nil {
-		return err
-	}
-	mine, err := snapshot.Sheet.Set(cell, value)
-	if err != nil {
-		return fmt.Errorf("%w: %w", ops.ErrInvalid, err)
-	}
-	plan, err := o.Plan(ctx, mine, &snapshot.Sheet)
+	plan, err := o.PlanCell(ctx, cell, value)
 	if err != nil {
 		return err
 	}
--- a/decide/sheet/merge.go
+++ b/decide/sheet/merge.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 )
@@ -127,15 +128,30 @@
 	return s
 }
 
-func sortedIDs(maps ...map[rowID]cells) []rowID {
+func sortedIDs(rows map[rowID]cells) []rowID {
+	ids := make([]rowID, 0, len(rows))
+	for id := range rows {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, compareRows)
+	return ids
+}
+
+// changedRows returns the rows that differ, sorted.
+func changedRows(before, after map[rowID]cells) []rowID {
 	var ids []rowID
-	for _, m := range maps {
-		for id := range m {
+	for id, row := range before {
+		if after[id] != row {
+			ids = append(ids, id)
+		}
+	}
+	for id := range after {
+		if _, ok := before[id]; !ok {
 			ids = append(ids, id)
 		}
 	}
 	slices.SortFunc(ids, compareRows)
-	return slices.Compact(ids)
+	return ids
 }
 
 // Diff returns the changed cells, sorted by service, kind and target. Both
@@ -143,11 +159,8 @@
 func Diff(old, updated Sheet) []CellChange {
 	before, after := flatten(old), flatten(updated)
 	var changes []CellChange
-	for _, id := range sortedIDs(before, after) {
+	for _, id := range changedRows(before, after) {
 		a, b := before[id], after[id]
-		if a == b {
-			continue
-		}
 		for i := range id.columns() {
 			if a[i] != b[i] {
 				changes = append(changes, CellChange{Cell: id.cell(i), Old: a[i], New: b[i]})
@@ -164,13 +177,14 @@
 // so callers validate it. All three sheets must be valid.
 func Merge(base, theirs, mine Sheet) (Sheet, []Conflict) {
 	b, t, m := flatten(base), flatten(theirs), flatten(mine)
-	merged := make(map[rowID]cells)
+	merged := maps.Clone(t)
 	var conflicts []Conflict
-	for _, id := range sortedIDs(b, t, m) {
+	for _, id := range changedRows(b, m) {
 		row, found := mergeRow(id, b[id], t[id], m[id])
 		conflicts = append(conflicts, found...)
-		if row != (cells{}) {
-			merged[id] = row
+		merged[id] = row
+		if row == (cells{}) {
+			delete(merged, id)
 		}
 	}
 	return unflatten(merged), conflicts
--- a/decide/sheet/sheet_test.go
+++ b/decide/sheet/sheet_test.go
@@ -108,6 +108,28 @@
 	}
 }
 
+// Guards against files that crash the reader, and against accepted files that
+// change when they are written again.
+func TestDamagedFiles(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := []byte(example)
+		for range rapid.IntRange(1, 4).Draw(t, "damages") {
+			at := rapid.IntRange(0, len(text)-1).Draw(t, "at")
+			end := min(len(text), at+rapid.IntRange(0, 9).Draw(t, "cut"))
+			text = slices.Concat(text[:at], rapid.SliceOfN(rapid.Byte(), 0, 3).Draw(t, "bytes"), text[end:])
+			if len(text) == 0 {
+				return
+			}
+		}
+		s, faults := ParseCSV(text)
+		if len(faults) > 0 || len(s.Validate()) > 0 {
+			return
+		}
+		is := is.New(t)
+		is.Equal(withoutLines(parse(t, string(FormatCSV(s)))), withoutLines(s))
+	})
+}
+
 // Guards against ids that collide unseen. No collision of real names is known,
 // so the check is driven directly.
 func TestIDCollisionIsAFault(t *testing.T) {
--- a/decide/table/table_test.go
+++ b/decide/table/table_test.go
@@ -125,6 +125,31 @@
 	}
 }
 
+// Guards against values that crash the decoder, and against accepted values that
+// change when a replica passes them on.
+func TestDamagedEntries(t *testing.T) {
+	good := entriesOf(t, makeService("s", "t", 5), 2, 1)
+	rapid.Check(t, func(t *rapid.T) {
+		e := rapid.SampledFrom(good).Draw(t, "entry")
+		e.Value = slices.Clone(e.Value)
+		for range rapid.IntRange(1, 3).Draw(t, "damages") {
+			e.Value[rapid.IntRange(0, len(e.Value)-1).Draw(t, "at")] = rapid.Byte().Draw(t, "byte")
+		}
+		r := NewReplica()
+		if _, rejected := r.Merge([]message.TableEntry{e}); len(rejected) > 0 {
+			return
+		}
+		want, _ := DecodeEntry(e)
+		r.Since(0, func(again message.TableEntry) bool {
+			got, err := DecodeEntry(again)
+			is := is.New(t)
+			is.NoErr(err)
+			is.Equal(got, want)
+			return true
+		})
+	})
+}
+
 // Guards against a moment without targets while a service is resharded.
 func TestOldContentStaysInForceUntilAllShardsAreKnown(t *testing.T) {
 	is := is.New(t)
--- a/ops/ops.go
+++ b/ops/ops.go
@@ -114,16 +114,22 @@
 
 // Export reads the table. It returns ErrUnavailable or ErrStore.
 func (o *Operations) Export(ctx context.Context) (*Snapshot, error) {
-	snapshot, err := o.read(ctx, 0)
+	return o.export(ctx, table.Prefix)
+}
+
+// export reads the keys of the table with a prefix.
+func (o *Operations) export(ctx context.Context, prefix string) (*Snapshot, error) {
+	snapshot, err := o.read(ctx, prefix, 0)
 	if err != nil {
 		return nil, translate("export the table", err)
 	}
 	return snapshot, nil
 }
 
-// read reads the table at a revision; 0 is the newest. Errors are the store's.
-func (o *Operations) read(ctx context.Context, revision int64) (*Snapshot, error) {
-	request := store.RangeRequest{Span: store.Prefix(table.Prefix), Limit: pageSize, Revision: revision}
+// read reads the keys with a prefix at a revision; 0 is the newest. Errors are
+// the store's.
+func (o *Operations) read(ctx context.Context, prefix string, revision int64) (*Snapshot, error) {
+	request := store.RangeRequest{Span: store.Prefix(prefix), Limit: pageSize, Revision: revision}
 	kvs, at, err := store.ReadAll(ctx, o.config.Store, request)
 	if err != nil {
 		return nil, err
@@ -139,9 +145,7 @@
 		s.keys[kv.Key] = kv
 		entry := message.TableEntry{Key: kv.Key, Value: kv.Value, Revision: kv.ModRevision}
 		entries = append(entries, entry)
-		if decoded, err := table.DecodeEntry(entry); err == nil && decoded.Meta != nil {
-			s.shards[decoded.Service] = decoded.Meta.Shards
-		}
+		s.noteShards(entry)
 	}
 	replica := table.NewReplica()
 	_, s.Rejected = replica.Merge(entries)
@@ -156,6 +160,17 @@
 	return s, nil
 }
 
+// noteShards keeps the number of shards that a valid meta entry states.
+func (s *Snapshot) noteShards(entry message.TableEntry) {
+	service, number, err := table.ParseKey(entry.Key)
+	if err != nil || number != table.MetaShard {
+		return
+	}
+	if decoded, err := table.DecodeEntry(entry); err == nil && decoded.Meta != nil {
+		s.shards[service] = decoded.Meta.Shards
+	}
+}
+
 // Plan is a change that was checked against the table in the store.
 type Plan struct {
 	Base     sheet.Sheet // the table that the operator edited
@@ -164,6 +179,7 @@
 	Merged   sheet.Sheet // the table after the change
 	Changes  []sheet.CellChange
 	services map[string]*table.Service // of Merged
+	prefix   string                    // of the keys that the sheets hold
 }
 
 // Plan checks an edited sheet, merges it with the changes that others made since
@@ -175,12 +191,12 @@
 	if faults := mine.Validate(); len(faults) > 0 {
 		return nil, fmt.Errorf("%w: %w", ErrInvalid, &sheet.InvalidError{Faults: faults})
 	}
-	p := &Plan{Mine: mine}
+	p := &Plan{Mine: mine, prefix: table.Prefix}
 	switch {
 	case base != nil:
 		p.Base = *base
 	case mine.Revision > 0:
-		snapshot, err := o.read(ctx, mine.Revision)
+		snapshot, err := o.read(ctx, table.Prefix, mine.Revision)
 		if errors.Is(err, store.ErrCompacted) {
 			return nil, fmt.Errorf("revision %d: %w: %w", mine.Revision, ErrBaseGone, err)
 		}
@@ -192,13 +208,41 @@
 	return o.replan(ctx, p)
 }
 
+// PlanCell plans the change of one cell. Unless the cell is an address, which no
+// other target may have, it reads the keys of the cell's service only. It returns
+// ErrInvalid, ErrUnavailable or ErrStore.
+func (o *Operations) PlanCell(ctx context.Context, cell sheet.Cell, value string) (*Plan, error) {
+	if err := table.CheckName(cell.Service); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	prefix := table.Prefix + cell.Service + "/"
+	if cell.Column == sheet.ColumnAddress {
+		prefix = table.Prefix
+	}
+	current, err := o.export(ctx, prefix)
+	if err != nil {
+		return nil, err
+	}
+	mine, err := current.Sheet.Set(cell, value)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	p := &Plan{Base: current.Sheet, Mine: mine, prefix: prefix}
+	return p.onto(current)
+}
+
 // replan reads the table in the store and computes the change anew.
 func (o *Operations) replan(ctx context.Context, old *Plan) (*Plan, error) {
-	current, err := o.Export(ctx)
+	current, err := o.export(ctx, old.prefix)
 	if err != nil {
 		return nil, err
 	}
-	p := &Plan{Base: old.Base, Mine: old.Mine, Current: current}
+	return old.onto(current)
+}
+
+// onto computes the change to a newer table.
+func (old *Plan) onto(current *Snapshot) (*Plan, error) {
+	p := &Plan{Base: old.Base, Mine: old.Mine, Current: current, prefix: old.prefix}
 	merged, conflicts := sheet.Merge(p.Base, current.Sheet, p.Mine)
 	if len(conflicts) > 0 {
 		return nil, &ConflictError{Conflicts: conflicts}
