Choose shard counts with room to grow

Cause: with full shards the next few targets changed the number of shards, which rewrites all keys of the service in one transaction.

Change: a new count above one shard has 500 rows a shard on average and stays until a shard overflows or a quarter would do.

Result: go test -race ./ops ./decide/table passes: a service of 12,500 targets (25 shards) grows without a new count, one of 900 targets is resharded in one transaction, and a growth that is too large for one transaction changes nothing.

--- a/decide/table/key.go
+++ b/decide/table/key.go
@@ -15,6 +15,9 @@
 	MetaShard = -1
 	// MaxShardRows is the largest number of targets in one shard.
 	MaxShardRows = 1000
+	// roomyShardRows is the mean number of rows in the shards of a new count, so
+	// that a service can about double before its count changes again.
+	roomyShardRows = 500
 	// MaxShards is the largest number of shards of one service.
 	MaxShards = 256
 	// maxName is the longest name, in bytes.
@@ -87,23 +90,28 @@
 }
 
 // ShardCount returns the number of shards for targets. It keeps current, unless
-// a shard would then hold more than MaxShardRows rows or the shards could be
-// four times fewer; resharding rewrites all keys of the service. It returns
+// a shard would then hold more than MaxShardRows rows or a new count would be
+// four times smaller; a new count rewrites all keys of the service. It returns
 // ErrOutOfRange when MaxShards shards don't suffice.
 func ShardCount(targets []Target, current int) (int, error) {
-	least, err := leastShards(targets)
+	fresh, err := freshCount(targets)
 	if err != nil {
 		return 0, err
 	}
-	if current > least && current <= MaxShards && current < 4*least && fits(targets, current) {
+	if current > 0 && current <= MaxShards && current < 4*fresh && fits(targets, current) {
 		return current, nil
 	}
-	return least, nil
+	return fresh, nil
 }
 
-func leastShards(targets []Target) (int, error) {
-	least := max(1, (len(targets)+MaxShardRows-1)/MaxShardRows)
-	for count := least; count <= MaxShards; count++ {
+// freshCount returns a number of shards with room to grow.
+func freshCount(targets []Target) (int, error) {
+	rows := roomyShardRows
+	if len(targets) <= MaxShardRows {
+		rows = MaxShardRows
+	}
+	first := min(MaxShards, max(1, (len(targets)+rows-1)/rows))
+	for count := first; count <= MaxShards; count++ {
 		if fits(targets, count) {
 			return count, nil
 		}
--- a/decide/table/table_test.go
+++ b/decide/table/table_test.go
@@ -173,15 +173,19 @@
 // Guards against a shard count that overflows a shard or changes needlessly.
 func TestShardCount(t *testing.T) {
 	is := is.New(t)
-	for _, n := range []int{0, 1, 1000, 1001, 10_000} {
-		targets := makeService("s", "t", n).Targets
-		count, err := ShardCount(targets, 1)
+	cases := []struct{ targets, current, want int }{
+		{0, 0, 1}, {1, 0, 1}, {1000, 0, 1}, {1000, 1, 1}, {1001, 1, 3}, {1001, 3, 3}, {1000, 3, 3}, {1000, 4, 1},
+		{10_000, 0, 20}, {18_000, 20, 20}, {21_000, 20, 42}, {10_000, 79, 79}, {10_000, 80, 20},
+	}
+	for _, c := range cases {
+		targets := makeService("s", "t", c.targets).Targets
+		count, err := ShardCount(targets, c.current)
 		is.NoErr(err)
+		is.Equal(count, c.want)
 		is.True(fits(targets, count))
-		again, err := ShardCount(targets, count+1)
-		is.NoErr(err)
-		is.True(again >= count && fits(targets, again))
 	}
+	_, err := ShardCount(makeService("s", "t", MaxShards*MaxShardRows).Targets, 0)
+	is.True(errors.Is(err, ErrOutOfRange))
 }
 
 // history draws revisions of a few services, including deletions and resharding.
--- a/ops/ops_test.go
+++ b/ops/ops_test.go
@@ -310,6 +310,16 @@
 	r.True(errors.Is(err, ErrInvalid))
 }
 
+// Guards against a file without a revision that removes or overwrites rows.
+func TestFileWithoutRevisionOnlyAdds(t *testing.T) {
+	r := newRig(t, standin.Options{})
+	text := strings.Replace(example, "live,t2,b,10.0.0.2:7300,10.0.0.2:7301,2,3,active\n", "live,t3,b,10.0.0.4:7300,10.0.0.4:7301,4,3,active\n", 1)
+	r.apply(r.ops, r.parse(text))
+	r.Equal(r.weights(), "1 2 4")
+	_, err := r.try(r.ops, r.parse(strings.Replace(example, "7301,2,3", "7301,5,3", 1)))
+	r.True(errors.Is(err, ErrConflict))
+}
+
 // Guards against a rate limit that ends a change although waiting would do.
 func TestRateLimitIsWaitedFor(t *testing.T) {
 	r := newRig(t, standin.Options{WritesPerSecond: 2, ReadsPerSecond: 1000})
@@ -325,6 +335,9 @@
 // bigService returns the example with n more targets in a service of its own.
 func bigService(r *rig, n int) sheet.Sheet {
 	s := r.parse(example)
+	if n == 0 {
+		return s
+	}
 	s.Kinds = append(s.Kinds, sheet.KindRow{Service: "big", Address: "192.0.2.9:7000", Kind: "k", Urgency: "bulk", Share: "1"})
 	for i := range n {
 		addr := fmt.Sprintf("10.%d.%d.%d", 1+i>>16, i>>8&0xff, i&0xff)
@@ -340,34 +353,38 @@
 // and against a half-written reshard.
 func TestLargeServices(t *testing.T) {
 	r := newRig(t, standin.Options{WritesPerSecond: -1, ReadsPerSecond: -1})
-	first := r.apply(r.ops, bigService(r, 10_000))
-	r.True(first.Parts > 1) // the audit record of 10,000 new rows needs room too
-	snapshot, err := r.ops.Export(t.Context())
-	r.NoErr(err)
-	r.Equal(len(snapshot.services["big"].Targets), 10_000)
-	r.Equal(len(snapshot.Rejected), 0)
-
-	grown := bigService(r, 12_500)
-	grown.Revision = snapshot.Revision
-	r.Equal(r.apply(r.ops, grown).Parts, 1) // to more shards in one transaction
-	snapshot, err = r.ops.Export(t.Context())
-	r.NoErr(err)
-	r.Equal(len(snapshot.services["big"].Targets), 12_500)
-	r.True(snapshot.shards["big"] > 12)
-
-	before := r.engine.Revision()
-	tooBig := bigService(r, 30_000)
-	tooBig.Revision = snapshot.Revision
-	_, err = r.try(r.ops, tooBig)
-	r.True(errors.Is(err, ErrTooLarge))
-	r.Equal(r.engine.Revision(), before)
-
-	removed := r.parse(example)
-	removed.Revision = snapshot.Revision
-	r.apply(r.ops, removed)
-	snapshot, err = r.ops.Export(t.Context())
-	r.NoErr(err)
-	r.Equal(len(snapshot.keys), 4)
+	for _, step := range []struct {
+		name            string
+		targets, shards int
+		many            bool // more than one transaction
+		err             error
+	}{
+		{"new", 900, 1, false, nil},
+		{"resharded at once", 1500, 3, false, nil},
+		{"too much to reshard at once", 12_500, 3, false, ErrTooLarge},
+		{"removed", 0, 0, false, nil},
+		{"new and large", 12_500, 25, true, nil},
+		{"grown", 13_000, 25, false, nil},
+	} {
+		mine := bigService(r, step.targets)
+		mine.Revision = r.exported.Revision
+		before := r.engine.Revision()
+		result, err := r.try(r.ops, mine)
+		r.True(errors.Is(err, step.err))
+		snapshot, exportErr := r.ops.Export(t.Context())
+		r.NoErr(exportErr)
+		r.exported = snapshot.Sheet
+		r.Equal(len(snapshot.Rejected), 0)
+		r.Equal(snapshot.shards["big"], step.shards)
+		if step.err != nil {
+			r.Equal(r.engine.Revision(), before)
+			continue
+		}
+		r.NoErr(err)
+		r.Equal(result.Parts > 1, step.many)
+		r.Equal(len(snapshot.Sheet.Targets), 3+step.targets)
+		r.Equal(len(snapshot.keys), 4+min(1, step.shards)+step.shards)
+	}
 }
 
 // Guards against a value above the store's limit that is retried or half made.
