End the wait for a handover when the VM is settled

Cause: a VM that became the owner by order just before it was settled waited 3 s more from that moment, although every earlier owner had heard of it. Check-ins to the target then waited 5.5 s and reached their deadline. Ruled out: detection of the crash (2.5 s) and the caller's back-off (at most 2 s after the takeover). Change: the wait ends when the VM is settled.

--- a/decide/ownership/phase.go
+++ b/decide/ownership/phase.go
@@ -135,7 +135,7 @@
 		return m.stopWaiting(now, v)
 	}
 	waited := now - m.since
-	ready := v.Alone || waited >= LeaveWait || (!v.EarlierLeaving && waited >= JoinWait)
+	ready := v.Alone || waited >= LeaveWait || (!v.EarlierLeaving && v.Settled)
 	if !ready {
 		return None
 	}
--- a/decide/ownership/phase_test.go
+++ b/decide/ownership/phase_test.go
@@ -52,6 +52,11 @@
 		{"a VM that is alone does not wait", []step{
 			{at: 0, view: View{Self: self, Owner: self, Alone: true}, action: Activate, phase: Active},
 		}},
+		{"a wait that began late ends when the VM is settled", []step{
+			{at: 0, view: View{Self: self, Owner: other}, phase: Idle},
+			{at: JoinWait - 1, view: View{Self: self, Owner: self}, phase: Waiting},
+			{at: JoinWait, view: settled(self), action: Activate, phase: Active},
+		}},
 		{"the successor of a leaving VM waits longer", []step{
 			{at: 0, view: View{Self: self, Owner: self, Settled: true, EarlierLeaving: true}, phase: Waiting},
 			{at: JoinWait, view: View{Self: self, Owner: self, Settled: true, EarlierLeaving: true}, phase: Waiting},
--- a/lab/fleet/faults_test.go
+++ b/lab/fleet/faults_test.go
@@ -1,12 +1,49 @@
 package fleet
 
 import (
+	"errors"
+	"fmt"
 	"testing"
 	"time"
 
+	"github.com/gypsumspan/gypsumspan/caller/session"
 	"github.com/gypsumspan/gypsumspan/decide/table"
 )
 
+// Guards against an outage longer than a check-in waits. Six VMs are killed in turn,
+// each replaced at once, so that a new VM is often the successor.
+func TestKilledVMsAreReplacedWithinTheDeadline(t *testing.T) {
+	f := New(wales(5))
+	spec := tracking(14)
+	f.AddService(spec)
+	f.StartVMs(15)
+	f.Advance(6 * time.Second)
+	l := f.NewLoad(spec, 400)
+	f.Advance(time.Second)
+	for i := range 6 {
+		f.runCheckins(l, 5*time.Second)
+		f.KillVM(fmt.Sprintf("vm%02d", i+1))
+		f.StartVM(fmt.Sprintf("vm%02dn", i+1), f.options.Domains[i%3])
+		f.runCheckins(l, 5*time.Second)
+	}
+	f.Drain(10 * time.Second)
+	check(t, f)
+	ok, failed := failures(f)
+	t.Logf("%d calls answered, failed: %v, broken flows: %d", ok, failed, f.Broken())
+	for _, r := range f.Oracle().Results() {
+		if errors.Is(r.Err, session.ErrDeadline) {
+			t.Errorf("a call that started at %v waited longer than %v", r.Started, spec.Kinds[0].Timeout)
+		}
+	}
+}
+
+func (f *Fleet) runCheckins(l *Load, d time.Duration) {
+	for end := f.Now() + d; f.Now() < end; {
+		l.Send(0)
+		f.Advance(1250 * time.Microsecond)
+	}
+}
+
 // planned faults must break no flow and fail no call. After crashes only calls in
 // flight may fail, and only as "may have run".
 func TestFaultsUnderTraffic(t *testing.T) {
