Refresh a binding that is older than 200 ms before a check-in

Cause: a non-idempotent request that bears the epoch of a crashed owner must be answered may-have-run, also when it never arrived there. With refreshes from 1 s on, every check-in of the second before the crash was detected as such, and those of flows that send more often than once a second. Ruled out: shorter detection; it trades against false alarms under pauses. Change: the default age falls from 1 s to 200 ms, at the cost of one round trip (2 to 6 ms) for flows that send less often.

--- a/caller/session/config.go
+++ b/caller/session/config.go
@@ -12,8 +12,9 @@
 	// DefaultMaxRTO bounds the exponential back-off.
 	DefaultMaxRTO = 2 * time.Second
 	// DefaultIdleRefresh is the age from which a binding is refreshed before a
-	// non-idempotent request.
-	DefaultIdleRefresh = time.Second
+	// non-idempotent request. A request that is sent to an owner that crashed
+	// since then ends as "may have run", so the age bounds that window.
+	DefaultIdleRefresh = 200 * time.Millisecond
 	// DefaultRetransmitRate is the number of retransmitted datagrams per second
 	// for each kind of a service.
 	DefaultRetransmitRate = 500
