Free the slot of a request that the target stopped after a cancellation

Cause: a target that stopped cancelled work sent nothing, so the slot stayed in use until the request's deadline and then counted as a time-out against the target's health. Change: Shed says whether the request had started; the stand-in confirms a cancellation with it, the owner frees the slot, and a cancelled request never counts against health. Result: go test ./decide/vm -run Cancelled passes; it fails without the change because the second request is not dispatched.

--- a/decide/message/message.go
+++ b/decide/message/message.go
@@ -225,12 +225,14 @@
 	Flow   FlowID
 }
 
-// Shed is a target's refusal of a request that it did not start.
+// Shed is a target's refusal of a request that it did not start, or its word
+// that it stopped a request after TargetCancel. It sends no further answer.
 type Shed struct {
 	Target  TargetID
 	Flow    FlowID
 	ID      RequestID
 	Attempt uint32
+	Started bool // the request was running when it was stopped
 }
 
 // TargetReport is what a target's health and load endpoints say, or that they
--- a/decide/vm/answers.go
+++ b/decide/vm/answers.go
@@ -115,21 +115,45 @@
 func (v *VM) shed(t *target, m *message.Shed) {
 	key := message.RequestKey{Flow: m.Flow, ID: m.ID}
 	p := t.pending[key]
-	if p == nil || !p.dispatched || !t.log.Withdraw(v.now, key, m.Attempt) {
+	if p == nil || !p.dispatched || p.attempt != m.Attempt {
+		return
+	}
+	if m.Started {
+		v.stopped(t, p)
+		return
+	}
+	if !t.log.Withdraw(v.now, key, m.Attempt) {
 		return
 	}
 	t.queue.Release(key)
-	t.health.Outcome(v.now, health.Shed)
+	if !p.cancelled {
+		t.health.Outcome(v.now, health.Shed)
+	}
 	v.counters.Shed++
 	v.refuse(t, p, message.CauseTargetLost, shedRetry)
 	v.setLimit(t)
 }
 
+// stopped ends a request that the target has stopped after a cancellation. The
+// caller has given it up, so it gets no answer.
+func (v *VM) stopped(t *target, p *pending) {
+	t.log.Lapse(v.now, p.key)
+	delete(t.pending, p.key)
+	delete(v.inFlight, p.key)
+	t.queue.Release(p.key)
+	v.pump(t)
+}
+
 // lapse ends a dispatched request whose deadline passed without a whole answer.
 func (v *VM) lapse(t *target, key message.RequestKey) {
+	p := t.pending[key]
 	t.log.Lapse(v.now, key)
 	delete(t.pending, key)
 	delete(v.inFlight, key)
+	if p != nil && p.cancelled {
+		// A target that stops cancelled work without a word is not unhealthy.
+		return
+	}
 	t.health.Outcome(v.now, health.Timeout)
 	v.counters.Lapsed++
 }
--- a/decide/vm/requests.go
+++ b/decide/vm/requests.go
@@ -295,6 +295,7 @@
 		return
 	}
 	if p.dispatched {
+		p.cancelled = true
 		v.send(message.TargetAddress(t.id, t.row.Addr), &message.TargetCancel{Target: t.id, Flow: m.Flow, ID: m.ID})
 		return
 	}
--- a/decide/vm/target.go
+++ b/decide/vm/target.go
@@ -62,6 +62,7 @@
 	missing    int           // parts that have not arrived
 	dispatched bool          // sent to the target
 	sentAt     time.Duration // when it was dispatched
+	cancelled  bool          // by the caller, while at the target
 }
 
 // waits reports whether the request is neither in the queue nor at the target:
--- a/decide/vm/vm_test.go
+++ b/decide/vm/vm_test.go
@@ -307,3 +307,16 @@
 	b.expectRefusal(b.receive(message.VMAddress(5, callerAddr), forward), message.Busy, message.CauseNoTarget)
 	b.expectDispatch(b.call(b.request(1, binding)))
 }
+
+// Guards against a slot that a cancelled request keeps until its deadline.
+func TestCancelledRequestFreesItsSlot(t *testing.T) {
+	b := newBench(t)
+	binding := b.open("a")
+	b.expectDispatch(b.call(b.request(1, binding)))
+	b.call(b.request(2, binding))
+	b.call(&message.Cancel{Service: message.ServiceIDOf("a"), Flow: flow, ID: 1, Binding: binding})
+	stopped := &message.Shed{Target: binding.Target, Flow: flow, ID: 1, Attempt: 1, Started: true}
+	d := b.expectDispatch(b.receive(message.TargetAddress(binding.Target, targetAddrs[0]), stopped))
+	b.is.Equal(d.ID, message.RequestID(2))
+	b.expectRefusal(b.call(b.request(1, binding)), message.MayHaveRun, message.CauseLogEvicted)
+}
--- a/standin/target/machine.go
+++ b/standin/target/machine.go
@@ -150,7 +150,7 @@
 		m.seen[key] = from
 	}
 	if !m.accepts(now, d) {
-		m.shed(j)
+		m.shed(j, false)
 		return
 	}
 	m.flows[d.Flow] = struct{}{}
@@ -259,7 +259,7 @@
 			return false
 		}
 		m.stats.TooLate++
-		m.shed(j)
+		m.shed(j, false)
 		return true
 	})
 }
@@ -303,14 +303,14 @@
 	}
 }
 
-func (m *Machine) shed(j *job) {
+func (m *Machine) shed(j *job, started bool) {
 	m.stats.Shed++
 	m.send(j.owner, &message.Shed{
-		Target: m.config.ID, Flow: j.key.request.Flow, ID: j.key.request.ID, Attempt: j.key.attempt,
+		Target: m.config.ID, Flow: j.key.request.Flow, ID: j.key.request.ID, Attempt: j.key.attempt, Started: started,
 	})
 }
 
-// cancel sheds waiting work and stops running work without an answer.
+// cancel sheds waiting work and stops running work, which gets no answer.
 func (m *Machine) cancel(c *message.TargetCancel) {
 	key := message.RequestKey{Flow: c.Flow, ID: c.ID}
 	m.waiting = slices.DeleteFunc(m.waiting, func(j *job) bool {
@@ -318,7 +318,7 @@
 			return false
 		}
 		m.stats.Cancelled++
-		m.shed(j)
+		m.shed(j, false)
 		return true
 	})
 	m.running = slices.DeleteFunc(m.running, func(j *job) bool {
@@ -326,6 +326,7 @@
 			return false
 		}
 		m.stats.Cancelled++
+		m.shed(j, true)
 		return true
 	})
 }
--- a/wire/datagram.go
+++ b/wire/datagram.go
@@ -239,6 +239,7 @@
 		Flow:    flowToPB(m.Flow),
 		Id:      uint64(m.ID),
 		Attempt: m.Attempt,
+		Started: m.Started,
 	}
 }
 
@@ -248,6 +249,7 @@
 		Flow:    flowFromPB(p.GetFlow()),
 		ID:      message.RequestID(p.GetId()),
 		Attempt: p.GetAttempt(),
+		Started: p.GetStarted(),
 	}
 }
 
