--- a/decide/admission/kind.go
+++ b/decide/admission/kind.go
@@ -44,7 +44,7 @@
 	demand   meter         // of offered work
 	served   meter         // of dispatched work
 	offered  bool          // an item was offered at demand.at
-	budget   float64       // moving average of the time until the deadline, in seconds
+	budget   float64       // longest time until the deadline, fading, in seconds
 	closed   bool
 }
 
@@ -88,14 +88,20 @@
 	return k.service / k.share
 }
 
-// offer counts an offered item, served or not.
+// offer counts an offered item, served or not. budget is the time until its
+// deadline.
 func (k *kind) offer(now, budget time.Duration) {
+	k.expectBudget(now, budget)
 	k.demand.add(now, k.service)
-	if !k.offered {
-		k.budget = budget.Seconds()
-	}
 	k.offered = true
-	k.budget += (budget.Seconds() - k.budget) * averageWeight
+}
+
+// expectBudget keeps the longest recent budget. An average would let one caller
+// close the kind for all others by sending many requests with short deadlines.
+func (k *kind) expectBudget(now, budget time.Duration) {
+	age := now - k.demand.at
+	faded := k.budget * math.Exp(-float64(age)/float64(recentDemand))
+	k.budget = max(faded, budget.Seconds())
 }
 
 // meter measures work as an average number of busy slots over meterWindow, with
--- a/decide/admission/pressure.go
+++ b/decide/admission/pressure.go
@@ -29,7 +29,7 @@
 // ClosedFor returns how long ingress VMs shall refuse new requests of a kind, or
 // 0 if the kind is open. A kind closes when its items would be refused: the
 // queue is nearly full and the kind is over its share of it, or the wait exceeds
-// the time that its callers usually give. It opens again at half of both. A
+// the longest time that its callers gave recently. It opens again at half of both. A
 // queue filled by one or two callers does not close the kind, since the ingress
 // VMs would refuse all of its callers, while Offer refuses only these.
 func (q *Queue) ClosedFor(now time.Duration, id message.KindID) time.Duration {
