Detect a crashed target by silence and unreached health checks

Ruled out: health checks alone; they lag and lie. Change: a check that does not reach the target counts as an unreachable outcome when the target has also answered nothing for 1 s with requests in flight. An isolated VM does not call its targets lost, and a target that must stay in service is told so. A shorter LostAfter would end flows of targets that only stall.

--- a/decide/vm/answers.go
+++ b/decide/vm/answers.go
@@ -85,6 +85,7 @@
 		return
 	}
 	t.reached = true
+	t.answered = v.now
 	complete := t.log.RecordPart(v.now, p.key, m.Attempt, m)
 	v.sendAnswer(t, p.caller, m)
 	if !complete {
@@ -177,18 +178,44 @@
 		return
 	}
 	t.reached = t.reached || m.Reached
+	if !m.Reached && v.silent(t) {
+		t.health.Outcome(v.now, health.Unreachable)
+	}
 	t.health.Report(v.now, m)
 }
 
+// silentAfter is the time without an answer after which a target with requests in
+// flight counts as silent. Their deadlines would tell only seconds later.
+const silentAfter = time.Second
+
+// silent reports whether a target has answered nothing for a while although it
+// has requests in flight.
+func (v *VM) silent(t *target) bool {
+	if v.now-t.answered < silentAfter {
+		return false
+	}
+	for _, p := range t.pending {
+		if p.dispatched && v.now-p.sentAt >= silentAfter {
+			return true
+		}
+	}
+	return false
+}
+
 // tickHealth follows the target's health.
 func (v *VM) tickHealth(t *target) {
 	switch t.health.State(v.now) {
 	case health.Lost:
+		if v.members.Isolated(v.now) {
+			// This VM is cut off, not the target that has crashed.
+			return
+		}
 		v.loseTarget(t)
 	case health.Ejected:
 		v.eject(t)
 	default:
 		t.ejected = false
+		t.health.Retain(false)
 	}
 }
 
@@ -208,7 +235,9 @@
 			out++
 		}
 	}
-	if health.MayEject(activeTargets(s), out) {
+	allowed := health.MayEject(activeTargets(s), out)
+	t.health.Retain(!allowed)
+	if allowed {
 		t.ejected = true
 		v.counters.Ejections++
 		v.trace.add(v, decision{action: actionEject, target: t.id})
--- a/decide/vm/target.go
+++ b/decide/vm/target.go
@@ -30,16 +30,17 @@
 	// first activation.
 	epochs []message.Epoch
 	// lost are epochs under which the target crashed and lost its flows.
-	lost    []message.Epoch
-	flows   *flowtable.Table
-	log     *requestlog.Log
-	queue   *admission.Queue
-	health  *health.Tracker
-	reached bool // the target has answered a health check or a request
-	ejected bool // out of service for health
-	pending map[message.RequestKey]*pending
-	moved   map[message.FlowID]movedFlow // flows that now belong to other targets
-	moving  map[message.FlowID]*move
+	lost     []message.Epoch
+	flows    *flowtable.Table
+	log      *requestlog.Log
+	queue    *admission.Queue
+	health   *health.Tracker
+	reached  bool          // the target has answered a health check or a request
+	answered time.Duration // last answer to a request
+	ejected  bool          // out of service for health
+	pending  map[message.RequestKey]*pending
+	moved    map[message.FlowID]movedFlow // flows that now belong to other targets
+	moving   map[message.FlowID]*move
 
 	incoming *incoming // handover that is being received
 	outgoing *outgoing // handover that is being sent
--- a/lab/fleet/faults_test.go
+++ b/lab/fleet/faults_test.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/caller/session"
+	"github.com/gypsumspan/gypsumspan/decide/message"
 	"github.com/gypsumspan/gypsumspan/decide/table"
+	"github.com/gypsumspan/gypsumspan/standin/target"
 )
 
 // Guards against an outage longer than a check-in waits. Six VMs are killed in turn,
@@ -130,3 +132,44 @@
 		})
 	}
 }
+
+// Guards against flows of other targets that break, and against requests that run
+// twice, when a target crashes and starts again.
+func TestTargetCrashBreaksItsOwnFlowsOnly(t *testing.T) {
+	f := New(wales(11))
+	spec := tracking(14)
+	f.AddService(spec)
+	f.StartVMs(15)
+	f.Advance(6 * time.Second)
+	l := f.NewLoad(spec, 400)
+	f.runCheckins(l, 3*time.Second)
+	owner, name := f.busiestOwner("tracking")
+	flows := f.Machine(owner).Flows(message.TargetIDOf("tracking", name))
+	down, up := true, false
+	f.Target("tracking", name).Control(target.Control{Crash: &down})
+	f.runCheckins(l, 8*time.Second)
+	f.Target("tracking", name).Control(target.Control{Crash: &up})
+	f.runCheckins(l, 20*time.Second)
+	before := f.Oracle().failedAfter(f.Now() - 5*time.Second)
+	f.Drain(10 * time.Second)
+	check(t, f)
+	ok, failed := failures(f)
+	t.Logf("%d calls answered, failed: %v, broken flows: %d of %d at the target", ok, failed, f.Broken(), flows)
+	if f.Broken() > uint64(flows) {
+		t.Errorf("%d flows broke, but the target had %d", f.Broken(), flows)
+	}
+	if before > 0 {
+		t.Errorf("%d calls still failed 15 s after the target was back", before)
+	}
+}
+
+// failedAfter returns the number of calls that started after a time and failed.
+func (o *Oracle) failedAfter(start time.Duration) int {
+	n := 0
+	for _, r := range o.results {
+		if r.Err != nil && r.Started > start {
+			n++
+		}
+	}
+	return n
+}
