Add the measures as experiments on stepped fleets

Cause: the three main measures, the time of table changes and control traffic had no tool that reports them against their bounds. Change: lab/measure runs fleets of lab/fleet at the sizes of both sites; gypsumlab measure prints the figures and fails when a bound is missed. The fleet can add targets, remove rows and delay the store's watch.

--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -36,25 +36,27 @@
 
 // Fleet is a running fleet.
 type Fleet struct {
-	options   Options
-	rng       *rand.Rand
-	stepper   *kernel.Stepper
-	net       *network
-	vms       map[string]*vmNode
-	order     []string // names of running VMs, sorted
-	targets   map[message.TargetID]*Target
-	callers   []*Caller
-	list      vmList
-	fabric    []fabricEntry
-	entries   []message.TableEntry // the store's content
-	services  map[string]*table.Service
-	revision  int64
-	storeDown bool
-	disturbed time.Duration // last time a fault began or ended
-	payloads  uint64
-	starts    uint64
-	addresses int
-	oracle    *Oracle
+	options    Options
+	rng        *rand.Rand
+	stepper    *kernel.Stepper
+	net        *network
+	vms        map[string]*vmNode
+	order      []string // names of running VMs, sorted
+	targets    map[message.TargetID]*Target
+	callers    []*Caller
+	list       vmList
+	fabric     []fabricEntry
+	entries    []message.TableEntry // the store's content
+	services   map[string]*table.Service
+	revision   int64
+	storeDown  bool
+	storeDelay time.Duration
+	saved      map[int64]time.Duration // when each revision was saved
+	disturbed  time.Duration           // last time a fault began or ended
+	payloads   uint64
+	starts     uint64
+	addresses  int
+	oracle     *Oracle
 }
 
 // fabricEntry is a VM that the fabric sprays to.
@@ -72,6 +74,7 @@
 		vms:      make(map[string]*vmNode),
 		targets:  make(map[message.TargetID]*Target),
 		services: make(map[string]*table.Service),
+		saved:    make(map[int64]time.Duration),
 	}
 	f.oracle = newOracle(f)
 	f.net = newNetwork(&f.options, rand.New(rand.NewPCG(o.Seed, 2)))
@@ -261,6 +264,7 @@
 	entries, err := table.EncodeService(&s, 1)
 	f.must(err)
 	f.revision++
+	f.saved[f.revision] = f.Now()
 	for _, e := range entries {
 		e.Revision = f.revision
 		f.entries = slices.DeleteFunc(f.entries, func(old message.TableEntry) bool { return old.Key == e.Key })
--- a/lab/fleet/vmnode.go
+++ b/lab/fleet/vmnode.go
@@ -87,7 +87,7 @@
 	}
 	var entries []message.TableEntry
 	for _, e := range f.entries {
-		if uint64(e.Revision) > machine.TableVersion() {
+		if uint64(e.Revision) > machine.TableVersion() && f.visible(e.Revision) {
 			entries = append(entries, e)
 		}
 	}
--- /dev/null
+++ b/lab/measure/baselines.go
@@ -0,0 +1,7 @@
+package measure
+
+func placementBaselines(*run) {}
+
+func placementImbalance(*run, Site, int) {}
+
+func admissionBaselines(*run, Site, int) {}
--- /dev/null
+++ b/lab/measure/measure.go
@@ -0,0 +1,122 @@
+// Package measure runs the experiments behind the project's measures: broken
+// flows, imbalance, the effect of floods, the time of table changes and control
+// traffic. Every experiment runs fleets of lab/fleet under a virtual clock, so a
+// run depends only on its seed, site and scale. Each case has a fleet of its own.
+//
+// Baselines of lab/measure/baseline run with the same seed.
+package measure
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+)
+
+// Errors of this package.
+var (
+	// ErrOption means that an option or the name of an experiment is not valid.
+	ErrOption = errors.New("invalid option")
+	// ErrBound means that a figure missed its bound or a promise was broken.
+	ErrBound = errors.New("a bound was missed")
+)
+
+// Options select what Run runs.
+type Options struct {
+	Site Site
+	Seed uint64
+	// Scale is the part of the flows a target. In the flood experiment it is the
+	// part of the targets and VMs instead, since a flood must fill every slot.
+	Scale       float64
+	Experiments []string // empty: all
+	// Progress is called before each case; nil: not called.
+	Progress func(experiment, name string)
+}
+
+// experiment is one named experiment.
+type experiment struct {
+	name string
+	run  func(r *run)
+}
+
+// experiments returns all experiments in the order of a whole run.
+func experiments() []experiment {
+	return []experiment{
+		{name: "broken", run: brokenFlows},
+		{name: "imbalance", run: imbalance},
+		{name: "flood", run: floods},
+		{name: "table", run: tableTimes},
+		{name: "control", run: controlTraffic},
+	}
+}
+
+// Experiments returns the names of all experiments.
+func Experiments() []string {
+	var names []string
+	for _, e := range experiments() {
+		names = append(names, e.name)
+	}
+	return names
+}
+
+// run is one run of experiments with its figures so far.
+type run struct {
+	Options
+	report     *Report
+	experiment string
+	name       string // of the case
+}
+
+// Run runs experiments and returns their figures. It returns ErrOption, or
+// ErrBound together with the report.
+func Run(o Options) (*Report, error) {
+	if o.Scale <= 0 || o.Scale > 1 {
+		return nil, fmt.Errorf("scale %g is not above 0 and at most 1: %w", o.Scale, ErrOption)
+	}
+	for _, name := range o.Experiments {
+		if !slices.Contains(Experiments(), name) {
+			return nil, fmt.Errorf("experiment %q is none of %v: %w", name, Experiments(), ErrOption)
+		}
+	}
+	r := &run{Options: o, report: &Report{Site: o.Site.Name, Seed: o.Seed, Scale: o.Scale}}
+	for _, e := range experiments() {
+		if len(o.Experiments) > 0 && !slices.Contains(o.Experiments, e.name) {
+			continue
+		}
+		r.experiment = e.name
+		e.run(r)
+	}
+	return r.report, r.report.verdict()
+}
+
+// verdict returns ErrBound if a figure missed its bound or a promise was broken.
+func (r *Report) verdict() error {
+	missed := len(r.Missed())
+	if missed == 0 && len(r.Violations) == 0 {
+		return nil
+	}
+	return fmt.Errorf("%d figures, %d violations: %w", missed, len(r.Violations), ErrBound)
+}
+
+// begin starts a case of the experiment.
+func (r *run) begin(name string) {
+	r.name = name
+	if r.Progress != nil {
+		r.Progress(r.experiment, name)
+	}
+}
+
+// add notes a figure of the case.
+func (r *run) add(name string, value float64, unit string, bound *Bound) {
+	r.report.Figures = append(r.report.Figures, Figure{
+		Experiment: r.experiment, Case: r.name, Name: name, Value: value, Unit: unit, Bound: bound,
+	})
+}
+
+// check notes the promises that a fleet has broken, and the figure that counts them.
+func (r *run) check(t *trial) {
+	violations := t.fleet.Oracle().Violations()
+	for _, v := range violations {
+		r.report.Violations = append(r.report.Violations, fmt.Sprintf("%s, %s: %s", r.experiment, r.name, v))
+	}
+	r.add("promises broken", float64(len(violations)), "", atMost(0))
+}
--- /dev/null
+++ b/lab/measure/measure_test.go
@@ -0,0 +1,76 @@
+package measure
+
+import (
+	"errors"
+	"testing"
+)
+
+// small returns a site that runs in seconds, also under the race detector.
+func small() Site {
+	site := Wales().shrink(0.15)
+	site.VMs = 3
+	return site
+}
+
+// Guards against an experiment that no longer runs, or misses a bound at a small
+// size: table changes, work for a leaving target, and the promises of the oracle.
+func TestLeavingTargetGetsNoMoreWork(t *testing.T) {
+	r := &run{Options: Options{Site: small(), Seed: 1, Scale: 0.01}, report: &Report{}}
+	r.lastWork()
+	r.changesInForce(0)
+	if err := r.report.verdict(); err != nil {
+		t.Errorf("%v: %+v %v", err, r.report.Missed(), r.report.Violations)
+	}
+}
+
+// Guards against flows that break, or calls that fail, while targets are replaced.
+func TestReplacedTargetsBreakNoFlow(t *testing.T) {
+	r := &run{Options: Options{Site: small(), Seed: 1, Scale: 0.01}, report: &Report{}}
+	r.brokenByChange(change{name: "every target replaced in turn", planned: true, run: replaceTargets})
+	if err := r.report.verdict(); err != nil {
+		t.Errorf("%v: %+v %v", err, r.report.Missed(), r.report.Violations)
+	}
+}
+
+// Guards against a bound that accepts a missed figure, and a run that hides it.
+func TestMissedBoundIsAnError(t *testing.T) {
+	cases := []struct {
+		bound  *Bound
+		value  float64
+		missed bool
+	}{
+		{atMost(3), 3, false},
+		{atMost(3), 3.1, true},
+		{below(3), 3, true},
+		{below(3), 2.9, false},
+		{atLeast(95), 95, false},
+		{atLeast(95), 94.9, true},
+		{nil, 1e9, false},
+	}
+	for _, c := range cases {
+		r := &Report{Figures: []Figure{{Value: c.value, Bound: c.bound}}}
+		if missed := errors.Is(r.verdict(), ErrBound); missed != c.missed {
+			t.Errorf("%v with bound %v: missed is %v", c.value, c.bound, missed)
+		}
+	}
+	r := &Report{Violations: []string{"a promise"}}
+	if !errors.Is(r.verdict(), ErrBound) {
+		t.Error("a broken promise is not an error")
+	}
+}
+
+// Guards against options that would run nothing, or something else.
+func TestInvalidOptionsAreRefused(t *testing.T) {
+	for _, o := range []Options{
+		{Site: Wales(), Scale: 0},
+		{Site: Wales(), Scale: 2},
+		{Site: Wales(), Scale: 1, Experiments: []string{"nothing"}},
+	} {
+		if _, err := Run(o); !errors.Is(err, ErrOption) {
+			t.Errorf("scale %v, experiments %v: %v", o.Scale, o.Experiments, err)
+		}
+	}
+	if _, err := SiteOf("nowhere"); !errors.Is(err, ErrOption) {
+		t.Errorf("unknown site: %v", err)
+	}
+}
