Find a flow whose earlier targets were all replaced

Cause: a packet that was passed to another target counted two hops, one for the pass and one for the datagram. A flow that was idle while its target and the next ones were replaced used up the six hops along the chain of earlier targets, and its packets were answered busy until their deadline. Change: a pass counts one hop. After three hops a packet of a moved flow goes to the first target of the ranking instead of the next earlier one.

--- a/decide/vm/flows.go
+++ b/decide/vm/flows.go
@@ -90,7 +90,7 @@
 func (v *VM) findFlow(t *target, f *message.Forward) *flowtable.Flow {
 	id := flowOf(f.Inner)
 	if moved, ok := t.moved[id]; ok {
-		v.passToTarget(f, moved.to)
+		v.passToTarget(f, v.placeOfMoved(t, f, moved))
 		return nil
 	}
 	if v.adoptable(t, f) {
@@ -143,11 +143,26 @@
 		v.busy(f, message.CauseUnreachable, busyRetry)
 		return
 	}
-	next := *f
-	next.Target = to
-	next.Hinted = false
-	next.Hops++
-	v.deliver(&next)
+	v.passAlong(f, to)
+}
+
+// maxMoves is the number of hops after which a packet no longer follows a flow
+// from one earlier target to the next. The other hops are left for the search.
+const maxMoves = message.MaxHops / 2
+
+// placeOfMoved returns where to look for a flow that has left a target: at the
+// target it went to or, after several of them, at the first of the ranking. A
+// flow that was idle while many targets were replaced would else use up all hops.
+func (v *VM) placeOfMoved(t *target, f *message.Forward, moved movedFlow) message.TargetID {
+	s := v.table.Service(t.service)
+	if f.Hops < maxMoves || s == nil {
+		return moved.to
+	}
+	first, ok := v.moveTarget(t, s, flowOf(f.Inner))
+	if !ok {
+		return moved.to
+	}
+	return first
 }
 
 func (v *VM) flowUnknown(f *message.Forward, cause message.Cause) {
--- a/decide/vm/ingress.go
+++ b/decide/vm/ingress.go
@@ -273,16 +273,24 @@
 		if s.Targets[r.Index].ID != f.Target || i+1 == len(ranking) {
 			continue
 		}
-		next := *f
-		next.Target = s.Targets[ranking[i+1].Index].ID
-		next.Hinted = false
-		next.Hops++
-		v.deliver(&next)
+		v.passAlong(f, s.Targets[ranking[i+1].Index].ID)
 		return true
 	}
 	return false
 }
 
+// passAlong brings a message to the owner of another target of its service. It counts
+// as one hop, whether or not this VM is that owner.
+func (v *VM) passAlong(f *message.Forward, to message.TargetID) {
+	next := *f
+	next.Target = to
+	next.Hinted = false
+	if owner, ok := v.ownerOf(to, v.domainOf(&next)); ok && owner == v.config.Self.ID {
+		next.Hops++
+	}
+	v.deliver(&next)
+}
+
 // busy answers that this copy of a message was dropped. It is not final.
 func (v *VM) busy(f *message.Forward, cause message.Cause, retryAfter time.Duration) {
 	v.reply(f, message.Refusal{Reason: message.Busy, Cause: cause, RetryAfter: retryAfter})
