Compare new flows with the expected load of other targets

Cause: an owner compared its own flows, which it knows at once, with load reports that are up to a second old. While flows were opened fast, a target that got its share seemed to be above it and passed its flows on, so the shares were lost. Ruled out: the ranking, since renewed flows at 4,300 a target kept the bound. Change: an owner adds to each report the growth since it was made, from the last two reports or from its own growth, whichever is more.

--- a/decide/vm/flows.go
+++ b/decide/vm/flows.go
@@ -184,6 +184,14 @@
 	weight  uint32
 	ejected bool
 	at      time.Duration
+	growth  float64 // flows per second between the last two reports
+}
+
+// expected returns the number of flows at now, if it grows as before or as fast
+// as another target of weight 1 does now, whichever is more.
+func (l *load) expected(now time.Duration, unitGrowth float64) float64 {
+	growth := max(l.growth, unitGrowth*float64(l.weight))
+	return float64(l.flows) + growth*(now-l.at).Seconds()
 }
 
 const (
@@ -206,15 +214,43 @@
 // compared with the service's other targets (bounded loads: Mirrokni, Thorup,
 // Zadimoghaddam, "Consistent hashing with bounded loads", SODA 2018).
 func (v *VM) withinShare(t *target) bool {
-	flows, weight := v.serviceLoad(t)
+	flows, weight := v.expectedLoad(t)
 	if weight == 0 {
 		return true
 	}
-	share := float64(flows+1) * float64(t.row.Weight) / float64(weight)
+	share := (flows + 1) * float64(t.row.Weight) / float64(weight)
 	bound := (share*(1+shareExcess) + shareSlack) * v.coldShare(t)
 	return float64(t.flows.Len()) < bound
 }
 
+// expectedLoad returns the flows and weights of a service's targets now, with the
+// target's own. Reports are up to a second old: compared with them as they are, a
+// target that gets its share of a fast rise would seem to be above it.
+func (v *VM) expectedLoad(t *target) (flows float64, weight uint64) {
+	unitGrowth := v.unitGrowth(t)
+	flows = float64(t.flows.Len())
+	weight = uint64(t.row.Weight)
+	for id, l := range v.loads[t.service] {
+		if id == t.id || l.ejected || v.now-l.at > loadRetention {
+			continue
+		}
+		flows += l.expected(v.now, unitGrowth)
+		weight += uint64(l.weight)
+	}
+	return flows, weight
+}
+
+// unitGrowth returns how many flows per second a target has gained since its own
+// last report, divided by its weight.
+func (v *VM) unitGrowth(t *target) float64 {
+	own, ok := v.loads[t.service][t.id]
+	if !ok || v.now <= own.at || t.row.Weight == 0 {
+		return 0
+	}
+	gained := t.flows.Len() - int(own.flows)
+	return max(0, float64(gained)/(v.now-own.at).Seconds()/float64(t.row.Weight))
+}
+
 // serviceLoad returns the flows and weights of a service's targets as far as
 // they are known, with the target's own.
 func (v *VM) serviceLoad(t *target) (flows, weight uint64) {
@@ -287,5 +323,10 @@
 		loads = make(map[message.TargetID]load)
 		v.loads[m.Service] = loads
 	}
-	loads[m.Target] = load{flows: m.Flows, weight: m.Weight, ejected: m.Ejected, at: v.now}
+	next := load{flows: m.Flows, weight: m.Weight, ejected: m.Ejected, at: v.now}
+	if last, ok := loads[m.Target]; ok && v.now > last.at {
+		gained := float64(m.Flows) - float64(last.flows)
+		next.growth = max(0, gained/(v.now-last.at).Seconds())
+	}
+	loads[m.Target] = next
 }
