Watch the store from gypsumspand

Cause: the daemon had no source of the operators' table; the watch of the store was tested in-process only.

Change: daemon.StoreServices returns storewatch over the HTTP client with the endpoints from the settings, and service tableview, which asks the core duty for the VM's role, table version and keys. Failed calls are event GS5001.

--- a/cmd/gypsumspand/main.go
+++ b/cmd/gypsumspand/main.go
@@ -8,5 +8,8 @@
 )
 
 func main() {
-	os.Exit(daemon.Main(os.Args[1:], daemon.Options{Machine: daemon.NewVM}))
+	os.Exit(daemon.Main(os.Args[1:], daemon.Options{
+		Machine:  daemon.NewVM,
+		Services: daemon.StoreServices,
+	}))
 }
--- a/daemon/machine.go
+++ b/daemon/machine.go
@@ -4,8 +4,13 @@
 	"github.com/gypsumspan/gypsumspan/decide/membership"
 	"github.com/gypsumspan/gypsumspan/decide/vm"
 	"github.com/gypsumspan/gypsumspan/services/core"
+	"github.com/gypsumspan/gypsumspan/services/tableview"
 )
 
+// The watch of the store asks the decisions; a machine without the answers
+// would never become a relay.
+var _ tableview.Machine = (*vm.VM)(nil)
+
 // NewVM is the MachineFactory of the load balancer's decisions.
 func NewVM(c MachineConfig) (core.Machine, error) {
 	config := vm.Config{
--- /dev/null
+++ b/daemon/store_test.go
@@ -0,0 +1,108 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/events"
+	"github.com/gypsumspan/gypsumspan/kernel"
+	standin "github.com/gypsumspan/gypsumspan/standin/store"
+	"github.com/gypsumspan/gypsumspan/store"
+)
+
+// relayMachine is a relay that holds one key, which the store may not know.
+type relayMachine struct {
+	boundMachine
+	entries chan message.TableEntry
+}
+
+func (m *relayMachine) Receive(now time.Duration, in message.Message) []message.Message {
+	if delta, ok := in.Body.(*message.TableDelta); ok {
+		for _, e := range delta.Entries {
+			m.entries <- e
+		}
+	}
+	return m.boundMachine.Receive(now, in)
+}
+func (m *relayMachine) IsRelay() bool        { return true }
+func (m *relayMachine) TableVersion() uint64 { return 1 }
+func (m *relayMachine) TableKeys() []string  { return []string{"gypsumspan/table/old/meta"} }
+
+func (m *relayMachine) next(t *testing.T) message.TableEntry {
+	t.Helper()
+	select {
+	case e := <-m.entries:
+		return e
+	case <-time.After(testLimit):
+		t.Fatal("no entry of the table arrived")
+		return message.TableEntry{}
+	}
+}
+
+// serveStore runs a store on listener until the returned function is called.
+func serveStore(t *testing.T, listener net.Listener, e *standin.Engine) func() {
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error)
+	go func() { ended <- standin.ServeEngine(ctx, listener, e) }()
+	return func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// Guards against a daemon that reads no table over HTTP, keeps rows that the
+// store has deleted, stays silent when the store is down, or does not find the
+// store again after a restart of it.
+func TestTableComesFromTheStore(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := listener.Addr().String()
+	e := standin.NewEngine(standin.Options{})
+	put := func(key string) {
+		_, err := e.Txn(store.Txn{Puts: []store.Put{{Key: key, Value: []byte("v")}}})
+		is.NoErr(err)
+	}
+	put("gypsumspan/table/a/meta")
+	stop := serveStore(t, listener, e)
+	s := testSettings(t)
+	s.Store.Endpoints = []string{"http://" + addr}
+	m := &relayMachine{entries: make(chan message.TableEntry, 100)}
+	p := start(t, s, m, StoreServices)
+	first, second := m.next(t), m.next(t)
+	is.Equal(first.Key, "gypsumspan/table/a/meta")
+	is.Equal(string(first.Value), "v")
+	is.Equal(second.Key, "gypsumspan/table/old/meta")
+	is.True(second.Value == nil) // deleted
+	put("gypsumspan/table/b/meta")
+	is.Equal(m.next(t).Key, "gypsumspan/table/b/meta")
+	stop()
+	p.waitFor(events.StoreFailed)
+	put("gypsumspan/table/c/meta")
+	listener, err = net.Listen("tcp", addr)
+	is.NoErr(err)
+	stop = serveStore(t, listener, e)
+	is.Equal(m.next(t).Key, "gypsumspan/table/c/meta")
+	p.signals <- syscall.SIGTERM
+	is.NoErr(p.wait())
+	stop()
+}
+
+// Guards against endpoints that are only found to be unusable at the first call.
+func TestStoreEndpointIsChecked(t *testing.T) {
+	is := is.New(t)
+	s := testSettings(t)
+	s.Store.Endpoints = []string{"ftp://127.0.0.1:1"}
+	services, err := StoreServices(machineConfig(s))
+	is.True(err != nil && strings.Contains(err.Error(), "ftp://"))
+	is.Equal(services, []kernel.Service(nil))
+}
--- a/decide/vm/counters.go
+++ b/decide/vm/counters.go
@@ -143,6 +143,12 @@
 	return v.replica.Version()
 }
 
+// TableKeys returns the keys of the table's entries that are not deleted, in no
+// particular order.
+func (v *VM) TableKeys() []string {
+	return v.replica.LiveKeys()
+}
+
 // TableSince returns the time at which the table last changed at this VM.
 func (v *VM) TableSince() time.Duration {
 	return v.tableSince
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -60,8 +60,7 @@
 		Fields:  []string{"peer", "error"}})
 )
 
-// Events of polling and of the admin address, GS3000 to GS4999. GS5000 to
-// GS5999 are reserved for the store and the table.
+// Events of polling and of the admin address, GS3000 to GS4999.
 var (
 	// VMListFailed is written when the platform's VM list can't be read.
 	VMListFailed = declare(Event{Number: "GS3001", Level: Warn, Name: "vm_list_failed", Limited: true,
@@ -85,6 +84,14 @@
 		Fields:  []string{"path", "error"}})
 )
 
+// Events of the store and the table, GS5000 to GS5999.
+var (
+	// StoreFailed is written when the table can't be read from the store.
+	StoreFailed = declare(Event{Number: "GS5001", Level: Warn, Name: "store_failed", Limited: true,
+		Message: "table can't be read from the store",
+		Fields:  []string{"error"}})
+)
+
 // all lists the events in order of declaration.
 var all []*Event
 
