Add stand-in and script commands to gypsumlab

Cause: a script needs the store stand-in as a process with faults that it can switch, the table of a workload, and a way to wait for a state of the fleet without sleeping.

Change: gypsumlab store (rates, faults, control over HTTP, contents kept across a restart), table, http and await. load can open flows faster than the workload's scale gives, and can count broken flows and cut calls as broken promises.

--- /dev/null
+++ b/lab/await.go
@@ -0,0 +1,145 @@
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/gypsumspan/gypsumspan/decide/ownership"
+)
+
+// awaitInterval is the time between two rounds of questions.
+const awaitInterval = 100 * time.Millisecond
+
+// Condition says what Await waits for. Zero fields are not checked.
+type Condition struct {
+	Admins   []string // admin addresses; all must answer
+	Members  int      // live VMs that each VM knows
+	Targets  int      // targets that exactly one VM owns, none of them in handover
+	MinFlows int      // flows of all targets together
+	Leaving  string   // "service/target" that must have no flows any more
+	URLs     []string // must answer 200
+}
+
+// vmStatus is what Await reads of a VM's answer.
+type vmStatus struct {
+	VM      string   `json:"vm"`
+	Members []string `json:"members"`
+	Owned   []struct {
+		Target string `json:"target"`
+		Phase  string `json:"phase"`
+		Flows  int    `json:"flows"`
+	} `json:"owned"`
+}
+
+// Await asks until the condition holds. It returns ErrNotReached, with what is
+// missing, when ctx ends first.
+func Await(ctx context.Context, c Condition) error {
+	for {
+		missing := c.missing(ctx)
+		if missing == "" {
+			return nil
+		}
+		timer := time.NewTimer(awaitInterval)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return fmt.Errorf("%s: %w", missing, ErrNotReached)
+		}
+	}
+}
+
+// missing returns what does not hold yet, or "".
+func (c *Condition) missing(ctx context.Context) string {
+	for _, url := range c.URLs {
+		if _, err := Request(ctx, "GET", url, ""); err != nil {
+			return err.Error()
+		}
+	}
+	statuses := make([]vmStatus, len(c.Admins))
+	var group errgroup.Group
+	for i, admin := range c.Admins {
+		group.Go(func() error {
+			data, err := Request(ctx, "GET", "http://"+admin+"/v1/status", "")
+			if err != nil {
+				return err
+			}
+			return json.Unmarshal(data, &statuses[i])
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return err.Error()
+	}
+	return c.compare(statuses)
+}
+
+func (c *Condition) compare(statuses []vmStatus) string {
+	owners := make(map[string][]string)
+	flows, leavingFlows := 0, 0
+	for _, s := range statuses {
+		if c.Members > 0 && len(s.Members) != c.Members {
+			return fmt.Sprintf("%s knows %d live VMs instead of %d: %s", s.VM, len(s.Members), c.Members, strings.Join(s.Members, " "))
+		}
+		for _, o := range s.Owned {
+			flows += o.Flows
+			if o.Target == c.Leaving {
+				leavingFlows += o.Flows
+			}
+			if o.Phase == ownership.Idle.String() {
+				continue
+			}
+			if o.Phase != ownership.Active.String() && c.Targets > 0 {
+				return fmt.Sprintf("%s has %s in phase %s", s.VM, o.Target, o.Phase)
+			}
+			owners[o.Target] = append(owners[o.Target], s.VM)
+		}
+	}
+	if c.Targets > 0 && len(owners) != c.Targets {
+		return fmt.Sprintf("%d targets have an owner instead of %d", len(owners), c.Targets)
+	}
+	for target, vms := range owners {
+		if c.Targets > 0 && len(vms) > 1 {
+			slices.Sort(vms)
+			return fmt.Sprintf("target %s has the owners %s", target, strings.Join(vms, " "))
+		}
+	}
+	if flows < c.MinFlows {
+		return fmt.Sprintf("%d flows instead of %d", flows, c.MinFlows)
+	}
+	if c.Leaving != "" && leavingFlows > 0 {
+		return fmt.Sprintf("target %s still has %d flows", c.Leaving, leavingFlows)
+	}
+	return ""
+}
+
+func awaitCommand() *cobra.Command {
+	const defaultTimeout = 30 * time.Second
+	var c Condition
+	var timeout time.Duration
+	cmd := &cobra.Command{
+		Use:   "await",
+		Short: "Wait until VMs and stand-ins are in the wanted state, by asking them",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, cancel := context.WithTimeout(cmd.Context(), timeout)
+			defer cancel()
+			return Await(ctx, c)
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringSliceVar(&c.Admins, "admin", nil, "admin addresses of VMs that must answer")
+	flags.IntVar(&c.Members, "members", 0, "number of live VMs that each of them must know")
+	flags.IntVar(&c.Targets, "targets", 0, "number of targets that must have exactly one owner, without a running handover")
+	flags.IntVar(&c.MinFlows, "flows", 0, "number of flows that the targets must have together")
+	flags.StringVar(&c.Leaving, "no-flows", "", "SERVICE/TARGET that must have no flows")
+	flags.StringSliceVar(&c.URLs, "url", nil, "URLs that must answer")
+	flags.DurationVar(&timeout, "timeout", defaultTimeout, "time until the command fails")
+	return cmd
+}
--- a/lab/errors.go
+++ b/lab/errors.go
@@ -16,4 +16,8 @@
 	ErrPromiseBroken = errors.New("a promise was broken")
 	// ErrTarget means that a target's oracle can't be read.
 	ErrTarget = errors.New("target's records are not available")
+	// ErrHTTP means that an HTTP request got no usable answer.
+	ErrHTTP = errors.New("no usable answer over HTTP")
+	// ErrNotReached means that VMs did not reach the wanted state in time.
+	ErrNotReached = errors.New("wanted state was not reached in time")
 )
--- a/lab/generator.go
+++ b/lab/generator.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"cmp"
 	"encoding/binary"
 	"math/rand/v2"
 	"time"
@@ -90,7 +91,7 @@
 	w := o.Workload
 	g := &generator{
 		workload: w, seed: o.Seed, run: run, duration: o.Duration, openTimeout: o.OpenTimeout,
-		opens:   newArrivals(w.OpenRate*w.Scale, o.Seed, 0),
+		opens:   newArrivals(cmp.Or(o.OpenRate, w.OpenRate*w.Scale), o.Seed, 0),
 		rng:     rand.New(rand.NewPCG(o.Seed, 1)),
 		records: make(map[uint64]*record),
 		busy:    make(map[session.FlowID]int),
--- a/lab/load.go
+++ b/lab/load.go
@@ -30,6 +30,15 @@
 	Seed        uint64
 	Floods      map[string]float64 // factor of the rate of "service/kind"
 	Session     session.Config
+	// OpenRate is the number of flows opened per second; 0: the workload's rate
+	// times its scale.
+	OpenRate float64
+	// NoBrokenFlows counts a broken flow as a broken promise, for runs in which
+	// targets stay alive and reachable.
+	NoBrokenFlows bool
+	// NoCutCalls counts a call that ends as "may have run", at its deadline or
+	// cancelled as a broken promise, for runs of planned changes only.
+	NoCutCalls bool
 	// AllowMissing accepts a run in which some targets' records can't be read,
 	// for experiments that kill targets. Their executions are then not checked.
 	AllowMissing bool
@@ -60,7 +69,7 @@
 	report := g.report(ctx, o, state)
 	report.Sockets = sockets.Stats()
 	report.Fabric = network.Stats()
-	return report, report.verdict(o.AllowMissing)
+	return report, report.verdict(o)
 }
 
 func (o *LoadOptions) validate() error {
@@ -82,16 +91,31 @@
 }
 
 // verdict returns ErrPromiseBroken or ErrTarget.
-func (r *Report) verdict(allowMissing bool) error {
+func (r *Report) verdict(o LoadOptions) error {
 	if r.Promises.Broken() {
 		return fmt.Errorf("%+v: %w", r.Promises, ErrPromiseBroken)
 	}
-	if missing := r.missing(); missing > 0 && !allowMissing {
+	if o.NoBrokenFlows && r.BrokenFlows > 0 {
+		return fmt.Errorf("%d broken flows: %w", r.BrokenFlows, ErrPromiseBroken)
+	}
+	if cut := r.cutCalls(); o.NoCutCalls && cut > 0 {
+		return fmt.Errorf("%d calls were cut: %w", cut, ErrPromiseBroken)
+	}
+	if missing := r.missing(); missing > 0 && !o.AllowMissing {
 		return fmt.Errorf("%d targets: %w", missing, ErrTarget)
 	}
 	return nil
 }
 
+// cutCalls counts the calls without an answer or a definite refusal.
+func (r *Report) cutCalls() int {
+	count := 0
+	for _, k := range r.Kinds {
+		count += k.MayHaveRun + k.Deadline + k.Cancelled
+	}
+	return count
+}
+
 func seedOf(seed, run uint64) (s [32]byte) {
 	binary.BigEndian.PutUint64(s[:], seed)
 	binary.BigEndian.PutUint64(s[8:], run)
--- a/standin/store/handler.go
+++ b/standin/store/handler.go
@@ -16,7 +16,8 @@
 const maxBody = 8 << 20
 
 // Handler serves the JSON form of the etcd v3 API for an Engine: the calls that
-// package store makes, with the errors of etcd 3.5.
+// package store makes, with the errors of etcd 3.5. It also serves the control of
+// faults for scripts.
 func Handler(e *Engine) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("POST "+etcdjson.PathRange, answer(e, e.serveRange))
@@ -24,6 +25,7 @@
 	mux.Handle("POST "+etcdjson.PathGrant, answer(e, e.serveGrant))
 	mux.Handle("POST "+etcdjson.PathKeepAlive, answer(e, e.serveKeepAlive))
 	mux.HandleFunc("POST "+etcdjson.PathWatch, e.serveWatch)
+	handleControl(mux, e)
 	return mux
 }
 
