--- a/lab/report.go
+++ b/lab/report.go
@@ -81,7 +81,10 @@
 		return fmt.Errorf("write report: %w", err)
 	}
 	p := r.Promises
-	_, err := fmt.Fprintf(w, "\nbroken flows %d, wrong answers %d, double executions %d, false not run %d, foreign work %d, targets without records %d\n",
+	c := r.Session
+	_, err := fmt.Fprintf(w, "\nrefusals: not run %d, may have run %d, flow unknown %d, busy %d; retries %d, retransmitted datagrams %d\n%s"+
+		"broken flows %d, wrong answers %d, double executions %d, false not run %d, foreign work %d, targets without records %d\n",
+		c.NotRun, c.MayHaveRun, c.FlowUnknown, c.Busy, c.Retries, c.Retransmitted, r.imbalance(),
 		r.BrokenFlows, p.WrongAnswers, p.DoubleExecutions, p.FalseNotRun, p.ForeignWork, r.missing())
 	if err != nil {
 		return fmt.Errorf("write report: %w", err)
@@ -89,6 +92,24 @@
 	return nil
 }
 
+// imbalance names the target of each service whose flows exceed its share most.
+func (r *Report) imbalance() string {
+	worst := make(map[string]*TargetReport)
+	text := ""
+	for i := range r.Targets {
+		t := &r.Targets[i]
+		if w := worst[t.Service]; w == nil || t.FlowDeviation > w.FlowDeviation {
+			worst[t.Service] = t
+		}
+	}
+	for i := range r.Targets {
+		if t := &r.Targets[i]; worst[t.Service] == t {
+			text += fmt.Sprintf("imbalance of %s: %+.1f%% of its share at %s (%d flows)\n", t.Service, 100*t.FlowDeviation, t.Target, t.Flows)
+		}
+	}
+	return text
+}
+
 // missing counts the targets whose records could not be read.
 func (r *Report) missing() int {
 	count := 0
