Answer a pull of members at the sender's control address

Cause: answerPull replied to the address that the message came from. In processes that is the sender's ephemeral end of its TCP link, so no VM ever got an answer to its pull, repeated it every 500 ms, and the others dialled dead ports. Ruled out: stale entries of the VM list (the ports were not in it) and heartbeat acknowledgements, which already use the record's address.

Change: the answer goes to the record's control address.

Result: the new test failed first with 127.0.0.1:50000.

--- a/decide/membership/gossip.go
+++ b/decide/membership/gossip.go
@@ -211,7 +211,8 @@
 
 // answerPull sends all reachable members. Dead ones are left out: they would
 // bring out-of-date deaths over a healed partition.
-func (v *View) answerPull(to message.Address) {
+func (v *View) answerPull(from message.Address) {
+	to := v.replyTo(from)
 	chunk := make([]message.Member, 0, min(v.reachable+1, membersChunk))
 	for _, r := range v.order {
 		if !isReachable(r.member.State) {
@@ -236,6 +237,16 @@
 	}
 }
 
+// replyTo returns the control address of a sender. The address that a message
+// came from may be the sender's end of a TCP link, where nothing listens; it is
+// used only for senders without a known control address.
+func (v *View) replyTo(from message.Address) message.Address {
+	if r := v.records[from.VM]; r != nil && r.member.Control.IsValid() {
+		return message.VMAddress(r.member.ID, r.member.Control)
+	}
+	return from
+}
+
 func (v *View) send(to message.Address, body message.Body) {
 	v.out = append(v.out, message.Message{From: v.address(), To: to, Body: body})
 }
--- a/decide/membership/view_test.go
+++ b/decide/membership/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -400,3 +401,15 @@
 	}
 	is.Equal(total, 1200)
 }
+
+// Guards against an answer to the address that a message came from. On a TCP
+// link that is the sender's own end, where nothing listens.
+func TestPullIsAnsweredAtTheControlAddress(t *testing.T) {
+	is := is.New(t)
+	v := newView(6)
+	sender := simMember(3, 3)
+	link := message.VMAddress(sender.ID, netip.MustParseAddrPort("127.0.0.1:50000"))
+	out := v.Receive(0, message.Message{From: link, Body: &message.MembersPull{}})
+	is.Equal(len(out), 1)
+	is.Equal(out[0].To, message.VMAddress(sender.ID, sender.Control))
+}
