--- a/daemon/store_test.go
+++ b/daemon/store_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
+	"net/http"
 	"strings"
 	"syscall"
 	"testing"
@@ -106,3 +108,24 @@
 	is.True(err != nil && strings.Contains(err.Error(), "ftp://"))
 	is.Equal(services, []kernel.Service(nil))
 }
+
+// Guards against a VM whose status lacks its failure domain, so that nobody sees
+// where a change of the table is in force.
+func TestStatusNamesTheFailureDomain(t *testing.T) {
+	is := is.New(t)
+	s := testSettings(t)
+	machine, err := NewVM(machineConfig(s))
+	is.NoErr(err)
+	p := start(t, s, machine, nil)
+	p.waitFor(events.DaemonStarted)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get("http://" + s.Listen.Admin.String() + "/v1/status")
+	is.NoErr(err)
+	var status struct{ VM, Domain string }
+	is.NoErr(json.NewDecoder(response.Body).Decode(&status))
+	is.NoErr(response.Body.Close())
+	is.Equal(status.VM, "vm-1")
+	is.Equal(status.Domain, "north")
+	p.signals <- syscall.SIGTERM
+	is.NoErr(p.wait())
+}
--- a/decide/vm/explain.go
+++ b/decide/vm/explain.go
@@ -161,7 +161,6 @@
 // Status is the state of a VM, for operators.
 type Status struct {
 	VM            string        `json:"vm"`
-	Domain        string        `json:"domain"`
 	TableRevision uint64        `json:"table_revision"`
 	Leaving       bool          `json:"leaving"`
 	Relay         bool          `json:"relay"`
@@ -169,8 +168,8 @@
 	Owned         []OwnedTarget `json:"owned"`
 }
 
-// Status returns the VM's state. The failure domain's name is filled in by the
-// caller, since decisions know only its id.
+// Status returns the VM's state. The failure domain's name is missing, since
+// decisions know only its id; the service that encodes the state adds it.
 func (v *VM) Status() any {
 	s := Status{
 		VM:            v.config.Self.Name,
