Measure how cost grows with the size of the fleet

The size in two years can not be run on one machine, so each cost is measured at three or more sizes and fitted with a line. The package drives the decisions themselves with test-made content.

--- /dev/null
+++ b/lab/capacity/flows.go
@@ -0,0 +1,110 @@
+package capacity
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/caller/session"
+	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/decide/vm"
+)
+
+const (
+	// smallPayload is the payload of requests and answers, in bytes, where its
+	// size is not what is measured.
+	smallPayload = 64
+	// farDeadline lets no request expire during a measurement.
+	farDeadline = 100 * time.Hour
+	// queuePlaces is the capacity of the queue of which the memory is measured.
+	queuePlaces = 16_384
+	// answerSpace keeps all recorded answers of a measurement.
+	answerSpace = 64 << 20
+)
+
+func flowExperiments() []Experiment {
+	flows := []int{1_000, 10_000, 100_000}
+	tiny := []int{10, 20, 40}
+	return []Experiment{
+		{
+			Name: "owner.flow.memory", Unit: Bytes, Per: "open flow", Sizes: flows, Tiny: tiny,
+			Measure: func(m *Meter, n int) Point { return at(n, flowHeap(m, n)) },
+		},
+		{
+			Name: "owner.usedflow.memory", Unit: Bytes, Per: "open flow with an expired request", Sizes: flows, Tiny: tiny,
+			Measure: func(m *Meter, n int) Point { return at(n, usedFlowHeap(m, n)) },
+		},
+		{
+			Name: "owner.entry.memory", Unit: Bytes, Per: "request log entry with an answer of 64 B", Sizes: flows, Tiny: tiny,
+			Measure: func(m *Meter, n int) Point { return at(n, entryHeap(m, n)) },
+		},
+		{
+			Name: "owner.queued.memory", Unit: Bytes, Per: "queued request of 64 B",
+			Sizes: []int{100, 1_000, 10_000}, Tiny: tiny,
+			Measure: func(m *Meter, n int) Point { return at(n, queuedHeap(m, n)) },
+		},
+		{
+			Name: "caller.flow.memory", Unit: Bytes, Per: "open flow", Sizes: flows, Tiny: tiny,
+			Measure: func(m *Meter, n int) Point { return at(n, sessionHeap(m, n)) },
+		},
+	}
+}
+
+func flowHeap(m *Meter, n int) float64 {
+	return m.Heap(func() any {
+		r := newOwnerRig(vm.Config{}, targetLimit)
+		r.openAll(n)
+		return r
+	})
+}
+
+// usedFlowHeap measures flows that had one request whose log entry has expired.
+func usedFlowHeap(m *Meter, n int) float64 {
+	return m.Heap(func() any {
+		r := newOwnerRig(vm.Config{}, targetLimit)
+		r.openAll(n)
+		for i := range n {
+			r.exchange(i, smallPayload, time.Second)
+		}
+		for range 20 {
+			r.step(time.Second)
+		}
+		return r
+	})
+}
+
+// entryHeap measures answered requests of one flow that have not expired.
+func entryHeap(m *Meter, n int) float64 {
+	return m.Heap(func() any {
+		r := newOwnerRig(vm.Config{AnswerBytes: answerSpace}, targetLimit)
+		for range n {
+			r.exchange(0, smallPayload, time.Minute)
+		}
+		return r
+	})
+}
+
+// queuedHeap measures requests that wait for a slot, each of another caller.
+func queuedHeap(m *Meter, n int) float64 {
+	return m.Heap(func() any {
+		r := newOwnerRig(vm.Config{QueueCapacity: queuePlaces}, targetLimit)
+		for i := range n + targetLimit {
+			from := message.CallerAddress(netip.AddrPortFrom(address(172, i), 4000))
+			r.receive(message.Message{From: from, Body: r.request(0, smallPayload, farDeadline)})
+		}
+		return r
+	})
+}
+
+// sessionHeap measures bound flows of one session of the caller library.
+func sessionHeap(m *Meter, n int) float64 {
+	return m.Heap(func() any {
+		s := session.New(session.Config{}, [32]byte{1})
+		for range n {
+			_, out := s.OpenFlow(0, 1)
+			open := out.Messages[0].Body.(*message.Open)
+			bound := &message.Bound{Flow: open.Flow, Binding: message.Binding{Target: 1, Epoch: 1}}
+			s.Receive(0, message.Message{Body: bound})
+		}
+		return s
+	})
+}
--- a/lab/command.go
+++ b/lab/command.go
@@ -25,7 +25,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(targetCommand(), vmListCommand(), callCommand(), loadCommand())
+	root.AddCommand(targetCommand(), vmListCommand(), callCommand(), loadCommand(), capacityCommand())
 	return root
 }
 
