--- a/decide/ownership/owners.go
+++ b/decide/ownership/owners.go
@@ -28,8 +28,9 @@
 }
 
 // Owners maps each target to its owner among the live VMs: the first VM of the
-// target's failure domain in the rendezvous order of the target. Results are
-// cached; a membership change costs one hash for each cached target.
+// target's failure domain in the rendezvous order of the target. While that
+// domain is empty, another one takes its place. Results are cached; a membership
+// change costs one hash for each cached target.
 type Owners struct {
 	byDomain map[message.DomainID][]message.VMID // sorted
 	all      []message.VMID                      // sorted
@@ -37,6 +38,7 @@
 	changes  []change
 	version  int // number of changes since the start
 	cache    map[message.TargetID]owner
+	hashes   uint64
 }
 
 type owner struct {
@@ -118,9 +120,15 @@
 // Owner returns the owner of a target of a failure domain. It returns false
 // while no VM may own the target.
 func (o *Owners) Owner(now time.Duration, target message.TargetID, domain message.DomainID) (message.VMID, bool) {
+	if len(o.byDomain[domain]) == 0 {
+		if o.waits(now, domain) {
+			return 0, false
+		}
+		domain = o.standIn(target)
+	}
 	vms := o.byDomain[domain]
 	if len(vms) == 0 {
-		return o.ownerElsewhere(now, target, domain)
+		return 0, false
 	}
 	entry, ok := o.cache[target]
 	ok = ok && entry.domain == domain
@@ -128,7 +136,7 @@
 		return entry.vm, true
 	}
 	if !ok || !o.catchUp(&entry, target, domain) {
-		entry.vm, entry.score = first(target, vms, 0)
+		entry.vm, entry.score = o.first(target, vms, 0)
 		entry.domain = domain
 	}
 	entry.version = o.version
@@ -136,18 +144,34 @@
 	return entry.vm, true
 }
 
-// ownerElsewhere returns the owner of a target whose failure domain has no live VM.
-func (o *Owners) ownerElsewhere(now time.Duration, target message.TargetID, domain message.DomainID) (message.VMID, bool) {
-	delete(o.cache, target)
+// waits reports whether it is too early to own targets of an empty failure
+// domain from outside.
+func (o *Owners) waits(now time.Duration, domain message.DomainID) bool {
 	emptied, known := o.emptied[domain]
-	if known && now-emptied < EmptyDomainWait {
-		return 0, false
+	if known {
+		return now-emptied < EmptyDomainWait
 	}
-	if !known && now < EmptyDomainWait {
-		return 0, false
+	return now < EmptyDomainWait
+}
+
+// standIn returns the live failure domain whose VMs own a target of an empty one:
+// the first in the rendezvous order of the target. The choice of a domain before
+// that of a VM costs a hash for each domain, where the choice among all VMs would
+// cost a hash for each VM of the fleet.
+func (o *Owners) standIn(target message.TargetID) message.DomainID {
+	var best message.DomainID
+	bestScore := 0.0
+	for domain, vms := range o.byDomain {
+		if len(vms) == 0 {
+			continue
+		}
+		o.hashes++
+		s := rendezvous.Score(uint64(target), uint64(domain), 1)
+		if s > bestScore || s == bestScore && domain < best {
+			best, bestScore = domain, s
+		}
 	}
-	vm, _ := first(target, o.all, 0)
-	return vm, vm != 0
+	return best
 }
 
 // catchUp applies the changes since the entry was computed. It returns false if
@@ -179,12 +203,28 @@
 func (o *Owners) Next(target message.TargetID, domain message.DomainID, skip message.VMID) (message.VMID, bool) {
 	vms := o.byDomain[domain]
 	if len(vms) == 0 {
+		vms = o.byDomain[o.standIn(target)]
+	}
+	if len(vms) == 1 && vms[0] == skip && !o.DomainIsLive(domain) {
 		vms = o.all
 	}
-	vm, _ := first(target, vms, skip)
+	vm, _ := o.first(target, vms, skip)
 	return vm, vm != 0
 }
 
+// HasOther reports whether a live VM other than skip can own targets of a failure
+// domain. Unlike Next it computes no hash, so it may be asked on every tick.
+func (o *Owners) HasOther(domain message.DomainID, skip message.VMID) bool {
+	vms := o.byDomain[domain]
+	if len(vms) == 0 {
+		vms = o.all
+	}
+	if len(vms) == 1 {
+		return vms[0] != skip
+	}
+	return len(vms) > 1
+}
+
 // Before reports whether VM a comes before VM b in the order of the target.
 func Before(target message.TargetID, a, b message.VMID) bool {
 	return score(target, a) > score(target, b)
@@ -200,10 +240,17 @@
 	return len(o.byDomain[domain]) > 0
 }
 
+// Hashes returns the number of rendezvous hashes computed since the start to find
+// owners anew. A fleet that does not change needs none.
+func (o *Owners) Hashes() uint64 {
+	return o.hashes
+}
+
 // first returns the VM with the highest score for the target, leaving out skip.
-func first(target message.TargetID, vms []message.VMID, skip message.VMID) (message.VMID, float64) {
+func (o *Owners) first(target message.TargetID, vms []message.VMID, skip message.VMID) (message.VMID, float64) {
 	var best message.VMID
 	bestScore := 0.0
+	o.hashes += uint64(len(vms))
 	for _, vm := range vms {
 		if vm == skip {
 			continue
