--- a/decide/table/table_test.go
+++ b/decide/table/table_test.go
@@ -171,10 +171,16 @@
 		is.Equal(len(changed) == 1, i == len(next)-1)
 	}
 	is.Equal(len(r.Table().Service(id).Targets), 30)
-	changed, _ := r.Merge([]message.TableEntry{{Key: MetaKey("s"), Revision: 3}})
+	less := entriesOf(t, makeService("s", "less", 10), 2, 3)
+	for _, e := range slices.Insert(less, 1, message.TableEntry{Key: ShardKey("s", 2), Revision: 3}) {
+		is.Equal(len(r.Table().Service(id).Targets), 30)
+		r.Merge([]message.TableEntry{e})
+	}
+	is.Equal(len(r.Table().Service(id).Targets), 10)
+	changed, _ := r.Merge([]message.TableEntry{{Key: MetaKey("s"), Revision: 4}})
 	is.Equal(changed, []message.ServiceID{id})
 	is.True(r.Table().Service(id) == nil)
-	target, _ := r.Table().Target(message.TargetIDOf("s", "new-000001"))
+	target, _ := r.Table().Target(message.TargetIDOf("s", "less-000001"))
 	is.True(target == nil)
 }
 
