Let the fake fabric learn of a planned leave

The platform lists a VM as leaving when its leave starts. Change: the lag counts from the start of the leave.

--- a/lab/fleet/fleet.go
+++ b/lab/fleet/fleet.go
@@ -157,6 +157,7 @@
 	}
 	n.leaving = true
 	f.must(n.core.BeginLeave())
+	f.leaveFabric(n)
 }
 
 // Reap ends the VMs whose planned leave is complete, and returns their names.
@@ -177,6 +178,12 @@
 	delete(f.vms, n.member.Name)
 	delete(f.net.vms, n.member.ID)
 	f.order = slices.DeleteFunc(f.order, func(name string) bool { return name == n.member.Name })
+	f.leaveFabric(n)
+}
+
+// leaveFabric makes the fabric forget a VM that is gone, or that the platform
+// lists as leaving, after its lag.
+func (f *Fleet) leaveFabric(n *vmNode) {
 	for i := range f.fabric {
 		if f.fabric[i].vm == n.member.ID && f.fabric[i].until == 0 {
 			f.fabric[i].until = f.Now() + f.options.FabricLag
