--- a/lab/await.go
+++ b/lab/await.go
@@ -63,21 +63,65 @@
 			return err.Error()
 		}
 	}
-	statuses := make([]vmStatus, len(c.Admins))
+	statuses, err := readStatuses(ctx, c.Admins)
+	if err != nil {
+		return err.Error()
+	}
+	return c.compare(statuses)
+}
+
+func readStatuses(ctx context.Context, admins []string) ([]vmStatus, error) {
+	statuses := make([]vmStatus, len(admins))
 	var group errgroup.Group
-	for i, admin := range c.Admins {
+	for i, admin := range admins {
 		group.Go(func() error {
 			data, err := Request(ctx, "GET", "http://"+admin+"/v1/status", "")
 			if err != nil {
 				return err
 			}
-			return json.Unmarshal(data, &statuses[i])
+			if err := json.Unmarshal(data, &statuses[i]); err != nil {
+				return fmt.Errorf("%s: %w: %w", admin, ErrHTTP, err)
+			}
+			return nil
 		})
 	}
-	if err := group.Wait(); err != nil {
-		return err.Error()
+	return statuses, group.Wait()
+}
+
+// OwnerOf returns the name of the VM that owns a target ("service/target"). It
+// returns ErrHTTP, or ErrNotReached if no VM owns it.
+func OwnerOf(ctx context.Context, admins []string, target string) (string, error) {
+	statuses, err := readStatuses(ctx, admins)
+	if err != nil {
+		return "", err
 	}
-	return c.compare(statuses)
+	for _, s := range statuses {
+		for _, o := range s.Owned {
+			if o.Target == target && o.Phase == ownership.Active.String() {
+				return s.VM, nil
+			}
+		}
+	}
+	return "", fmt.Errorf("target %s has no owner: %w", target, ErrNotReached)
+}
+
+func ownerCommand() *cobra.Command {
+	var admins []string
+	cmd := &cobra.Command{
+		Use:   "owner SERVICE/TARGET",
+		Short: "Print the name of the VM that owns a target",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			owner, err := OwnerOf(cmd.Context(), admins, args[0])
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintln(cmd.OutOrStdout(), owner)
+			return err
+		},
+	}
+	cmd.Flags().StringSliceVar(&admins, "admin", nil, "admin addresses of all VMs")
+	return cmd
 }
 
 func (c *Condition) compare(statuses []vmStatus) string {
--- a/lab/command.go
+++ b/lab/command.go
@@ -26,7 +26,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(targetCommand(), vmListCommand(), storeCommand(), tableCommand())
-	root.AddCommand(callCommand(), loadCommand(), httpCommand(), awaitCommand())
+	root.AddCommand(callCommand(), loadCommand(), httpCommand(), awaitCommand(), ownerCommand())
 	return root
 }
 
--- a/lab/tools_test.go
+++ b/lab/tools_test.go
@@ -123,6 +123,11 @@
 				return
 			}
 			is.Equal(c.condition.missing(ctx), "")
+			owner, err := OwnerOf(ctx, c.condition.Admins, "s/t2")
+			is.NoErr(err)
+			is.Equal(owner, "b")
+			_, err = OwnerOf(ctx, c.condition.Admins, "s/t3")
+			is.True(errors.Is(err, ErrNotReached))
 			is.NoErr(Await(ctx, c.condition))
 			cancel()
 		})
