Stop probing VMs that left and log one line for each outage of a peer

Cause: only relays read the VM list again and again. The other VMs read it once, at their start, so a VM that left as planned stayed listed at them and was probed for an hour; 11 of 15 VMs still dialled it a minute after its leave. Each failed dial was one log line. Ruled out: a list that still had the VM (it was replaced in the same second), and gossip that lost the leaving state (the relays stopped probing).

Change: a list older than 30 s no longer says that a VM that left still runs. GS2101 and GS2102 are written once until the peer is reached again; the counters count every failure.

Result: both tests failed first. go test -race passes for membership, with its fuzz test, and peers.

--- a/decide/membership/candidates.go
+++ b/decide/membership/candidates.go
@@ -13,6 +13,10 @@
 	// maxCandidateFactor bounds how much longer than CandidateInterval a large
 	// fleet waits between probes.
 	maxCandidateFactor = 64
+	// listFresh is the age up to which a VM list says that a VM that left as
+	// planned still runs. Only relays read the list again and again; the other
+	// VMs read it once, when they start.
+	listFresh = 30 * time.Second
 )
 
 // updateCandidate puts r into the list of VMs that are probed at a slow rate, or
@@ -37,7 +41,7 @@
 	case 0:
 		return v.listed(r)
 	case message.MemberDead:
-		return !r.left || v.listed(r)
+		return !r.left || v.listed(r) && !v.listStale
 	default:
 		return false
 	}
@@ -159,6 +163,23 @@
 	return r.listGen != 0 && r.listGen == v.listGen
 }
 
+// ageList stops probing VMs that left as planned when the list is old.
+func (v *View) ageList(now time.Duration) {
+	if v.listGen != 0 && now-v.listAt >= listFresh {
+		v.setListStale(true)
+	}
+}
+
+func (v *View) setListStale(stale bool) {
+	if v.listStale == stale {
+		return
+	}
+	v.listStale = stale
+	for _, r := range v.order {
+		v.updateCandidate(r)
+	}
+}
+
 // receiveList takes over the platform's VM list. It adds candidates and marks
 // members as leaving. A VM that is missing in it only stops being a candidate:
 // the list lags, so it must not shorten the time-out of a VM that may have just
@@ -168,9 +189,11 @@
 		return
 	}
 	v.listGen++
+	v.listAt = now
 	for i := range list.Members {
 		v.receiveListed(now, list.Members[i])
 	}
+	v.setListStale(false)
 	for i := len(v.order) - 1; i >= 0; i-- {
 		v.dropUnlisted(now, v.order[i])
 	}
--- a/decide/membership/list_test.go
+++ b/decide/membership/list_test.go
@@ -96,3 +96,26 @@
 	is.Equal(len(v.Live()), 3)
 	is.Equal(v.lastAnswer, ms)
 }
+
+// Guards against VMs that read the list once, at their start, and probe VMs that
+// left as planned for as long as they remember them.
+func TestOldListDoesNotKeepProbes(t *testing.T) {
+	is := is.New(t)
+	v := newView(6)
+	v.Receive(0, listOf(6))
+	hear(v, ms, 1, recordOf(5, 0, message.MemberLeaving))
+	hear(v, 2*ms, 1, recordOf(5, 0, message.MemberDead))
+	gone := simMember(5, 3).ID
+	late := 0
+	for now := time.Duration(0); now < 3*time.Minute; now += 100 * ms {
+		out, _ := v.Tick(now)
+		for _, m := range out {
+			if m.To.VM == gone && now > time.Minute {
+				late++
+			}
+		}
+		answerAll(v, now, out, 5)
+	}
+	is.Equal(stateOf(v, 5), message.MemberDead)
+	is.Equal(late, 0)
+}
--- a/decide/membership/view.go
+++ b/decide/membership/view.go
@@ -82,6 +82,8 @@
 	leaveRequest  bool
 	background    int
 	listGen       uint32
+	listAt        time.Duration // when the last VM list came
+	listStale     bool          // it is older than listFresh
 	sequence      uint64
 	tableVersion  uint64
 	tableHash     uint64
@@ -122,6 +124,7 @@
 	v.judge(now)
 	v.decideVerdicts(now)
 	v.forget(now)
+	v.ageList(now)
 	v.reselect(now)
 	v.heartbeat(now)
 	v.probeCandidate(now)
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -196,6 +196,7 @@
 	a.Send(message.Message{To: to, Body: heartbeat(1)})
 	stepper.Advance(time.Millisecond)
 	is.Equal(a.Stats().DialsFailed, uint64(2))
+	is.Equal(a.recorder.Count(events.PeerUnreachable), 1) // one line for the outage
 }
 
 // Guards against many unreachable peers that take all the time of a duty.
--- a/services/peers/sender.go
+++ b/services/peers/sender.go
@@ -139,8 +139,11 @@
 	}
 	event, err := d.deliver(p, m.To.Addr, data)
 	if err != nil {
+		// One line for each outage of a peer: dead VMs are tried for an hour.
+		if p.failures == 0 {
+			d.service.log.Log(event, events.F("peer", peerName(m.To)), events.F("control", m.To.Addr), events.F("error", err))
+		}
 		d.noteFailure(p, now)
-		d.service.log.Log(event, events.F("peer", peerName(m.To)), events.F("control", m.To.Addr), events.F("error", err))
 		return
 	}
 	p.failures = 0
