--- a/caller/client.go
+++ b/caller/client.go
@@ -243,3 +243,29 @@
 		return session.Counters{}, fmt.Errorf("counters: %w", ErrClosed)
 	}
 }
+
+// WireID returns the id that the flow has in datagrams now, by which operators
+// ask for an explanation. It returns ErrClosed or ErrOverloaded.
+func (f *Flow) WireID() (message.FlowID, error) {
+	type found struct {
+		id message.FlowID
+		ok bool
+	}
+	result := make(chan found, 1)
+	err := f.client.sessions.Inspect(func(s *session.Session) {
+		id, ok := s.WireID(f.id)
+		result <- found{id, ok}
+	})
+	if err != nil {
+		return message.FlowID{}, Translate(err)
+	}
+	select {
+	case r := <-result:
+		if !r.ok {
+			return message.FlowID{}, fmt.Errorf("flow: %w", ErrClosed)
+		}
+		return r.id, nil
+	case <-f.client.done:
+		return message.FlowID{}, fmt.Errorf("flow: %w", ErrClosed)
+	}
+}
--- a/caller/client_test.go
+++ b/caller/client_test.go
@@ -158,7 +158,12 @@
 	stop()
 	_, err = flow.Do(cancelled, caller.Request{Kind: 2})
 	is.True(errors.Is(err, caller.ErrCancelled))
+	id, err := flow.WireID()
+	is.NoErr(err)
+	is.True(id != message.FlowID{})
 	is.NoErr(client.Close())
 	_, err = flow.Do(t.Context(), caller.Request{})
 	is.True(errors.Is(err, caller.ErrClosed))
+	_, err = flow.WireID()
+	is.True(errors.Is(err, caller.ErrClosed))
 }
--- a/caller/session/session.go
+++ b/caller/session/session.go
@@ -205,6 +205,16 @@
 	return f.binding, true
 }
 
+// WireID returns the id that a flow has in datagrams now; a reopened flow has a
+// new one.
+func (s *Session) WireID(id FlowID) (message.FlowID, bool) {
+	f, ok := s.flows[id]
+	if !ok {
+		return message.FlowID{}, false
+	}
+	return f.wire, true
+}
+
 func (s *Session) begin(now time.Duration) {
 	s.now = now
 	s.out.Messages = s.out.Messages[:0]
--- a/lab/await.go
+++ b/lab/await.go
@@ -167,6 +167,8 @@
 	const defaultTimeout = 30 * time.Second
 	var c Condition
 	var timeout time.Duration
+	var workload string
+	var scale float64
 	cmd := &cobra.Command{
 		Use:   "await",
 		Short: "Wait until VMs and stand-ins are in the wanted state, by asking them",
@@ -174,6 +176,14 @@
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			ctx, cancel := context.WithTimeout(cmd.Context(), timeout)
 			defer cancel()
+			if workload != "" {
+				w, err := LoadWorkload(workload)
+				if err != nil {
+					return err
+				}
+				w.Scale *= scale
+				c.MinFlows = w.openFlows()
+			}
 			return Await(ctx, c)
 		},
 	}
@@ -182,6 +192,8 @@
 	flags.IntVar(&c.Members, "members", 0, "number of live VMs that each of them must know")
 	flags.IntVar(&c.Targets, "targets", 0, "number of targets that must have exactly one owner, without a running handover")
 	flags.IntVar(&c.MinFlows, "flows", 0, "number of flows that the targets must have together")
+	flags.StringVar(&workload, "open", "", "workload file whose flows must be open")
+	flags.Float64Var(&scale, "scale", 1, "factor of that workload's scale")
 	flags.StringVar(&c.Leaving, "no-flows", "", "SERVICE/TARGET that must have no flows")
 	flags.StringSliceVar(&c.URLs, "url", nil, "URLs that must answer")
 	flags.DurationVar(&timeout, "timeout", defaultTimeout, "time until the command fails")
--- a/lab/call.go
+++ b/lab/call.go
@@ -6,28 +6,35 @@
 	"net/netip"
 
 	"github.com/gypsumspan/gypsumspan/caller"
+	"github.com/gypsumspan/gypsumspan/decide/message"
 	"github.com/gypsumspan/gypsumspan/standin/target"
 )
 
-// Call sends one request over a new flow and returns what the stand-in target
-// echoed of it. It returns errors of package caller, and ErrPromiseBroken for a
-// wrong answer.
-func Call(ctx context.Context, vms []netip.AddrPort, service string, payload []byte) ([]byte, error) {
+// Called is the result of one call.
+type Called struct {
+	Flow message.FlowID
+	Echo []byte // what the stand-in target echoed of the request
+}
+
+// Call sends one request over a new flow. It returns errors of package caller,
+// and ErrPromiseBroken for a wrong answer.
+func Call(ctx context.Context, vms []netip.AddrPort, service string, payload []byte) (Called, error) {
 	client, err := caller.Dial(caller.Config{Fabric: vms})
 	if err != nil {
-		return nil, err
+		return Called{}, err
 	}
 	defer client.Close()
 	flow, err := client.OpenFlow(ctx, service)
 	if err != nil {
-		return nil, err
+		return Called{}, err
 	}
 	answer, err := flow.Do(ctx, caller.Request{Payload: payload})
 	if err != nil {
-		return nil, err
+		return Called{}, err
 	}
 	if !target.IsAnswerTo(payload, answer) {
-		return nil, fmt.Errorf("answer of %d bytes is not an answer to the request: %w", len(answer), ErrPromiseBroken)
+		return Called{}, fmt.Errorf("answer of %d bytes is not an answer to the request: %w", len(answer), ErrPromiseBroken)
 	}
-	return target.Echo(answer), nil
+	id, err := flow.WireID()
+	return Called{Flow: id, Echo: target.Echo(answer)}, err
 }
--- a/lab/command.go
+++ b/lab/command.go
@@ -128,6 +128,7 @@
 	const defaultTimeout = 5 * time.Second
 	var service string
 	var timeout time.Duration
+	var showFlow bool
 	cmd := &cobra.Command{
 		Use:   "call ADDRESS[,ADDRESS...] PAYLOAD",
 		Short: "Send one request through the VMs and print what the target echoes",
@@ -143,16 +144,20 @@
 			for _, vm := range vms {
 				addrs = append(addrs, vm.Addr)
 			}
-			answer, err := Call(ctx, addrs, service, []byte(args[1]))
+			called, err := Call(ctx, addrs, service, []byte(args[1]))
 			if err != nil {
 				return err
 			}
-			_, err = fmt.Fprintln(cmd.OutOrStdout(), string(answer))
+			if showFlow {
+				fmt.Fprintln(cmd.OutOrStdout(), "flow", called.Flow)
+			}
+			_, err = fmt.Fprintln(cmd.OutOrStdout(), string(called.Echo))
 			return err
 		},
 	}
 	cmd.Flags().StringVar(&service, "service", "echo", "name of the service")
 	cmd.Flags().DurationVar(&timeout, "timeout", defaultTimeout, "time until the call fails")
+	cmd.Flags().BoolVar(&showFlow, "show-flow", false, "print the id of the flow too, for gypsumctl explain")
 	return cmd
 }
 
--- a/lab/workload.go
+++ b/lab/workload.go
@@ -168,6 +168,19 @@
 	return max(1, int(float64(targets*s.FlowsPerTarget)*w.Scale))
 }
 
+// openShare is the part of a workload's flows that are open at any time while
+// some are being replaced.
+const openShare = 0.95
+
+// openFlows is the number of flows that are surely open during a load run.
+func (w *Workload) openFlows() int {
+	total := 0
+	for i := range w.Services {
+		total += w.flows(&w.Services[i])
+	}
+	return int(openShare * float64(total))
+}
+
 // works describes the service's kinds for the target stand-in.
 func (s *Service) works() []target.Work {
 	works := make([]target.Work, 0, len(s.Kinds))
