Keep membership changes by failure domain

Cause: an owner in the cache was caught up through the changes of all failure domains and computed anew once it had missed 64 of them. The take-over of a live set compared by binary search and sorted what is sorted.

Ruled out: a longer history, which still costs each cached owner a walk over changes that cannot concern it.

Change: one history for each domain; the live set is compared in one walk of two sorted lists.

A test removes 299 VMs of another domain and checks that no hash is computed.

--- a/decide/ownership/owners.go
+++ b/decide/ownership/owners.go
@@ -23,7 +23,6 @@
 // change is one VM that joined or left the live set.
 type change struct {
 	vm     message.VMID
-	domain message.DomainID
 	joined bool
 }
 
@@ -35,18 +34,24 @@
 	byDomain map[message.DomainID][]message.VMID // sorted
 	all      []message.VMID                      // sorted
 	emptied  map[message.DomainID]time.Duration  // when the last live VM was gone
-	changes  []change
-	version  int                      // number of changes since the start
-	versions map[message.DomainID]int // version of the last change by domain
+	history  map[message.DomainID]*history
+	version  int // number of changes since the start
 	cache    map[message.TargetID]owner
 	hashes   uint64
 }
 
+// history is the recent changes of one failure domain.
+type history struct {
+	changes []change
+	count   int // since the start
+	last    int // version after the last change
+}
+
 type owner struct {
 	vm      message.VMID
 	domain  message.DomainID // an operator may move a target to another one
 	score   float64
-	version int
+	version int // count of the history of the domain
 }
 
 // NewOwners returns the owners for an empty live set.
@@ -54,17 +59,14 @@
 	return &Owners{
 		byDomain: make(map[message.DomainID][]message.VMID),
 		emptied:  make(map[message.DomainID]time.Duration),
-		versions: make(map[message.DomainID]int),
+		history:  make(map[message.DomainID]*history),
 		cache:    make(map[message.TargetID]owner),
 	}
 }
 
 // Update takes over a new live set. It reports whether the set has changed.
 func (o *Owners) Update(now time.Duration, live []message.Member) bool {
-	domains := make(map[message.DomainID][]message.VMID)
-	for i := range live {
-		domains[live[i].Domain] = append(domains[live[i].Domain], live[i].ID)
-	}
+	domains, all := o.split(live)
 	before := o.version
 	for domain, vms := range o.byDomain {
 		o.updateDomain(now, domain, vms, domains[domain])
@@ -74,29 +76,37 @@
 			o.updateDomain(now, domain, nil, vms)
 		}
 	}
-	if o.version == before {
-		return false
+	o.all = all
+	return o.version != before
+}
+
+// split returns the sorted VMs of each failure domain, and of all. A live set
+// that is sorted by id, as membership keeps it, needs no further sorting.
+func (o *Owners) split(live []message.Member) (domains map[message.DomainID][]message.VMID, all []message.VMID) {
+	all = make([]message.VMID, 0, len(live))
+	domains = make(map[message.DomainID][]message.VMID, len(o.byDomain))
+	for domain, vms := range o.byDomain {
+		domains[domain] = make([]message.VMID, 0, len(vms)+1)
 	}
-	o.all = o.all[:0]
-	for _, vms := range o.byDomain {
-		o.all = append(o.all, vms...)
+	for i := range live {
+		all = append(all, live[i].ID)
+		domains[live[i].Domain] = append(domains[live[i].Domain], live[i].ID)
 	}
-	slices.Sort(o.all)
-	return true
+	sortIDs(all)
+	for _, vms := range domains {
+		sortIDs(vms)
+	}
+	return domains, all
 }
 
-func (o *Owners) updateDomain(now time.Duration, domain message.DomainID, old, vms []message.VMID) {
-	slices.Sort(vms)
-	for _, vm := range old {
-		if !contains(vms, vm) {
-			o.add(change{vm: vm, domain: domain})
-		}
-	}
-	for _, vm := range vms {
-		if !contains(old, vm) {
-			o.add(change{vm: vm, domain: domain, joined: true})
-		}
+func sortIDs(ids []message.VMID) {
+	if !slices.IsSorted(ids) {
+		slices.Sort(ids)
 	}
+}
+
+func (o *Owners) updateDomain(now time.Duration, domain message.DomainID, old, vms []message.VMID) {
+	o.addDifferences(domain, old, vms)
 	switch {
 	case len(vms) > 0:
 		delete(o.emptied, domain)
@@ -106,17 +116,34 @@
 	o.byDomain[domain] = vms
 }
 
-func contains(sorted []message.VMID, vm message.VMID) bool {
-	_, ok := slices.BinarySearch(sorted, vm)
-	return ok
+// addDifferences records the changes from one sorted live set to another.
+func (o *Owners) addDifferences(domain message.DomainID, old, vms []message.VMID) {
+	for len(old) > 0 || len(vms) > 0 {
+		switch {
+		case len(vms) == 0 || len(old) > 0 && old[0] < vms[0]:
+			o.add(domain, change{vm: old[0]})
+			old = old[1:]
+		case len(old) == 0 || vms[0] < old[0]:
+			o.add(domain, change{vm: vms[0], joined: true})
+			vms = vms[1:]
+		default:
+			old, vms = old[1:], vms[1:]
+		}
+	}
 }
 
-func (o *Owners) add(c change) {
+func (o *Owners) add(domain message.DomainID, c change) {
+	h := o.history[domain]
+	if h == nil {
+		h = &history{}
+		o.history[domain] = h
+	}
 	o.version++
-	o.versions[c.domain] = o.version
-	o.changes = append(o.changes, c)
-	if len(o.changes) > 2*maxChanges {
-		o.changes = slices.Delete(o.changes, 0, maxChanges)
+	h.last = o.version
+	h.count++
+	h.changes = append(h.changes, c)
+	if len(h.changes) > 2*maxChanges {
+		h.changes = slices.Delete(h.changes, 0, maxChanges)
 	}
 }
 
@@ -133,16 +160,17 @@
 	if len(vms) == 0 {
 		return 0, false
 	}
+	h := o.history[domain]
 	entry, ok := o.cache[target]
 	ok = ok && entry.domain == domain
-	if ok && entry.version == o.version {
+	if ok && entry.version == h.count {
 		return entry.vm, true
 	}
-	if !ok || !o.catchUp(&entry, target, domain) {
+	if !ok || !h.catchUp(&entry, target) {
 		entry.vm, entry.score = o.first(target, vms, 0)
 		entry.domain = domain
 	}
-	entry.version = o.version
+	entry.version = h.count
 	o.cache[target] = entry
 	return entry.vm, true
 }
@@ -189,15 +217,12 @@
 
 // catchUp applies the changes since the entry was computed. It returns false if
 // the entry must be computed anew.
-func (o *Owners) catchUp(entry *owner, target message.TargetID, domain message.DomainID) bool {
-	missed := o.version - entry.version
-	if missed > len(o.changes) {
+func (h *history) catchUp(entry *owner, target message.TargetID) bool {
+	missed := h.count - entry.version
+	if missed > len(h.changes) {
 		return false
 	}
-	for _, c := range o.changes[len(o.changes)-missed:] {
-		if c.domain != domain {
-			continue
-		}
+	for _, c := range h.changes[len(h.changes)-missed:] {
 		if !c.joined {
 			if c.vm == entry.vm {
 				return false
@@ -259,7 +284,10 @@
 	if len(o.emptied) > 0 {
 		return o.version
 	}
-	return o.versions[domain]
+	if h := o.history[domain]; h != nil {
+		return h.last
+	}
+	return 0
 }
 
 // Hashes returns the number of rendezvous hashes computed since the start to find
--- a/decide/ownership/owners_test.go
+++ b/decide/ownership/owners_test.go
@@ -137,6 +137,28 @@
 	is.Equal(o.Hashes()-before, uint64(2))
 }
 
+// Guards against owners that are computed anew after many changes of other failure
+// domains, such as the loss of one of them.
+func TestChangesOfOtherDomainsCostNoHashes(t *testing.T) {
+	is := is.New(t)
+	live := map[int]bool{3: true, 6: true, 9: true}
+	for id := range 300 {
+		live[3*id+4] = true
+	}
+	o := NewOwners()
+	o.Update(0, members(live))
+	want, _ := o.Owner(0, 7, member(3).Domain)
+	before := o.Hashes()
+	for id := range 299 {
+		live[3*id+4] = false
+	}
+	is.True(o.Update(0, members(live)))
+	got, ok := o.Owner(0, 7, member(3).Domain)
+	is.True(ok)
+	is.Equal(got, want)
+	is.Equal(o.Hashes(), before)
+}
+
 func BenchmarkOwnerCached(b *testing.B) {
 	o := NewOwners()
 	var list []message.Member
