--- a/lab/capacity/owners.go
+++ b/lab/capacity/owners.go
@@ -1,6 +1,8 @@
 package capacity
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/decide/message"
@@ -44,9 +46,10 @@
 }
 
 // ownersUpdateTime measures the take-over of a live set that lost or regained
-// one member.
+// one member. The set is sorted by id, as membership keeps it.
 func ownersUpdateTime(m *Meter, n int) float64 {
 	all := members(n)
+	slices.SortFunc(all, func(a, b message.Member) int { return cmp.Compare(a.ID, b.ID) })
 	o := ownersOf(all)
 	without := all[:len(all)-1]
 	fewer := true
