Bound the answer to a pull of the table

Cause: a VM that joins asks a neighbour for the whole table, and got it in one answer: 19 MB and 570 ms in one step of the core duty at 160,000 targets. The memory exceeds the budget of 32 MB together with what a VM holds, and the sender neither routes nor answers heartbeats meanwhile. A VM asks again every 200 ms while it has less than a neighbour, so several neighbours did this for one restart.

Ruled out: a cache of the encoded table, which would take 19 MB at every VM.

Change: an answer ends after 2 MB, between two revisions, and the receiver asks for the rest by the last revision it has. A test pulls 2.4 MB in parts and checks that nothing of a revision is missing.

--- a/decide/vm/cost_test.go
+++ b/decide/vm/cost_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -100,3 +101,41 @@
 	gossip("d", 901)
 	is.Equal(v.reconcile, time.Duration(0))
 }
+
+// Guards against an answer to a pull that holds the whole of a large table, and
+// against one that ends within a revision, after which the receiver would not
+// ask for the other entries of it.
+func TestAnswersToPullsAreBounded(t *testing.T) {
+	is := is.New(t)
+	v, all := costVM(t, 2, 20)
+	big := &table.Service{Address: "a", Kinds: []table.Kind{{Name: "k", Urgency: table.Normal, Share: 1}}}
+	padding := strings.Repeat("x", 50)
+	for i := range 1_000 {
+		big.Targets = append(big.Targets, table.Target{
+			Name: fmt.Sprintf("t%d%s", i, padding), Domain: "d", Addr: targetAddrs[0], Weight: 1, Limit: 1, State: table.Active,
+		})
+	}
+	const services, shards = 26, 4
+	for n := range services {
+		big.Name = fmt.Sprintf("big%d", n)
+		entries, err := table.EncodeService(big, shards)
+		is.NoErr(err)
+		for i := range entries {
+			entries[i].Revision = int64(2 + n)
+		}
+		v.Receive(0, platformMessage(&message.TableDelta{Entries: entries}))
+	}
+	other := table.NewReplica()
+	pulls := 0
+	for other.Version() < v.TableVersion() {
+		pulls++
+		from := message.VMAddress(all[1].ID, callerAddr)
+		out := v.Receive(0, message.Message{From: from, Body: &message.TablePull{Since: int64(other.Version())}})
+		is.True(len(out) > 0 && len(out) <= answerBytes/deltaBytes+shards+1)
+		for _, m := range out {
+			other.Merge(m.Body.(*message.TableDelta).Entries)
+		}
+	}
+	is.True(pulls > 1)
+	is.Equal(other.Hash(), v.replica.Hash())
+}
--- a/decide/vm/members.go
+++ b/decide/vm/members.go
@@ -133,6 +133,10 @@
 	pullInterval = 200 * time.Millisecond
 	// deltaBytes is the size from which a table delta is sent as its own message.
 	deltaBytes = 64 << 10
+	// answerBytes is the size from which an answer to a pull ends; the receiver
+	// pulls the rest. A whole table of 160,000 targets has 19 MB and takes 0.6 s
+	// to encode, in which the sender would neither answer heartbeats nor route.
+	answerBytes = 2 << 20
 )
 
 // compareTables asks a neighbour for table entries that this VM does not have.
@@ -154,17 +158,25 @@
 }
 
 // tablePull answers with the entries in ascending order of revision, so that a
-// receiver that gets only the first messages can ask for the rest.
+// receiver that gets only the first messages can ask for the rest. An answer ends
+// only between two revisions, since the receiver asks by the last one it has.
 func (v *VM) tablePull(from message.Address, m *message.TablePull) {
 	delta := &message.TableDelta{}
-	size := 0
+	size, total := 0, 0
+	last := m.Since
 	v.replica.Since(m.Since, func(e message.TableEntry) bool {
+		if total >= answerBytes && e.Revision != last {
+			delta.More = true
+			return false
+		}
+		last = e.Revision
 		delta.Entries = append(delta.Entries, e)
 		size += len(e.Key) + len(e.Value)
 		if size >= deltaBytes {
 			delta.More = true
 			v.sendControl(from.VM, delta)
 			delta = &message.TableDelta{}
+			total += size
 			size = 0
 		}
 		return true
--- a/lab/capacity/vm.go
+++ b/lab/capacity/vm.go
@@ -24,6 +24,11 @@
 			Sizes: []int{4, 16, 40}, Tiny: []int{1, 2, 3},
 			Measure: func(m *Meter, n int) Point { return at(n, ownedHeap(m, n)) },
 		},
+		{
+			Name: "vm.pull.cpu", Unit: Nanoseconds, Per: "target in the table",
+			Sizes: []int{1_800, 18_000, fleetTargets}, Tiny: []int{20, 40, 80},
+			Measure: func(m *Meter, n int) Point { return at(n, vmPullTime(m, n)) },
+		},
 		{
 			Name: "vm.tablechange.cpu", Unit: Nanoseconds, Per: "target in the table",
 			Sizes: []int{1_800, 18_000, fleetTargets}, Tiny: []int{20, 40, 80},
@@ -95,6 +100,15 @@
 	})
 }
 
+// vmPullTime measures the answer to a VM that asks for the whole table.
+func vmPullTime(m *Meter, targets int) float64 {
+	pair := members(2)
+	r := newRig(pair, vm.Config{})
+	r.load(servicesFor(targets), targets)
+	pull := message.Message{From: memberAddress(pair[1]), Body: &message.TablePull{}}
+	return m.Time(func() { r.receive(pull) })
+}
+
 // vmTableChangeTime measures what one changed service of 9 targets costs a VM
 // that holds a table.
 func vmTableChangeTime(m *Meter, targets int) float64 {
