Bound the cache of owners of other failure domains

Cause: a VM cached the owner of every target for which it ever routed a packet, 12 MB at 160,000 targets. With it the state for control is 36.7 MB, over the budget of 32 MB.

Ruled out: smaller entries, most of the 74 bytes are the map; one bounded cache for all targets, since after a cut between regions a VM searches more targets of its own domain than a small cache holds, and would compute 23,000 owners anew in each search.

Change: owners in the own domain stay cached; of others two generations of 15,000 are kept. A miss costs one search, 57 us at 1,875 VMs.

A test fills the cache beyond its bound and checks that targets in use and those of the own domain cost no hash.

--- a/decide/ownership/owners.go
+++ b/decide/ownership/owners.go
@@ -36,7 +36,7 @@
 	emptied  map[message.DomainID]time.Duration  // when the last live VM was gone
 	history  map[message.DomainID]*history
 	version  int // number of changes since the start
-	cache    map[message.TargetID]owner
+	cache    ownerCache
 	hashes   uint64
 }
 
@@ -47,20 +47,14 @@
 	last    int // version after the last change
 }
 
-type owner struct {
-	vm      message.VMID
-	domain  message.DomainID // an operator may move a target to another one
-	score   float64
-	version int // count of the history of the domain
-}
-
-// NewOwners returns the owners for an empty live set.
-func NewOwners() *Owners {
+// NewOwners returns the owners for an empty live set, for a VM of failure domain
+// home. Owners in that domain stay cached; of others only those looked up last.
+func NewOwners(home message.DomainID) *Owners {
 	return &Owners{
 		byDomain: make(map[message.DomainID][]message.VMID),
 		emptied:  make(map[message.DomainID]time.Duration),
 		history:  make(map[message.DomainID]*history),
-		cache:    make(map[message.TargetID]owner),
+		cache:    newOwnerCache(home),
 	}
 }
 
@@ -161,8 +155,7 @@
 		return 0, false
 	}
 	h := o.history[domain]
-	entry, ok := o.cache[target]
-	ok = ok && entry.domain == domain
+	entry, ok := o.cache.get(target, domain)
 	if ok && entry.version == h.count {
 		return entry.vm, true
 	}
@@ -171,7 +164,7 @@
 		entry.domain = domain
 	}
 	entry.version = h.count
-	o.cache[target] = entry
+	o.cache.put(target, entry)
 	return entry.vm, true
 }
 
@@ -270,7 +263,7 @@
 
 // Forget drops the cached owner of a target that left the table.
 func (o *Owners) Forget(target message.TargetID) {
-	delete(o.cache, target)
+	o.cache.remove(target)
 }
 
 // DomainIsLive reports whether a failure domain has a live VM.
--- a/decide/ownership/owners_test.go
+++ b/decide/ownership/owners_test.go
@@ -19,7 +19,7 @@
 // sequence of joins and leaves.
 func TestOwnerFollowsMembership(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		cached := NewOwners()
+		cached := NewOwners(1)
 		live := make(map[int]bool)
 		now := EmptyDomainWait
 		for range rapid.IntRange(1, 40).Draw(t, "changes") {
@@ -30,7 +30,7 @@
 				cached.Update(now, members(live))
 			}
 			now += time.Second
-			fresh := NewOwners()
+			fresh := NewOwners(1)
 			fresh.Update(0, members(live))
 			target := message.TargetID(rapid.Uint64Range(1, 20).Draw(t, "target"))
 			domain := message.DomainID(rapid.Uint32Range(1, 3).Draw(t, "domain"))
@@ -60,7 +60,7 @@
 // targets without an owner after a failure domain is lost for good.
 func TestEmptyDomainIsTakenOverLate(t *testing.T) {
 	is := is.New(t)
-	o := NewOwners()
+	o := NewOwners(1)
 	o.Update(0, members(map[int]bool{1: true, 2: true}))
 	o.Update(20*time.Second, members(map[int]bool{1: true}))
 	_, ok := o.Owner(20*time.Second+EmptyDomainWait-1, 7, member(2).Domain)
@@ -77,7 +77,7 @@
 // Guards against a wrong standby: it must be the owner once the owner is gone.
 func TestNextIsTheOwnerAfterALoss(t *testing.T) {
 	is := is.New(t)
-	o := NewOwners()
+	o := NewOwners(1)
 	live := map[int]bool{3: true, 6: true, 9: true, 12: true}
 	o.Update(0, members(live))
 	domain := member(3).Domain
@@ -85,7 +85,7 @@
 		owner, _ := o.Owner(0, target, domain)
 		next, ok := o.Next(target, domain, owner)
 		is.True(ok)
-		without := NewOwners()
+		without := NewOwners(1)
 		rest := map[int]bool{3: true, 6: true, 9: true, 12: true}
 		rest[int(owner)] = false
 		without.Update(0, members(rest))
@@ -97,7 +97,7 @@
 // Guards against an answer of HasOther that differs from the search for a standby.
 func TestHasOtherAgreesWithNext(t *testing.T) {
 	for _, live := range []map[int]bool{{}, {3: true}, {4: true}, {3: true, 4: true}, {3: true, 6: true}, {4: true, 7: true}} {
-		o := NewOwners()
+		o := NewOwners(1)
 		o.Update(0, members(live))
 		for _, skip := range []message.VMID{3, 4, 9} {
 			_, want := o.Next(1, member(3).Domain, skip)
@@ -117,7 +117,7 @@
 	for id := range 300 {
 		live[id+1] = member(id+1).Domain != 1
 	}
-	o := NewOwners()
+	o := NewOwners(1)
 	o.Update(0, members(live))
 	const targets = 2_000
 	owned := make(map[message.DomainID]int)
@@ -145,7 +145,7 @@
 	for id := range 300 {
 		live[3*id+4] = true
 	}
-	o := NewOwners()
+	o := NewOwners(1)
 	o.Update(0, members(live))
 	want, _ := o.Owner(0, 7, member(3).Domain)
 	before := o.Hashes()
@@ -159,8 +159,34 @@
 	is.Equal(o.Hashes(), before)
 }
 
+// Guards against a cache that grows with the whole table, against one that drops
+// targets in regular use, and against one that drops targets of the home domain:
+// after a cut between regions these may be more than a generation holds, and each
+// search would compute their owners anew.
+func TestCacheIsBoundedAndKeepsWhatIsUsed(t *testing.T) {
+	is := is.New(t)
+	o := NewOwners(1)
+	o.Update(0, members(map[int]bool{3: true, 4: true, 6: true, 7: true}))
+	lookUp := func(domain message.DomainID, first, n int) (hashes uint64) {
+		before := o.Hashes()
+		for target := first; target < first+n; target++ {
+			o.Owner(0, message.TargetID(target+1), domain)
+		}
+		return o.Hashes() - before
+	}
+	const used, near, others = 1_000, 3 * generationSize, 4 * generationSize
+	is.Equal(lookUp(1, others, near), uint64(2*near))
+	is.Equal(lookUp(2, 0, used), uint64(2*used))
+	for first := used; first < others; first += generationSize / 2 {
+		lookUp(2, first, generationSize/2)
+		is.Equal(lookUp(2, 0, used), uint64(0))
+		is.True(o.cache.len() <= near+2*generationSize)
+	}
+	is.Equal(lookUp(1, others, near), uint64(0))
+}
+
 func BenchmarkOwnerCached(b *testing.B) {
-	o := NewOwners()
+	o := NewOwners(1)
 	var list []message.Member
 	for id := range 1900 {
 		list = append(list, message.Member{ID: message.VMID(id + 1), Domain: 1})
--- a/decide/vm/vm.go
+++ b/decide/vm/vm.go
@@ -95,7 +95,7 @@
 		now:      now,
 		started:  now,
 		rng:      rand.New(rand.NewPCG(config.Seed, uint64(config.Self.ID))),
-		owners:   ownership.NewOwners(),
+		owners:   ownership.NewOwners(config.Self.Domain),
 		replica:  table.NewReplica(),
 		removed:  make(map[message.TargetID]removedTarget),
 		places:   make(places),
--- a/lab/capacity/owners.go
+++ b/lab/capacity/owners.go
@@ -40,7 +40,7 @@
 }
 
 func ownersOf(live []message.Member) *ownership.Owners {
-	o := ownership.NewOwners()
+	o := ownership.NewOwners(domainID(0))
 	o.Update(0, live)
 	return o
 }
@@ -135,12 +135,15 @@
 	}
 }
 
+// ownersHeap measures the owners of targets of all domains.
 func ownersHeap(m *Meter, targets int) float64 {
-	all := domainMembers(16)
+	all := members(2 * domainCount)
 	ids := targetIDs(targets)
 	return m.Heap(func() any {
 		o := ownersOf(all)
-		lookupOwners(o, ids)
+		for i, id := range ids {
+			o.Owner(time.Minute, id, domainID(i))
+		}
 		return o
 	})
 }
--- a/lab/fleet/copies_test.go
+++ b/lab/fleet/copies_test.go
@@ -145,7 +145,7 @@
 			live = append(live, f.vms[name].member)
 		}
 	}
-	owners := ownership.NewOwners()
+	owners := ownership.NewOwners(0)
 	owners.Update(0, live)
 	id, _ := owners.Owner(0, row.ID, row.DomainID)
 	for _, name := range f.order {
