--- a/decide/vm/cost_test.go
+++ b/decide/vm/cost_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -55,3 +57,85 @@
 	}
 	is.Equal(v.owners.Hashes(), before)
 }
+
+// Guards against a search that decodes the whole table after each membership
+// change and every 10 s, and against places that do not follow the rows.
+func TestPlacesFollowTheTable(t *testing.T) {
+	is := is.New(t)
+	b := newBench(t)
+	own := message.DomainIDOf("d")
+	ids := []message.TargetID{message.TargetIDOf("a", "t"), message.TargetIDOf("b", "t")}
+	is.Equal(sortedIDs(b.places[own]), sortedIDs(ids))
+	rows := []table.Target{{ID: ids[0], DomainID: own}, {ID: 7, DomainID: own}}
+	moved := []table.Target{{ID: ids[0], DomainID: 5}, {ID: 8, DomainID: own}}
+	p := make(places)
+	p.replace(nil, rows)
+	is.Equal(sortedIDs(p[own]), sortedIDs([]message.TargetID{ids[0], 7}))
+	p.replace(rows, moved)
+	is.Equal(p[own], []message.TargetID{8})
+	is.Equal(p[5], []message.TargetID{ids[0]})
+	p.replace(moved, nil)
+	is.Equal(len(p[own])+len(p[5]), 0)
+}
+
+// sortedIDs returns a sorted copy.
+func sortedIDs(ids []message.TargetID) []message.TargetID {
+	return slices.Sorted(slices.Values(ids))
+}
+
+// Guards against a new search of all targets when only another failure domain
+// changed, and against a search that is left out when the own one did.
+func TestSearchFollowsTheOwnDomain(t *testing.T) {
+	is := is.New(t)
+	v, all := costVM(t, 10, 100)
+	v.Tick(0)
+	gossip := func(domain string, i int) {
+		m := message.Member{
+			ID: message.VMID(i), Name: fmt.Sprint(i), Domain: message.DomainIDOf(domain),
+			Control: callerAddr, Data: callerAddr, Incarnation: 1, State: message.MemberAlive,
+		}
+		v.Receive(0, message.Message{Body: &message.Heartbeat{Self: all[1], Updates: []message.Member{m}}})
+	}
+	gossip("other", 900)
+	is.True(v.reconcile > 0)
+	gossip("d", 901)
+	is.Equal(v.reconcile, time.Duration(0))
+}
+
+// Guards against an answer to a pull that holds the whole of a large table, and
+// against one that ends within a revision, after which the receiver would not
+// ask for the other entries of it.
+func TestAnswersToPullsAreBounded(t *testing.T) {
+	is := is.New(t)
+	v, all := costVM(t, 2, 20)
+	big := &table.Service{Address: "a", Kinds: []table.Kind{{Name: "k", Urgency: table.Normal, Share: 1}}}
+	padding := strings.Repeat("x", 50)
+	for i := range 1_000 {
+		big.Targets = append(big.Targets, table.Target{
+			Name: fmt.Sprintf("t%d%s", i, padding), Domain: "d", Addr: targetAddrs[0], Weight: 1, Limit: 1, State: table.Active,
+		})
+	}
+	const services, shards = 26, 4
+	for n := range services {
+		big.Name = fmt.Sprintf("big%d", n)
+		entries, err := table.EncodeService(big, shards)
+		is.NoErr(err)
+		for i := range entries {
+			entries[i].Revision = int64(2 + n)
+		}
+		v.Receive(0, platformMessage(&message.TableDelta{Entries: entries}))
+	}
+	other := table.NewReplica()
+	pulls := 0
+	for other.Version() < v.TableVersion() {
+		pulls++
+		from := message.VMAddress(all[1].ID, callerAddr)
+		out := v.Receive(0, message.Message{From: from, Body: &message.TablePull{Since: int64(other.Version())}})
+		is.True(len(out) > 0 && len(out) <= answerBytes/deltaBytes+shards+1)
+		for _, m := range out {
+			other.Merge(m.Body.(*message.TableDelta).Entries)
+		}
+	}
+	is.True(pulls > 1)
+	is.Equal(other.Hash(), v.replica.Hash())
+}
--- a/decide/vm/vm.go
+++ b/decide/vm/vm.go
@@ -58,6 +58,7 @@
 	leavingVMs  []message.Member // other VMs that leave and still answer
 	leavingDue  time.Duration    // next search for them
 	owners      *ownership.Owners
+	ownersSeen  int
 	replica     *table.Replica
 	table       *table.Table
 	tablePulled time.Duration
@@ -65,6 +66,8 @@
 	tableFirst  time.Duration // when the first entries arrived, 0 before
 	removed     map[message.TargetID]removedTarget
 	handed      map[message.TargetID]handedTarget
+	places      places
+	changed     []message.ServiceID // whose targets findTargets has not seen
 
 	targets   map[message.TargetID]*target // targets with state at this VM
 	order     []*target                    // the same, sorted by id
@@ -94,10 +97,11 @@
 		now:      now,
 		started:  now,
 		rng:      rand.New(rand.NewPCG(config.Seed, uint64(config.Self.ID))),
-		owners:   ownership.NewOwners(),
+		owners:   ownership.NewOwners(config.Self.Domain),
 		replica:  table.NewReplica(),
 		removed:  make(map[message.TargetID]removedTarget),
 		handed:   make(map[message.TargetID]handedTarget),
+		places:   make(places),
 		targets:  make(map[message.TargetID]*target),
 		inFlight: make(map[message.RequestKey]*target),
 		relays:   make(map[message.RequestKey]relay),
--- a/lab/capacity/owners.go
+++ b/lab/capacity/owners.go
@@ -1,6 +1,8 @@
 package capacity
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/decide/message"
@@ -38,15 +40,16 @@
 }
 
 func ownersOf(live []message.Member) *ownership.Owners {
-	o := ownership.NewOwners()
+	o := ownership.NewOwners(domainID(0))
 	o.Update(0, live)
 	return o
 }
 
 // ownersUpdateTime measures the take-over of a live set that lost or regained
-// one member.
+// one member. The set is sorted by id, as membership keeps it.
 func ownersUpdateTime(m *Meter, n int) float64 {
 	all := members(n)
+	slices.SortFunc(all, func(a, b message.Member) int { return cmp.Compare(a.ID, b.ID) })
 	o := ownersOf(all)
 	without := all[:len(all)-1]
 	fewer := true
@@ -132,12 +135,15 @@
 	}
 }
 
+// ownersHeap measures the owners of targets of all domains.
 func ownersHeap(m *Meter, targets int) float64 {
-	all := domainMembers(16)
+	all := members(2 * domainCount)
 	ids := targetIDs(targets)
 	return m.Heap(func() any {
 		o := ownersOf(all)
-		lookupOwners(o, ids)
+		for i, id := range ids {
+			o.Owner(time.Minute, id, domainID(i))
+		}
 		return o
 	})
 }
