Carry the growth of flows forward only while all targets rise

Cause: the expected load counted an owner's own gain as a rise of all targets. Change: an own gain is a rise of the others only if the service was at rest. If a target reports fewer flows than before, reports count as they are. Probes of the broken-flow experiment stay below half of the service's capacity.

--- a/decide/vm/flows.go
+++ b/decide/vm/flows.go
@@ -1,6 +1,7 @@
 package vm
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -184,16 +185,31 @@
 	weight  uint32
 	ejected bool
 	at      time.Duration
-	growth  float64 // flows per second between the last two reports
+	growth  float64 // flows per second between the last two reports; negative when flows end
 }
 
-// expected returns the number of flows at now, if it grows as before or as fast
-// as another target of weight 1 does now, whichever is more.
-func (l *load) expected(now time.Duration, unitGrowth float64) float64 {
-	growth := max(l.growth, unitGrowth*float64(l.weight))
-	return float64(l.flows) + growth*(now-l.at).Seconds()
+// expected returns the number of flows at now, if they go on to rise as between
+// the last two reports, and by what began after them.
+func (l *load) expected(now time.Duration, r rise) float64 {
+	age := now - l.at
+	flows := float64(l.flows) + l.growth*age.Seconds()
+	if r.since > 0 {
+		flows += r.flows * float64(l.weight) * min(maxRise, float64(age)/float64(r.since))
+	}
+	return flows
 }
 
+// rise is what a target has gained since its own last report, in flows per weight.
+// Other targets can't have reported such a gain yet.
+type rise struct {
+	flows float64
+	since time.Duration
+}
+
+// maxRise bounds the part of a rise that is added to a report older than the
+// own one, since a rise over a short time is mostly chance.
+const maxRise = 2
+
 const (
 	// reportInterval is the time between two load reports of a target.
 	reportInterval = time.Second
@@ -227,28 +243,60 @@
 // target's own. Reports are up to a second old: compared with them as they are, a
 // target that gets its share of a fast rise would seem to be above it.
 func (v *VM) expectedLoad(t *target) (flows float64, weight uint64) {
-	unitGrowth := v.unitGrowth(t)
+	if v.declines(t.service) {
+		reported, weight := v.serviceLoad(t)
+		return float64(reported), weight
+	}
+	r := v.riseOf(t)
 	flows = float64(t.flows.Len())
 	weight = uint64(t.row.Weight)
 	for id, l := range v.loads[t.service] {
 		if id == t.id || l.ejected || v.now-l.at > loadRetention {
 			continue
 		}
-		flows += l.expected(v.now, unitGrowth)
+		flows += l.expected(v.now, r)
 		weight += uint64(l.weight)
 	}
 	return flows, weight
 }
 
-// unitGrowth returns how many flows per second a target has gained since its own
-// last report, divided by its weight.
-func (v *VM) unitGrowth(t *target) float64 {
+// riseOf returns the rise at a target. It is 0 unless the service was at rest:
+// while flows move between targets, the gain of one says nothing of the others.
+func (v *VM) riseOf(t *target) rise {
 	own, ok := v.loads[t.service][t.id]
-	if !ok || v.now <= own.at || t.row.Weight == 0 {
-		return 0
+	if !ok || v.now <= own.at || t.row.Weight == 0 || !v.wasAtRest(t.service) {
+		return rise{}
+	}
+	gained := float64(t.flows.Len()) - float64(own.flows)
+	return rise{flows: max(0, gained) / float64(t.row.Weight), since: v.now - own.at}
+}
+
+// declines reports whether a target of a service had fewer flows at its last
+// report than before. Flows then move between targets, or end, and what a target
+// gained in the last second does not go on: such targets overshoot if it is
+// carried forward.
+func (v *VM) declines(service message.ServiceID) bool {
+	for _, l := range v.loads[service] {
+		fall := -l.growth * reportInterval.Seconds()
+		if v.now-l.at <= loadRetention && fall > shareSlack {
+			return true
+		}
+	}
+	return false
+}
+
+// wasAtRest reports whether the flows of all targets of a service changed little
+// between their last two reports.
+func (v *VM) wasAtRest(service message.ServiceID) bool {
+	var flows, change float64
+	for _, l := range v.loads[service] {
+		if v.now-l.at > loadRetention {
+			continue
+		}
+		flows += float64(l.flows)
+		change += math.Abs(l.growth) * reportInterval.Seconds()
 	}
-	gained := t.flows.Len() - int(own.flows)
-	return max(0, float64(gained)/(v.now-own.at).Seconds()/float64(t.row.Weight))
+	return change <= shareExcess*flows+shareSlack
 }
 
 // serviceLoad returns the flows and weights of a service's targets as far as
@@ -326,7 +374,7 @@
 	next := load{flows: m.Flows, weight: m.Weight, ejected: m.Ejected, at: v.now}
 	if last, ok := loads[m.Target]; ok && v.now > last.at {
 		gained := float64(m.Flows) - float64(last.flows)
-		next.growth = max(0, gained/(v.now-last.at).Seconds())
+		next.growth = gained / (v.now - last.at).Seconds()
 	}
 	loads[m.Target] = next
 }
--- a/lab/measure/trial.go
+++ b/lab/measure/trial.go
@@ -171,6 +171,7 @@
 	for i, flows := range t.flows {
 		service := &t.site.Services[i]
 		k := len(service.Kinds) - 1
+		rate := min(rate, service.capacity(k)/2)
 		for n, start := 0, t.fleet.Now(); n < len(flows); {
 			due := int(rate * (t.fleet.Now() - start + step).Seconds())
 			for ; n < min(due, len(flows)); n++ {
