Log what a VM decides as numbered events

Decisions were recorded in the trace for Explain only; an operator saw nothing of takeovers, lost targets or members in the log.

decide/notice holds a bounded list of typed notices. decide/vm adds to it, decide/membership reports state changes, and the service "core" writes the notices after each step as GS3201 to GS3603. The log is looked up when core is connected and may be absent, as in the stepped fleet; notices are then discarded. Events of decisions have a burst of 50 lines, because one change concerns all targets of a VM. Notices are kept off the paths of flows and requests.

--- a/decide/membership/record.go
+++ b/decide/membership/record.go
@@ -101,6 +101,7 @@
 		r.doomed = false
 	}
 	r.member = m
+	v.noteChange(r, old.State, m.State)
 	v.others += v.countsAsOther(r)
 	v.count(now, old, -1, r)
 	v.count(now, m, 1, r)
--- a/decide/membership/view.go
+++ b/decide/membership/view.go
@@ -87,6 +87,7 @@
 	tableHash     uint64
 	started       time.Duration
 	stats         Stats
+	noted         []Change
 	out           []message.Message
 }
 
--- a/decide/vm/answers.go
+++ b/decide/vm/answers.go
@@ -7,6 +7,7 @@
 
 	"github.com/gypsumspan/gypsumspan/decide/health"
 	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/decide/notice"
 	"github.com/gypsumspan/gypsumspan/decide/table"
 )
 
@@ -236,6 +237,9 @@
 	case health.Ejected:
 		v.eject(t)
 	default:
+		if t.ejected {
+			v.noteTarget(notice.Restored, t, 0, 0)
+		}
 		t.ejected = false
 		t.health.Retain(false)
 	}
@@ -262,6 +266,7 @@
 	if allowed {
 		t.ejected = true
 		v.counters.Ejections++
+		v.noteTarget(notice.Ejected, t, 0, 0)
 		v.trace.add(v, decision{action: actionEject, target: t.id})
 	}
 }
@@ -279,6 +284,9 @@
 // loseTarget handles a crash of the target: its flows are gone. Their stamps are
 // given up and kept, so that their packets are answered "flow unknown".
 func (v *VM) loseTarget(t *target) {
+	if !t.ejected || t.flows.Len() > 0 {
+		v.noteTarget(notice.TargetLost, t, 0, t.flows.Len())
+	}
 	t.ejected = true
 	if t.flows.Len() == 0 {
 		return
--- a/decide/vm/explain.go
+++ b/decide/vm/explain.go
@@ -136,6 +136,11 @@
 	if t, s := v.table.Target(id); t != nil {
 		return s.Name + "/" + t.Name
 	}
+	if r, ok := v.removed[id]; ok && r.row.Name != "" {
+		if s := v.table.Service(r.service); s != nil {
+			return s.Name + "/" + r.row.Name
+		}
+	}
 	return fmt.Sprintf("%016x", uint64(id))
 }
 
--- a/decide/vm/handover.go
+++ b/decide/vm/handover.go
@@ -8,6 +8,7 @@
 	"github.com/gypsumspan/gypsumspan/decide/admission"
 	"github.com/gypsumspan/gypsumspan/decide/flowtable"
 	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/decide/notice"
 	"github.com/gypsumspan/gypsumspan/decide/ownership"
 	"github.com/gypsumspan/gypsumspan/decide/table"
 )
@@ -216,6 +217,7 @@
 	}
 	v.mergeHandover(t, in)
 	v.acknowledge(from.VM, m, true)
+	v.noteTarget(notice.Received, t, from.VM, t.flows.Len())
 	v.trace.add(v, decision{action: actionActivate, target: t.id, vm: from.VM})
 	v.replayIncoming(t)
 	v.pump(t)
@@ -396,6 +398,7 @@
 	if !t.machine.Confirmed(v.now) {
 		return
 	}
+	v.noteTarget(notice.HandedOver, t, t.machine.Receiver(), t.flows.Len())
 	v.keepRelays(t, t.machine.Receiver())
 	v.passOnParts(t)
 	v.handed[t.id] = handedTarget{to: t.machine.Receiver(), until: v.now + handedRetention}
--- a/decide/vm/members.go
+++ b/decide/vm/members.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/decide/notice"
 	"github.com/gypsumspan/gypsumspan/decide/ownership"
 )
 
@@ -13,6 +14,7 @@
 	v.emit(messages)
 	if event.Paused {
 		v.pause()
+		v.notices.Add(notice.Notice{Kind: notice.Paused, Gap: event.Gap})
 	}
 	v.followMembers()
 }
@@ -37,6 +39,7 @@
 // followMembers updates the owners and the leaving VMs after a change of the
 // live set.
 func (v *VM) followMembers() {
+	v.noteMembers()
 	version := v.members.Version()
 	if version == v.membersSeen && v.now < v.leavingDue {
 		return
@@ -178,6 +181,7 @@
 	old := v.rowsOf(m)
 	changed, rejected := v.replica.Merge(m.Entries)
 	v.counters.TableRejected += uint64(len(rejected))
+	v.noteRejected(rejected)
 	for _, id := range changed {
 		v.followService(id, old[id])
 	}
@@ -187,6 +191,7 @@
 			v.tableFirst = v.now
 		}
 		v.tableSince = v.now
+		v.notices.Add(notice.Notice{Kind: notice.TableInForce, Revision: v.replica.Version()})
 		v.reconcile = v.now
 		v.members.Notify(v.now)
 	}
--- a/decide/vm/moves.go
+++ b/decide/vm/moves.go
@@ -7,6 +7,7 @@
 	"github.com/gypsumspan/gypsumspan/decide/admission"
 	"github.com/gypsumspan/gypsumspan/decide/flowtable"
 	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/decide/notice"
 	"github.com/gypsumspan/gypsumspan/decide/ownership"
 	"github.com/gypsumspan/gypsumspan/decide/rendezvous"
 	"github.com/gypsumspan/gypsumspan/decide/table"
@@ -49,8 +50,10 @@
 // flight waits for its end; requests that were not dispatched move with it.
 func (v *VM) moveFlows(t *target) {
 	if t.row.State != table.Leaving {
+		t.departing = false
 		return
 	}
+	v.noteMoves(t)
 	s := v.table.Service(t.service)
 	if s == nil {
 		return
@@ -208,6 +211,7 @@
 }
 
 func (v *VM) forgetMoved(t *target, id message.FlowID, to message.TargetID) {
+	t.departed++
 	t.flows.Remove(id)
 	t.log.RemoveFlow(id)
 	for key := range t.pending {
@@ -252,5 +256,8 @@
 // knows them or adopts none of their old stamps.
 func (v *VM) abandonMove(m *move) {
 	v.counters.MovesAbandoned++
+	if t := v.targets[m.source]; t != nil {
+		v.noteTarget(notice.MoveAbandoned, t, m.receiver, len(m.handover.Flows))
+	}
 	v.moveAck(m, true)
 }
--- a/decide/vm/target.go
+++ b/decide/vm/target.go
@@ -10,6 +10,7 @@
 	"github.com/gypsumspan/gypsumspan/decide/flowtable"
 	"github.com/gypsumspan/gypsumspan/decide/health"
 	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/decide/notice"
 	"github.com/gypsumspan/gypsumspan/decide/ownership"
 	"github.com/gypsumspan/gypsumspan/decide/requestlog"
 	"github.com/gypsumspan/gypsumspan/decide/table"
@@ -41,6 +42,9 @@
 	pending  map[message.RequestKey]*pending
 	moved    map[message.FlowID]movedFlow // flows that now belong to other targets
 	moving   map[message.FlowID]*move
+	// departing and departed describe the moves of a leaving target for notices.
+	departing bool
+	departed  int // flows that have moved
 
 	incoming *incoming // handover that is being received
 	outgoing *outgoing // handover that is being sent
@@ -138,6 +142,7 @@
 	if len(t.epochs) == 0 {
 		t.epochs = []message.Epoch{v.newEpoch()}
 		v.counters.Takeovers++
+		v.noteTarget(notice.TakenOver, t, 0, t.flows.Len())
 	}
 	v.trace.add(v, decision{action: actionActivate, target: t.id})
 	v.replayIncoming(t)
@@ -165,6 +170,7 @@
 	})
 	t.outgoing = nil
 	v.counters.Revocations++
+	v.noteTarget(notice.Revoked, t, t.machine.Receiver(), t.flows.Len())
 }
 
 // dropWaiting forgets a target that another VM owns now. Requests in flight from
--- a/decide/vm/vm.go
+++ b/decide/vm/vm.go
@@ -15,6 +15,7 @@
 
 	"github.com/gypsumspan/gypsumspan/decide/membership"
 	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/decide/notice"
 	"github.com/gypsumspan/gypsumspan/decide/ownership"
 	"github.com/gypsumspan/gypsumspan/decide/table"
 )
@@ -80,6 +81,9 @@
 	leaveIdle time.Duration // since when nothing is left to hand over
 	trace     trace
 	counters  Counters
+	notices   notice.List
+	leaveFrom time.Duration // start of the planned leave
+	leftNoted bool
 	out       []message.Message
 }
 
@@ -179,6 +183,7 @@
 	v.begin(now)
 	v.leaving = true
 	v.leaveIdle = now
+	v.noteLeaveStarted()
 	v.emit(v.members.Leave(now))
 	v.followMembers()
 	return v.out
@@ -201,6 +206,7 @@
 	if len(v.inFlight) > 0 || len(v.relays) > 0 || len(v.moves) > 0 || v.ownsFlows() {
 		v.leaveIdle = v.now
 	}
+	v.noteLeft()
 }
 
 // ownsFlows reports whether a target still has flows or requests that another VM
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -60,7 +60,7 @@
 		Fields:  []string{"peer", "error"}})
 )
 
-// Events of polling and of the admin address, GS3000 to GS4999.
+// Events of polling, GS3000 to GS3199.
 var (
 	// VMListFailed is written when the platform's VM list can't be read.
 	VMListFailed = declare(Event{Number: "GS3001", Level: Warn, Name: "vm_list_failed", Limited: true,
@@ -78,6 +78,95 @@
 	HealthPollsSkipped = declare(Event{Number: "GS3102", Level: Warn, Name: "health_polls_skipped", Limited: true,
 		Message: "health polls were skipped because the last round is unfinished",
 		Fields:  []string{"poller"}})
+)
+
+// Events of decisions, GS3200 to GS3999. A change of the fleet or of the table
+// writes one line for each target or VM that it concerns.
+var (
+	// OwnershipTakenOver is written when the VM owns a target with a new epoch.
+	OwnershipTakenOver = declare(Event{Number: "GS3201", Level: Info, Name: "ownership_taken_over", Limited: true, Burst: decisionBurst,
+		Message: "target is owned with a new epoch",
+		Fields:  []string{"target", "flows"}})
+	// OwnershipHandedOver is written when another VM confirmed a handover.
+	OwnershipHandedOver = declare(Event{Number: "GS3202", Level: Info, Name: "ownership_handed_over", Limited: true, Burst: decisionBurst,
+		Message: "target was handed over",
+		Fields:  []string{"target", "peer", "flows"}})
+	// OwnershipReceived is written when a handover was merged.
+	OwnershipReceived = declare(Event{Number: "GS3203", Level: Info, Name: "ownership_received", Limited: true, Burst: decisionBurst,
+		Message: "target was received from another VM",
+		Fields:  []string{"target", "peer", "flows"}})
+	// OwnershipRevoked is written when a handover was not confirmed and may have been accepted.
+	OwnershipRevoked = declare(Event{Number: "GS3204", Level: Warn, Name: "ownership_revoked", Limited: true, Burst: decisionBurst,
+		Message: "epochs were given up after an unconfirmed handover",
+		Fields:  []string{"target", "peer", "flows"}})
+	// TargetEjected is written when a target is taken out of service for health.
+	TargetEjected = declare(Event{Number: "GS3301", Level: Warn, Name: "target_ejected", Limited: true, Burst: decisionBurst,
+		Message: "target takes no new flows because of its health",
+		Fields:  []string{"target"}})
+	// TargetRestored is written when a target is back in service.
+	TargetRestored = declare(Event{Number: "GS3302", Level: Info, Name: "target_restored", Limited: true, Burst: decisionBurst,
+		Message: "target is back in service",
+		Fields:  []string{"target"}})
+	// TargetLost is written when a target crashed and its flows are lost.
+	TargetLost = declare(Event{Number: "GS3303", Level: Error, Name: "target_lost", Limited: true, Burst: decisionBurst,
+		Message: "target has crashed",
+		Fields:  []string{"target", "flows"}})
+	// MovesStarted is written when flows begin to move away from a leaving target.
+	MovesStarted = declare(Event{Number: "GS3304", Level: Info, Name: "moves_started", Limited: true, Burst: decisionBurst,
+		Message: "flows begin to leave a leaving target",
+		Fields:  []string{"target", "flows"}})
+	// MovesFinished is written when no flow is left at a leaving target.
+	MovesFinished = declare(Event{Number: "GS3305", Level: Info, Name: "moves_finished", Limited: true, Burst: decisionBurst,
+		Message: "leaving target has no flows left",
+		Fields:  []string{"target", "flows"}})
+	// MoveAbandoned is written when a move of flows was never confirmed.
+	MoveAbandoned = declare(Event{Number: "GS3306", Level: Warn, Name: "move_abandoned", Limited: true, Burst: decisionBurst,
+		Message: "move of flows was given up",
+		Fields:  []string{"target", "peer", "flows"}})
+	// VMPaused is written when the process did not run for a while.
+	VMPaused = declare(Event{Number: "GS3401", Level: Warn, Name: "vm_paused", Limited: true,
+		Message: "VM was paused",
+		Fields:  []string{"gap"}})
+	// MemberSuspected is written when another VM does not answer.
+	MemberSuspected = declare(Event{Number: "GS3402", Level: Warn, Name: "member_suspected", Limited: true, Burst: decisionBurst,
+		Message: "VM is suspected",
+		Fields:  []string{"peer"}})
+	// MemberDead is written when another VM is declared dead.
+	MemberDead = declare(Event{Number: "GS3403", Level: Warn, Name: "member_dead", Limited: true, Burst: decisionBurst,
+		Message: "VM is dead",
+		Fields:  []string{"peer"}})
+	// MemberBack is written when a suspected, leaving or dead VM is alive again.
+	MemberBack = declare(Event{Number: "GS3404", Level: Info, Name: "member_back", Limited: true, Burst: decisionBurst,
+		Message: "VM is back",
+		Fields:  []string{"peer"}})
+	// MemberLeaving is written when another VM begins its planned leave.
+	MemberLeaving = declare(Event{Number: "GS3405", Level: Info, Name: "member_leaving", Limited: true, Burst: decisionBurst,
+		Message: "VM is leaving",
+		Fields:  []string{"peer"}})
+	// TableInForce is written when a revision of the table is in force at this VM.
+	TableInForce = declare(Event{Number: "GS3501", Level: Info, Name: "table_in_force", Limited: true, Burst: decisionBurst,
+		Message: "table revision is in force",
+		Fields:  []string{"revision"}})
+	// TableEntryRejected is written for an entry of the table that is malformed.
+	TableEntryRejected = declare(Event{Number: "GS3502", Level: Error, Name: "table_entry_rejected", Limited: true, Burst: decisionBurst,
+		Message: "entry of the table was rejected",
+		Fields:  []string{"key", "revision", "error"}})
+	// HandoversStarted is written when the decisions begin the planned leave.
+	HandoversStarted = declare(Event{Number: "GS3601", Level: Info, Name: "handovers_started",
+		Message: "VM begins to hand over what it owns",
+		Fields:  []string{"flows"}})
+	// HandoversFinished is written when nothing is left to hand over.
+	HandoversFinished = declare(Event{Number: "GS3602", Level: Info, Name: "handovers_finished",
+		Message: "VM has nothing left to hand over",
+		Fields:  []string{"took"}})
+	// NoticesDropped is written when more happened in one step than the VM notes.
+	NoticesDropped = declare(Event{Number: "GS3603", Level: Warn, Name: "notices_dropped", Limited: true,
+		Message: "events of decisions were dropped",
+		Fields:  []string{"dropped"}})
+)
+
+// Events of the admin address, GS4000 to GS4999.
+var (
 	// AdminAnswerFailed is written when a question of the admin address has no answer.
 	AdminAnswerFailed = declare(Event{Number: "GS4001", Level: Warn, Name: "admin_answer_failed", Limited: true,
 		Message: "question on the admin address was not answered",
--- a/events/event.go
+++ b/events/event.go
@@ -52,6 +52,9 @@
 	limitRate = rate.Limit(1)
 	// limitBurst is the number of lines that a limited event may write at once.
 	limitBurst = 5
+	// decisionBurst is the burst of events of decisions: one change concerns all
+	// targets that a VM owns, or all VMs of a failure domain of today's size.
+	decisionBurst = 50
 )
 
 // Event is the declaration of one kind of log line.
@@ -62,8 +65,9 @@
 	Message string
 	Fields  []string
 	// Limited events can be caused by callers, targets or other VMs. They are
-	// written at most once per second after a burst of five.
+	// written at most once per second after a burst.
 	Limited bool
+	Burst   int // lines; 0 means 5
 }
 
 // Field is one named value of a log line.
--- a/events/logger.go
+++ b/events/logger.go
@@ -1,6 +1,7 @@
 package events
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"io"
@@ -75,7 +76,7 @@
 	l := &Logger{level: level, write: write, now: now, limits: make(map[*Event]*limit)}
 	for _, e := range All() {
 		if e.Limited {
-			l.limits[e] = &limit{limiter: rate.NewLimiter(limitRate, limitBurst)}
+			l.limits[e] = &limit{limiter: rate.NewLimiter(limitRate, cmp.Or(e.Burst, limitBurst))}
 		}
 	}
 	return l
--- a/services/core/core.go
+++ b/services/core/core.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/decide/message"
 	"github.com/gypsumspan/gypsumspan/decide/rendezvous"
 	"github.com/gypsumspan/gypsumspan/kernel"
+	"github.com/gypsumspan/gypsumspan/services/logs"
 )
 
 // Names of the services that core uses.
@@ -56,6 +58,8 @@
 	commands *kernel.Ring[Command]
 	turns    []*kernel.Ring[message.Message]
 	udp      Output
+	log      logs.Log // nil when there is none
+	noticer  Noticer  // nil when the machine has no notices
 	peers    Output
 	nextTick time.Duration
 	left     chan struct{}
@@ -68,7 +72,8 @@
 
 // New returns the service for machine.
 func New(machine Machine) *Service {
-	return &Service{machine: machine, left: make(chan struct{})}
+	noticer, _ := machine.(Noticer)
+	return &Service{machine: machine, noticer: noticer, left: make(chan struct{})}
 }
 
 // Name implements kernel.Service.
@@ -102,6 +107,10 @@
 	if s.peers, err = kernel.Lookup[Output](k, PeersName); err != nil {
 		return err
 	}
+	// A stepped fleet may have no log; the notices are then discarded.
+	if s.log, err = kernel.Lookup[logs.Log](k, logs.Name); err != nil && !errors.Is(err, kernel.ErrUnknownService) {
+		return err
+	}
 	k.AddDuty(kernel.Duty{Name: "core", Gate: s.gate, Step: s.step})
 	return nil
 }
@@ -154,6 +163,7 @@
 			more = true
 		}
 	}
+	s.logNotices()
 	s.noteLeft()
 	if more {
 		return now
--- /dev/null
+++ b/services/core/notices.go
@@ -0,0 +1,80 @@
+package core
+
+import (
+	"github.com/gypsumspan/gypsumspan/decide/notice"
+	"github.com/gypsumspan/gypsumspan/events"
+)
+
+// Noticer is a machine that notes decisions for the log.
+type Noticer interface {
+	// TakeNotices calls yield for the notices since the last call, oldest first.
+	TakeNotices(yield func(notice.Notice))
+}
+
+// eventOf is the event of each kind of notice.
+var eventOf = [notice.NumKinds]*events.Event{
+	notice.TakenOver:     events.OwnershipTakenOver,
+	notice.HandedOver:    events.OwnershipHandedOver,
+	notice.Received:      events.OwnershipReceived,
+	notice.Revoked:       events.OwnershipRevoked,
+	notice.Ejected:       events.TargetEjected,
+	notice.Restored:      events.TargetRestored,
+	notice.TargetLost:    events.TargetLost,
+	notice.MovesStarted:  events.MovesStarted,
+	notice.MovesFinished: events.MovesFinished,
+	notice.MoveAbandoned: events.MoveAbandoned,
+	notice.Paused:        events.VMPaused,
+	notice.MemberSuspect: events.MemberSuspected,
+	notice.MemberDead:    events.MemberDead,
+	notice.MemberBack:    events.MemberBack,
+	notice.MemberLeaving: events.MemberLeaving,
+	notice.TableInForce:  events.TableInForce,
+	notice.TableRejected: events.TableEntryRejected,
+	notice.LeaveStarted:  events.HandoversStarted,
+	notice.LeaveFinished: events.HandoversFinished,
+	notice.Dropped:       events.NoticesDropped,
+}
+
+// logNotices writes the machine's notices. Without a log it discards them, so
+// that the machine's list does not fill.
+func (s *Service) logNotices() {
+	if s.noticer != nil {
+		s.noticer.TakeNotices(s.logNotice)
+	}
+}
+
+func (s *Service) logNotice(n notice.Notice) {
+	e := eventOf[n.Kind]
+	if s.log == nil || e == nil {
+		return
+	}
+	fields := make([]events.Field, 0, len(e.Fields))
+	for _, name := range e.Fields {
+		fields = append(fields, events.F(name, valueOf(&n, name)))
+	}
+	s.log.Log(e, fields...)
+}
+
+// valueOf returns the value of an event's field, or nil for an unknown name.
+func valueOf(n *notice.Notice, field string) any {
+	switch field {
+	case "target":
+		return n.Target
+	case "peer":
+		return n.VM
+	case "flows":
+		return n.Flows
+	case "gap", "took":
+		return n.Gap
+	case "revision":
+		return n.Revision
+	case "key":
+		return n.Key
+	case "error":
+		return n.Err
+	case "dropped":
+		return n.Count
+	default:
+		return nil
+	}
+}
