Serve completed, refused, shed and waiting work by service and kind

The decisions' counters had no tags, so that /metrics showed neither which kind a flood displaced nor why work was refused. Store calls were missing.

Counters now have tags as gauges have. Work is counted by service and kind, refusals also by reason and cause, with sums of queue and answer times; at most 4,096 pairs are kept, and what is not in the table counts as "other". Counters of the service "storewatch" are served. docs/metrics.md lists every metric; a test of decide/vm compares the decisions' part in name, type and tags, and the test of services/admin, which now also compares tags, the other part. The former untagged refused_* counters and the list in gypsumspand.md are gone.

--- a/decide/admission/queue.go
+++ b/decide/admission/queue.go
@@ -131,6 +131,15 @@
 	return &q.kinds[id]
 }
 
+// Waiting returns the number of items of a kind that wait, 0 for an unknown kind.
+func (q *Queue) Waiting(id message.KindID) int {
+	k := q.kind(id)
+	if k == nil {
+		return 0
+	}
+	return int(k.len)
+}
+
 // Next returns the next item to dispatch (it holds a slot now) or to refuse. It
 // returns false when nothing is to be done. The caller repeats it until then
 // after slots were freed and on every tick.
--- a/decide/vm/answers.go
+++ b/decide/vm/answers.go
@@ -118,7 +118,7 @@
 	delete(v.inFlight, p.key)
 	t.queue.Finish(v.now, p.key, v.now-p.sentAt)
 	t.health.Outcome(v.now, health.Success)
-	v.counters.Completed++
+	v.noteCompleted(t, p)
 	v.pump(t)
 }
 
@@ -165,7 +165,7 @@
 	if !p.cancelled {
 		t.health.Outcome(v.now, health.Shed)
 	}
-	v.counters.Shed++
+	v.noteShed(t, p)
 	v.refuse(t, p, message.CauseTargetLost, shedRetry)
 	v.setLimit(t)
 }
--- a/decide/vm/counters.go
+++ b/decide/vm/counters.go
@@ -33,11 +33,6 @@
 	MovesAbandoned    uint64
 	Pauses            uint64
 	TableRejected     uint64 // malformed table entries
-	Refused           [message.NumReasons][message.NumCauses]uint64
-}
-
-func (c *Counters) refused(reason message.RefusalReason, cause message.Cause) {
-	c.Refused[reason][cause]++
 }
 
 // Stats returns a copy of the counters.
@@ -45,66 +40,6 @@
 	return v.counters
 }
 
-// Counters calls yield with the name and value of every counter, for metrics.
-func (v *VM) Counters(yield func(name string, value int64) bool) {
-	c := &v.counters
-	named := []struct {
-		name  string
-		value uint64
-	}{
-		{"forwarded", c.Forwarded},
-		{"flows_opened", c.FlowsOpened},
-		{"flows_adopted", c.FlowsAdopted},
-		{"flows_moved", c.FlowsMoved},
-		{"flows_closed", c.FlowsClosed},
-		{"flows_unknown", c.FlowsUnknown},
-		{"flows_lost", c.FlowsLost},
-		{"targets_lost", c.TargetsLost},
-		{"ejections", c.Ejections},
-		{"dispatched", c.Dispatched},
-		{"completed", c.Completed},
-		{"shed", c.Shed},
-		{"lapsed", c.Lapsed},
-		{"replays", c.Replays},
-		{"stray_answers", c.StrayAnswers},
-		{"takeovers", c.Takeovers},
-		{"handovers_sent", c.HandoversSent},
-		{"handovers_received", c.HandoversReceived},
-		{"revocations", c.Revocations},
-		{"moves_abandoned", c.MovesAbandoned},
-		{"pauses", c.Pauses},
-		{"table_rejected", c.TableRejected},
-	}
-	for _, n := range named {
-		if !yield(n.name, int64(n.value)) {
-			return
-		}
-	}
-	for reason := range c.Refused {
-		for cause, n := range c.Refused[reason] {
-			if n > 0 && !yield(label(message.RefusalReason(reason), message.Cause(cause)), int64(n)) {
-				return
-			}
-		}
-	}
-}
-
-// Gauges calls yield with the name, tags and value of every gauge: for each owned
-// target its flows, its drift from the share in the table, and its slots.
-func (v *VM) Gauges(yield func(name string, tags map[string]string, value float64) bool) {
-	for _, t := range v.order {
-		tags := map[string]string{"target": v.targetName(t.id)}
-		ok := yield("flows", tags, float64(t.flows.Len())) &&
-			yield("in_flight", tags, float64(t.queue.InFlight())) &&
-			yield("queued", tags, float64(t.queue.Len())) &&
-			yield("limit", tags, float64(t.row.Limit)) &&
-			yield("share_drift", tags, v.drift(t))
-		if !ok {
-			return
-		}
-	}
-}
-
 // drift returns by which part of its share a target's flows exceed it, from the
 // reports of the service's other owners; negative below the share.
 func (v *VM) drift(t *target) float64 {
--- a/decide/vm/explain.go
+++ b/decide/vm/explain.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strings"
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/decide/message"
@@ -201,8 +200,3 @@
 	}
 	return s
 }
-
-// label returns the name of a metric that counts one kind of refusal.
-func label(reason message.RefusalReason, cause message.Cause) string {
-	return strings.Join([]string{"refused", reason.String(), cause.String()}, "_")
-}
--- a/decide/vm/handover.go
+++ b/decide/vm/handover.go
@@ -343,6 +343,7 @@
 	t.pending[r.Key] = &pending{
 		key:        r.Key,
 		attempt:    r.Attempt,
+		kind:       noKind,
 		caller:     r.Caller,
 		deadline:   deadline,
 		dispatched: true,
--- a/decide/vm/ingress.go
+++ b/decide/vm/ingress.go
@@ -315,7 +315,7 @@
 	default:
 		return
 	}
-	v.refusal(f.Caller, &r, f.Target)
+	v.refusal(f.Caller, &r, f.Target, v.workOf(serviceOf(f.Inner), kindOf(f.Inner)))
 }
 
 func serviceOf(body message.Body) message.ServiceID {
--- a/decide/vm/requests.go
+++ b/decide/vm/requests.go
@@ -118,6 +118,7 @@
 }
 
 func (v *VM) offer(t *target, p *pending) {
+	p.offered = v.now
 	verdict := t.queue.Offer(v.now, admission.Item{
 		Key:      p.key,
 		Attempt:  p.attempt,
@@ -161,7 +162,7 @@
 	p.dispatched = true
 	p.sentAt = v.now
 	v.inFlight[p.key] = t
-	v.counters.Dispatched++
+	v.noteDispatch(t, p)
 	v.trace.add(v, decision{action: actionDispatch, flow: p.key.Flow, request: p.key.ID, target: t.id})
 	for _, part := range p.parts {
 		v.send(message.TargetAddress(t.id, t.row.Addr), &message.Dispatch{
@@ -224,7 +225,7 @@
 		Cause:      cause,
 		RetryAfter: retryAfter,
 		Binding:    t.binding(),
-	}, t.id)
+	}, t.id, v.workOf(t.service, p.kind))
 	v.tellClosed(t, p)
 }
 
@@ -246,9 +247,9 @@
 	v.sendData(p.ingress, closed)
 }
 
-// refusal sends a refusal to a caller and records it.
-func (v *VM) refusal(caller netip.AddrPort, r *message.Refusal, target message.TargetID) {
-	v.counters.refused(r.Reason, r.Cause)
+// refusal sends a refusal to a caller and records it among its kind of work.
+func (v *VM) refusal(caller netip.AddrPort, r *message.Refusal, target message.TargetID, w *work) {
+	w.refused[r.Reason][r.Cause]++
 	v.trace.add(v, decision{
 		action: actionRefuse, flow: r.Flow, request: r.ID, target: target, reason: r.Reason, cause: r.Cause,
 	})
--- a/decide/vm/target.go
+++ b/decide/vm/target.go
@@ -63,6 +63,7 @@
 	caller     netip.AddrPort
 	ingress    message.VMID
 	deadline   time.Duration // absolute
+	offered    time.Duration // to the queue of this VM
 	parts      []*message.Request
 	missing    int           // parts that have not arrived
 	dispatched bool          // sent to the target
@@ -160,7 +161,7 @@
 			v.refusal(p.caller, &message.Refusal{
 				Flow: p.key.Flow, ID: p.key.ID, Attempt: p.attempt,
 				Reason: message.MayHaveRun, Cause: message.CauseOwnerMoved, Binding: t.binding(),
-			}, t.id)
+			}, t.id, v.workOf(t.service, p.kind))
 		}
 	}
 	t.log = requestlog.New(requestlog.Config{MaxAnswerBytes: v.config.AnswerBytes})
--- a/decide/vm/vm.go
+++ b/decide/vm/vm.go
@@ -81,6 +81,8 @@
 	leaveIdle time.Duration // since when nothing is left to hand over
 	trace     trace
 	counters  Counters
+	work      map[workKey]*work
+	otherWork work
 	notices   notice.List
 	leaveFrom time.Duration // start of the planned leave
 	leftNoted bool
@@ -94,20 +96,22 @@
 	config.AnswerBytes = cmp.Or(config.AnswerBytes, DefaultAnswerBytes)
 	config.Membership.Self = config.Self
 	v := &VM{
-		config:   config,
-		now:      now,
-		started:  now,
-		rng:      rand.New(rand.NewPCG(config.Seed, uint64(config.Self.ID))),
-		owners:   ownership.NewOwners(),
-		replica:  table.NewReplica(),
-		removed:  make(map[message.TargetID]removedTarget),
-		handed:   make(map[message.TargetID]handedTarget),
-		targets:  make(map[message.TargetID]*target),
-		inFlight: make(map[message.RequestKey]*target),
-		relays:   make(map[message.RequestKey]relay),
-		moves:    make(map[uint64]*move),
-		loads:    make(map[message.ServiceID]map[message.TargetID]load),
-		doors:    make(map[door]time.Duration),
+		config:    config,
+		now:       now,
+		started:   now,
+		rng:       rand.New(rand.NewPCG(config.Seed, uint64(config.Self.ID))),
+		owners:    ownership.NewOwners(),
+		replica:   table.NewReplica(),
+		removed:   make(map[message.TargetID]removedTarget),
+		handed:    make(map[message.TargetID]handedTarget),
+		targets:   make(map[message.TargetID]*target),
+		inFlight:  make(map[message.RequestKey]*target),
+		relays:    make(map[message.RequestKey]relay),
+		moves:     make(map[uint64]*move),
+		loads:     make(map[message.ServiceID]map[message.TargetID]load),
+		doors:     make(map[door]time.Duration),
+		work:      make(map[workKey]*work),
+		otherWork: work{service: "other", kind: "other"},
 	}
 	v.table = v.replica.Table()
 	v.members = membership.New(config.Membership, v.rng.Uint64(), now)
--- a/services/admin/admin.go
+++ b/services/admin/admin.go
@@ -23,6 +23,7 @@
 	"github.com/gypsumspan/gypsumspan/services/core"
 	"github.com/gypsumspan/gypsumspan/services/logs"
 	"github.com/gypsumspan/gypsumspan/services/peers"
+	"github.com/gypsumspan/gypsumspan/services/storewatch"
 	"github.com/gypsumspan/gypsumspan/services/udp"
 )
 
@@ -59,9 +60,10 @@
 	Explain(flow message.FlowID) any
 }
 
-// Counter is a machine with counters since start.
+// Counter is a machine with counters since start. The tags are used during the
+// call of yield only; values with the same name and tags are added up.
 type Counter interface {
-	Counters(yield func(name string, value int64) bool)
+	Counters(yield func(name string, tags map[string]string, value int64) bool)
 }
 
 // Gauger is a machine with gauges.
@@ -88,8 +90,9 @@
 	kernel   *kernel.Kernel
 	core     Core
 	log      logs.Log
-	udp      interface{ Stats() udp.Stats }   // nil when there is none
-	peers    interface{ Stats() peers.Stats } // nil when there is none
+	udp      interface{ Stats() udp.Stats }        // nil when there is none
+	peers    interface{ Stats() peers.Stats }      // nil when there is none
+	store    interface{ Stats() storewatch.Stats } // nil when there is none
 	listener net.Listener
 	server   *http.Server
 }
@@ -129,6 +132,7 @@
 	// Metrics leave out services that do not exist or have no such counters.
 	s.udp, _ = kernel.Lookup[interface{ Stats() udp.Stats }](k, core.UDPName)
 	s.peers, _ = kernel.Lookup[interface{ Stats() peers.Stats }](k, core.PeersName)
+	s.store, _ = kernel.Lookup[interface{ Stats() storewatch.Stats }](k, storewatch.Name)
 	s.server = &http.Server{
 		Handler:        s.handler(),
 		ReadTimeout:    readTimeout,
--- a/services/admin/admin_test.go
+++ b/services/admin/admin_test.go
@@ -23,6 +23,7 @@
 	"github.com/gypsumspan/gypsumspan/services/core"
 	"github.com/gypsumspan/gypsumspan/services/logs"
 	"github.com/gypsumspan/gypsumspan/services/peers"
+	"github.com/gypsumspan/gypsumspan/services/storewatch"
 	"github.com/gypsumspan/gypsumspan/services/udp"
 )
 
@@ -44,8 +45,11 @@
 	return map[string]any{"leaving": true, "members": 3, "owned": []string{"t1"}}
 }
 func (*machine) Explain(flow message.FlowID) any { return []string{"asked for " + flow.String()} }
-func (*machine) Counters(yield func(string, int64) bool) {
-	_ = yield("dispatched", 7) && yield("refused_total", 2)
+func (*machine) Counters(yield func(string, map[string]string, int64) bool) {
+	tags := map[string]string{"kind": "k0"}
+	ok := yield("dispatched", tags, 7)
+	tags["kind"] = "k1"
+	_ = ok && yield("dispatched", tags, 4) && yield("refused_total", nil, 1) && yield("refused_total", nil, 1)
 }
 func (*machine) Gauges(yield func(string, map[string]string, float64) bool) {
 	yield("queue-depth", map[string]string{"target": `a"b\`}, 1.5)
@@ -66,6 +70,15 @@
 }
 func (*deafCore) Put(message.Message) error { return nil }
 
+// storeStub is a stand-in for the service "storewatch".
+type storeStub struct{}
+
+func (storeStub) Name() string                 { return storewatch.Name }
+func (storeStub) Needs() []string              { return nil }
+func (storeStub) Setup(*kernel.Kernel) error   { return nil }
+func (storeStub) Connect(*kernel.Kernel) error { return nil }
+func (storeStub) Stats() storewatch.Stats      { return storewatch.Stats{Reads: 3} }
+
 func start(t *testing.T, c kernel.Service, wait time.Duration) (*Service, *events.Recorder) {
 	t.Helper()
 	before := goleak.IgnoreCurrent()
@@ -76,7 +89,7 @@
 	k := kernel.New(kernel.NewClock())
 	for _, service := range []kernel.Service{
 		logs.New(logger), udp.New(udp.Config{Callers: loopback, Data: loopback}, nil),
-		peers.New(peers.Config{Listen: loopback}), s, c,
+		peers.New(peers.Config{Listen: loopback}), storeStub{}, s, c,
 	} {
 		if err := k.Register(service); err != nil {
 			t.Fatal(err)
@@ -142,7 +155,8 @@
 		code, body := get(t, s, "/metrics")
 		is.Equal(code, http.StatusOK)
 		for _, line := range []string{
-			"# TYPE gypsumspan_dispatched_total counter\ngypsumspan_dispatched_total 7\n",
+			"# TYPE gypsumspan_dispatched_total counter\n" +
+				"gypsumspan_dispatched_total{kind=\"k0\"} 7\ngypsumspan_dispatched_total{kind=\"k1\"} 4\n",
 			"gypsumspan_refused_total 2\n",
 			"# TYPE gypsumspan_queue_depth gauge\ngypsumspan_queue_depth{target=\"a\\\"b\\\\\"} 1.5\n",
 			"# TYPE gypsumspan_ring_depth gauge\n",
@@ -150,6 +164,7 @@
 			"gypsumspan_ring_drops_total{ring=\"udp.out\"} 0\n",
 			"gypsumspan_udp_received_total 0\n",
 			"gypsumspan_peers_sent_bytes_total 0\n",
+			"gypsumspan_store_reads_total 3\n",
 		} {
 			if !strings.Contains(body, line) {
 				t.Fatalf("metrics lack %q:\n%s", line, body)
@@ -158,19 +173,26 @@
 	}
 }
 
-// Guards against a page that misses a metric, or lists one that does not exist.
+// Guards against a page that misses a metric of the services or lists one that does
+// not exist. A test of decide/vm compares those of the decisions.
 func TestPageListsEveryMetric(t *testing.T) {
 	is := is.New(t)
 	s, _ := start(t, core.New(&plainMachine{}), testLimit)
 	_, body := get(t, s, "/metrics")
-	page, err := os.ReadFile("../../docs/gypsumspand.md")
+	page, err := os.ReadFile("../../docs/metrics.md")
 	is.NoErr(err)
+	_, section, found := strings.Cut(string(page), "\n## Services\n")
+	is.True(found)
 	var served, documented []string
 	for _, m := range regexp.MustCompile(`(?m)^# TYPE (\w+) (\w+)$`).FindAllStringSubmatch(body, -1) {
-		served = append(served, m[1]+" "+m[2])
+		tags := "-"
+		if label := regexp.MustCompile(`(?m)^` + m[1] + `\{(\w+)=`).FindStringSubmatch(body); label != nil {
+			tags = label[1]
+		}
+		served = append(served, m[1]+" "+m[2]+" "+tags)
 	}
-	for _, m := range regexp.MustCompile("(?m)^\\| `(gypsumspan_\\w+)` \\| (\\w+) \\|").FindAllStringSubmatch(string(page), -1) {
-		documented = append(documented, m[1]+" "+m[2])
+	for _, m := range regexp.MustCompile("(?m)^\\| `(gypsumspan_\\w+)` \\| (\\w+) \\| ([^|]+) \\|").FindAllStringSubmatch(section, -1) {
+		documented = append(documented, m[1]+" "+m[2]+" "+m[3])
 	}
 	slices.Sort(documented)
 	is.Equal(documented, served)
--- a/services/admin/metrics.go
+++ b/services/admin/metrics.go
@@ -23,13 +23,14 @@
 	s.readRings(scope)
 	s.readUDP(scope)
 	s.readPeers(scope)
+	s.readStore(scope)
 	machine, err := s.readMachine(r)
 	if err != nil {
 		s.write(w, r, "", nil, err)
 		return
 	}
-	for name, value := range machine.counters {
-		scope.Counter(name).Inc(value)
+	for _, c := range machine.counters {
+		scope.Tagged(c.tags).Counter(c.name).Inc(c.value)
 	}
 	for _, g := range machine.gauges {
 		scope.Tagged(g.tags).Gauge(g.name).Update(g.value)
@@ -98,12 +99,33 @@
 	})
 }
 
+func (s *Service) readStore(scope tally.Scope) {
+	if s.store == nil {
+		return
+	}
+	stats := s.store.Stats()
+	scope.Gauge("store_revision").Update(float64(stats.Revision))
+	count(scope, map[string]uint64{
+		"store_reads_total":    stats.Reads,
+		"store_watches_total":  stats.Watches,
+		"store_failures_total": stats.Failures,
+		"store_entries_total":  stats.Entries,
+	})
+}
+
 func count(scope tally.Scope, values map[string]uint64) {
 	for name, value := range values {
 		scope.Counter(name).Inc(int64(value))
 	}
 }
 
+// counter is one counter of the machine.
+type counter struct {
+	name  string
+	tags  map[string]string
+	value int64
+}
+
 // gauge is one gauge of the machine.
 type gauge struct {
 	name  string
@@ -113,7 +135,7 @@
 
 // machineMetrics are copied on the core duty.
 type machineMetrics struct {
-	counters map[string]int64
+	counters []counter
 	gauges   []gauge
 }
 
@@ -132,10 +154,10 @@
 }
 
 func collect(m core.Machine) machineMetrics {
-	result := machineMetrics{counters: make(map[string]int64)}
-	if counter, ok := m.(Counter); ok {
-		counter.Counters(func(name string, value int64) bool {
-			result.counters[counterName(name)] += value
+	var result machineMetrics
+	if source, ok := m.(Counter); ok {
+		source.Counters(func(name string, tags map[string]string, value int64) bool {
+			result.counters = append(result.counters, counter{name: counterName(name), tags: cloneTags(tags), value: value})
 			return true
 		})
 	}
