Explain one request, and say why it was refused and what to do

An explanation listed the decisions on a flow with codes only, without bound on their number, and did not show the view of the VM that made them.

/v1/explain and gypsumctl explain take a request id within a flow. A refusal has a sentence on its cause and one on what to do. The answer names the owner that the VM believes in and up to 100 of the members it believes alive, and holds the newest 200 decisions with the count of the omitted ones. A target whose row was just removed keeps its name.

--- a/ctl/ask.go
+++ b/ctl/ask.go
@@ -131,6 +131,7 @@
 
 func (a *app) explainCommand() *cobra.Command {
 	var vm string
+	var request uint64
 	cmd := &cobra.Command{
 		Use:     "explain FLOW",
 		Short:   "Show how a VM routes a flow (32 hexadecimal digits)",
@@ -149,7 +150,7 @@
 			if err != nil {
 				return err
 			}
-			answer, err := o.Explain(cmd.Context(), vm, flow)
+			answer, err := o.Explain(cmd.Context(), vm, flow, request)
 			if err != nil {
 				return err
 			}
@@ -157,6 +158,7 @@
 		},
 	}
 	cmd.Flags().StringVar(&vm, "vm", "", "admin address of the VM that is asked (required)")
+	cmd.Flags().Uint64Var(&request, "request", 0, "id of one request of the flow (0: all)")
 	return cmd
 }
 
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -172,7 +173,8 @@
 			fmt.Fprint(w, `{"vm":"vm-7","domain":"a","table_revision":99}`)
 			return
 		}
-		fmt.Fprintf(w, `{"flow":%q,"ranking":[{"target":"t1","score":1.5},{"target":"t2"}]}`, r.URL.Query().Get("flow"))
+		fmt.Fprintf(w, `{"flow":%q,"request":%q,"ranking":[{"target":"t1","score":1.5},{"target":"t2"}]}`,
+			r.URL.Query().Get("flow"), r.URL.Query().Get("request"))
 	}))
 	defer vm.Close()
 	r := newRig(t)
@@ -187,6 +189,8 @@
 	r.True(strings.Contains(out, "vm-7") && strings.Contains(out, "99"))
 	_, out, _ = r.run("explain", "00112233445566778899AABBCCDDEEFF", "--vm", vm.URL)
 	r.True(strings.Contains(out, "ranking[0].score   1.5\nranking[0].target  t1\n"))
+	_, out, _ = r.run("explain", "00112233445566778899AABBCCDDEEFF", "--request", "42", "--vm", vm.URL)
+	r.True(regexp.MustCompile(`request +42\n`).MatchString(out))
 	_, out, _ = r.run("table", "export", "-o", "json")
 	r.True(strings.Contains(out, `"state": "draining"`))
 	code, out, _ = r.run("completion", "bash")
--- a/decide/vm/explain.go
+++ b/decide/vm/explain.go
@@ -1,6 +1,7 @@
 package vm
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -81,32 +82,91 @@
 	VM            string  `json:"vm,omitempty"`
 	Reason        string  `json:"reason,omitempty"`
 	Cause         string  `json:"cause,omitempty"`
+	Why           string  `json:"why,omitempty"`    // of a refusal
+	Advice        string  `json:"advice,omitempty"` // what to do about a refusal
 	TableRevision uint64  `json:"table_revision"`
 }
 
+const (
+	// maxExplained is the number of decisions in one explanation, the newest.
+	maxExplained = 200
+	// maxNamedMembers is the number of members that an explanation names.
+	maxNamedMembers = 100
+)
+
 // Explanation answers why a flow or request went where it did.
 type Explanation struct {
-	VM        string      `json:"vm"`
-	Flow      string      `json:"flow"`
-	Bound     string      `json:"bound,omitempty"` // the target, if this VM owns the flow
-	Decisions []Explained `json:"decisions"`       // oldest first
+	VM           string      `json:"vm"`
+	Flow         string      `json:"flow"`
+	Request      uint64      `json:"request,omitempty"` // 0: all of the flow
+	Bound        string      `json:"bound,omitempty"`   // the target, if this VM owns the flow
+	Target       string      `json:"target,omitempty"`  // Bound, or that of the newest decision
+	Owner        string      `json:"owner,omitempty"`   // of Target, as this VM believes
+	MembersAlive int         `json:"members_alive"`
+	Members      []string    `json:"members"` // alive as this VM believes; the first of them
+	Omitted      int         `json:"omitted,omitempty"`
+	Decisions    []Explained `json:"decisions"` // oldest first, without the Omitted older ones
 }
 
-// Explain returns this VM's recent decisions on a flow.
-func (v *VM) Explain(flow message.FlowID) any {
-	e := Explanation{VM: v.config.Self.Name, Flow: flow.String(), Decisions: []Explained{}}
+// Explain returns this VM's recent decisions on a flow, or on one of its requests
+// if request is not 0.
+func (v *VM) Explain(flow message.FlowID, request message.RequestID) any {
+	e := Explanation{VM: v.config.Self.Name, Flow: flow.String(), Request: uint64(request), Decisions: []Explained{}}
+	var bound message.TargetID
 	for _, t := range v.order {
 		if t.flows.Get(flow) != nil {
+			bound = t.id
 			e.Bound = v.targetName(t.id)
 		}
 	}
+	newest := v.explainDecisions(&e, flow, request)
+	v.explainView(&e, cmp.Or(bound, newest))
+	return e
+}
+
+// explainDecisions adds the newest decisions and returns the target of the last.
+func (v *VM) explainDecisions(e *Explanation, flow message.FlowID, request message.RequestID) (target message.TargetID) {
+	var found []*decision
 	v.trace.all(func(d *decision) bool {
-		if d.flow == flow {
-			e.Decisions = append(e.Decisions, v.explained(d))
+		if d.flow == flow && (request == 0 || d.request == request) {
+			found = append(found, d)
 		}
 		return true
 	})
-	return e
+	e.Omitted = max(0, len(found)-maxExplained)
+	for _, d := range found[e.Omitted:] {
+		e.Decisions = append(e.Decisions, v.explained(d))
+		target = cmp.Or(d.target, target)
+	}
+	return target
+}
+
+// explainView adds what this VM believes about the target's owner and the fleet.
+func (v *VM) explainView(e *Explanation, target message.TargetID) {
+	live := v.members.Live()
+	e.MembersAlive = len(live)
+	e.Members = make([]string, 0, min(len(live), maxNamedMembers))
+	for _, m := range live[:min(len(live), maxNamedMembers)] {
+		e.Members = append(e.Members, m.Name)
+	}
+	e.Target = v.targetName(target)
+	domain, ok := v.domainOfTarget(target)
+	if !ok {
+		return
+	}
+	if owner, ok := v.ownerOf(target, domain); ok {
+		e.Owner = v.memberName(owner)
+	}
+}
+
+// domainOfTarget returns the failure domain of a target in the table or removed
+// from it a short time ago.
+func (v *VM) domainOfTarget(id message.TargetID) (message.DomainID, bool) {
+	if t, _ := v.table.Target(id); t != nil {
+		return t.DomainID, true
+	}
+	r, ok := v.removed[id]
+	return r.row.DomainID, ok
 }
 
 func (v *VM) explained(d *decision) Explained {
@@ -124,6 +184,9 @@
 	if d.action == actionRefuse {
 		e.Reason = d.reason.String()
 		e.Cause = d.cause.String()
+		w := wordsOf(d.reason, d.cause)
+		e.Why = w.why
+		e.Advice = w.advice
 	}
 	return e
 }
--- a/ops/admin.go
+++ b/ops/admin.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -67,10 +68,15 @@
 	return s
 }
 
-// Explain asks a VM how it routes the flow with the given hexadecimal id. It
+// Explain asks a VM how it routes the flow with the given hexadecimal id, or one
+// request of the flow if request is not 0. It
 // returns the VM's JSON, or ErrAdmin.
-func (o *Operations) Explain(ctx context.Context, admin, flow string) (json.RawMessage, error) {
-	data, err := o.ask(ctx, admin, PathExplain+"?flow="+url.QueryEscape(flow))
+func (o *Operations) Explain(ctx context.Context, admin, flow string, request uint64) (json.RawMessage, error) {
+	query := url.Values{"flow": {flow}}
+	if request != 0 {
+		query.Set("request", strconv.FormatUint(request, 10))
+	}
+	data, err := o.ask(ctx, admin, PathExplain+"?"+query.Encode())
 	if err != nil {
 		return nil, err
 	}
--- a/services/admin/admin.go
+++ b/services/admin/admin.go
@@ -4,7 +4,8 @@
 //	GET /healthz               "ok" when the decisions answer
 //	GET /metrics               metrics in the Prometheus text format 0.0.4
 //	GET /v1/status             JSON object: vm, domain, table_revision, leaving, members, owned
-//	GET /v1/explain?flow=HEX   JSON list of recent decisions about a flow
+//	GET /v1/explain?flow=HEX   JSON object: recent decisions about a flow; with
+//	                           &request=N about one of its requests
 //
 // Questions are answered on the core duty, within a bounded wait.
 package admin
@@ -57,7 +58,9 @@
 // Explainer is a machine that keeps recent decisions. The result is encoded as
 // JSON on the core duty.
 type Explainer interface {
-	Explain(flow message.FlowID) any
+	// Explain returns the decisions on a flow, or on one request of it if request
+	// is not 0.
+	Explain(flow message.FlowID, request message.RequestID) any
 }
 
 // Counter is a machine with counters since start. The tags are used during the
--- a/services/admin/admin_test.go
+++ b/services/admin/admin_test.go
@@ -44,7 +44,9 @@
 func (*machine) Status() any {
 	return map[string]any{"leaving": true, "members": 3, "owned": []string{"t1"}}
 }
-func (*machine) Explain(flow message.FlowID) any { return []string{"asked for " + flow.String()} }
+func (*machine) Explain(flow message.FlowID, request message.RequestID) any {
+	return []any{"asked for " + flow.String(), request}
+}
 func (*machine) Counters(yield func(string, map[string]string, int64) bool) {
 	tags := map[string]string{"kind": "k0"}
 	ok := yield("dispatched", tags, 7)
@@ -141,7 +143,9 @@
 	flow := message.FlowID{Hi: 1, Lo: 0xabc}
 	code, body = get(t, s, "/v1/explain?flow="+flow.String())
 	is.Equal(code, http.StatusOK)
-	is.Equal(body, `["asked for `+flow.String()+`"]`)
+	is.Equal(body, `["asked for `+flow.String()+`",0]`)
+	_, body = get(t, s, "/v1/explain?flow="+flow.String()+"&request=7")
+	is.Equal(body, `["asked for `+flow.String()+`",7]`)
 	code, body = get(t, s, "/healthz")
 	is.Equal(code, http.StatusOK)
 	is.Equal(body, "ok\n")
@@ -213,6 +217,7 @@
 		{"flow is missing", core.New(&machine{}), "/v1/explain", http.StatusBadRequest},
 		{"flow is short", core.New(&machine{}), "/v1/explain?flow=12", http.StatusBadRequest},
 		{"flow is not hexadecimal", core.New(&machine{}), "/v1/explain?flow=" + strings.Repeat("z", 32), http.StatusBadRequest},
+		{"request is not a number", core.New(&machine{}), "/v1/explain?request=x&flow=" + strings.Repeat("0", 32), http.StatusBadRequest},
 		{"unsupported", core.New(&plainMachine{}), "/v1/explain?flow=" + strings.Repeat("0", 32), http.StatusNotImplemented},
 		{"unknown path", core.New(&machine{}), "/v1/nothing", http.StatusNotFound},
 		{"plain status", core.New(&plainMachine{}), "/v1/status", http.StatusOK},
--- a/services/admin/questions.go
+++ b/services/admin/questions.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/decide/message"
@@ -25,6 +26,8 @@
 	ErrUnsupported = errors.New("question is not supported")
 	// ErrFlow means that a flow id is not 32 hexadecimal digits.
 	ErrFlow = errors.New("flow is not 32 hexadecimal digits")
+	// ErrRequest means that a request id is not a decimal number above 0.
+	ErrRequest = errors.New("request is not a decimal number above 0")
 )
 
 // question is answered on the core duty. It must not keep the machine.
@@ -110,12 +113,17 @@
 		s.write(w, r, "", nil, err)
 		return
 	}
+	request, err := parseRequest(r.URL.Query().Get("request"))
+	if err != nil {
+		s.write(w, r, "", nil, err)
+		return
+	}
 	data, err := s.ask(r.Context(), func(m core.Machine) ([]byte, error) {
 		explainer, ok := m.(Explainer)
 		if !ok {
 			return nil, ErrUnsupported
 		}
-		return json.Marshal(explainer.Explain(flow))
+		return json.Marshal(explainer.Explain(flow, request))
 	})
 	s.write(w, r, "application/json", data, err)
 }
@@ -129,6 +137,18 @@
 	return message.FlowID{Hi: binary.BigEndian.Uint64(raw), Lo: binary.BigEndian.Uint64(raw[8:])}, nil
 }
 
+// parseRequest returns the request id in decimal digits, or 0 for no text.
+func parseRequest(text string) (message.RequestID, error) {
+	if text == "" {
+		return 0, nil
+	}
+	id, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || id == 0 {
+		return 0, fmt.Errorf("%q: %w", text, ErrRequest)
+	}
+	return message.RequestID(id), nil
+}
+
 // write sends an answer, or the status of an error.
 func (s *Service) write(w http.ResponseWriter, r *http.Request, contentType string, data []byte, err error) {
 	if err != nil {
@@ -146,7 +166,7 @@
 
 func statusOf(err error) int {
 	switch {
-	case errors.Is(err, ErrFlow):
+	case errors.Is(err, ErrFlow), errors.Is(err, ErrRequest):
 		return http.StatusBadRequest
 	case errors.Is(err, ErrBusy):
 		return http.StatusServiceUnavailable
