--- a/decide/vm/target.go
+++ b/decide/vm/target.go
@@ -10,6 +10,7 @@
 	"github.com/gypsumspan/gypsumspan/decide/flowtable"
 	"github.com/gypsumspan/gypsumspan/decide/health"
 	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/decide/notice"
 	"github.com/gypsumspan/gypsumspan/decide/ownership"
 	"github.com/gypsumspan/gypsumspan/decide/requestlog"
 	"github.com/gypsumspan/gypsumspan/decide/table"
@@ -41,6 +42,9 @@
 	pending  map[message.RequestKey]*pending
 	moved    map[message.FlowID]movedFlow // flows that now belong to other targets
 	moving   map[message.FlowID]*move
+	// departing and departed describe the moves of a leaving target for notices.
+	departing bool
+	departed  int // flows that have moved
 
 	incoming *incoming // handover that is being received
 	outgoing *outgoing // handover that is being sent
@@ -59,6 +63,7 @@
 	caller     netip.AddrPort
 	ingress    message.VMID
 	deadline   time.Duration // absolute
+	offered    time.Duration // to the queue of this VM
 	parts      []*message.Request
 	missing    int           // parts that have not arrived
 	dispatched bool          // sent to the target
@@ -138,6 +143,7 @@
 	if len(t.epochs) == 0 {
 		t.epochs = []message.Epoch{v.newEpoch()}
 		v.counters.Takeovers++
+		v.noteTarget(notice.TakenOver, t, 0, t.flows.Len())
 	}
 	v.trace.add(v, decision{action: actionActivate, target: t.id})
 	v.replayIncoming(t)
@@ -155,7 +161,7 @@
 			v.refusal(p.caller, &message.Refusal{
 				Flow: p.key.Flow, ID: p.key.ID, Attempt: p.attempt,
 				Reason: message.MayHaveRun, Cause: message.CauseOwnerMoved, Binding: t.binding(),
-			}, t.id)
+			}, t.id, v.workOf(t.service, p.kind))
 		}
 	}
 	t.log = requestlog.New(requestlog.Config{MaxAnswerBytes: v.config.AnswerBytes})
@@ -165,6 +171,7 @@
 	})
 	t.outgoing = nil
 	v.counters.Revocations++
+	v.noteTarget(notice.Revoked, t, t.machine.Receiver(), t.flows.Len())
 }
 
 // dropWaiting forgets a target that another VM owns now. Requests in flight from
--- a/decide/vm/vm.go
+++ b/decide/vm/vm.go
@@ -15,6 +15,7 @@
 
 	"github.com/gypsumspan/gypsumspan/decide/membership"
 	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/decide/notice"
 	"github.com/gypsumspan/gypsumspan/decide/ownership"
 	"github.com/gypsumspan/gypsumspan/decide/table"
 )
@@ -83,6 +84,11 @@
 	leaveIdle time.Duration // since when nothing is left to hand over
 	trace     trace
 	counters  Counters
+	work      map[workKey]*work
+	otherWork work
+	notices   notice.List
+	leaveFrom time.Duration // start of the planned leave
+	leftNoted bool
 	out       []message.Message
 }
 
@@ -93,21 +99,23 @@
 	config.AnswerBytes = cmp.Or(config.AnswerBytes, DefaultAnswerBytes)
 	config.Membership.Self = config.Self
 	v := &VM{
-		config:   config,
-		now:      now,
-		started:  now,
-		rng:      rand.New(rand.NewPCG(config.Seed, uint64(config.Self.ID))),
-		owners:   ownership.NewOwners(config.Self.Domain),
-		replica:  table.NewReplica(),
-		removed:  make(map[message.TargetID]removedTarget),
-		handed:   make(map[message.TargetID]handedTarget),
-		places:   make(places),
-		targets:  make(map[message.TargetID]*target),
-		inFlight: make(map[message.RequestKey]*target),
-		relays:   make(map[message.RequestKey]relay),
-		moves:    make(map[uint64]*move),
-		loads:    make(map[message.ServiceID]map[message.TargetID]load),
-		doors:    make(map[door]time.Duration),
+		config:    config,
+		now:       now,
+		started:   now,
+		rng:       rand.New(rand.NewPCG(config.Seed, uint64(config.Self.ID))),
+		owners:    ownership.NewOwners(config.Self.Domain),
+		replica:   table.NewReplica(),
+		removed:   make(map[message.TargetID]removedTarget),
+		handed:    make(map[message.TargetID]handedTarget),
+		places:    make(places),
+		targets:   make(map[message.TargetID]*target),
+		inFlight:  make(map[message.RequestKey]*target),
+		relays:    make(map[message.RequestKey]relay),
+		moves:     make(map[uint64]*move),
+		loads:     make(map[message.ServiceID]map[message.TargetID]load),
+		doors:     make(map[door]time.Duration),
+		work:      make(map[workKey]*work),
+		otherWork: work{service: "other", kind: "other"},
 	}
 	v.table = v.replica.Table()
 	v.members = membership.New(config.Membership, v.rng.Uint64(), now)
@@ -183,6 +191,7 @@
 	v.begin(now)
 	v.leaving = true
 	v.leaveIdle = now
+	v.noteLeaveStarted()
 	v.emit(v.members.Leave(now))
 	v.followMembers()
 	return v.out
@@ -205,6 +214,7 @@
 	if len(v.inFlight) > 0 || len(v.relays) > 0 || len(v.moves) > 0 || v.ownsFlows() {
 		v.leaveIdle = v.now
 	}
+	v.noteLeft()
 }
 
 // ownsFlows reports whether a target still has flows or requests that another VM
--- a/services/admin/admin.go
+++ b/services/admin/admin.go
@@ -4,7 +4,8 @@
 //	GET /healthz               "ok" when the decisions answer
 //	GET /metrics               metrics in the Prometheus text format 0.0.4
 //	GET /v1/status             JSON object: vm, domain, table_revision, leaving, members, owned
-//	GET /v1/explain?flow=HEX   JSON list of recent decisions about a flow
+//	GET /v1/explain?flow=HEX   JSON object: recent decisions about a flow; with
+//	                           &request=N about one of its requests
 //
 // Questions are answered on the core duty, within a bounded wait.
 package admin
@@ -23,6 +24,7 @@
 	"github.com/gypsumspan/gypsumspan/services/core"
 	"github.com/gypsumspan/gypsumspan/services/logs"
 	"github.com/gypsumspan/gypsumspan/services/peers"
+	"github.com/gypsumspan/gypsumspan/services/storewatch"
 	"github.com/gypsumspan/gypsumspan/services/udp"
 )
 
@@ -56,12 +58,15 @@
 // Explainer is a machine that keeps recent decisions. The result is encoded as
 // JSON on the core duty.
 type Explainer interface {
-	Explain(flow message.FlowID) any
+	// Explain returns the decisions on a flow, or on one request of it if request
+	// is not 0.
+	Explain(flow message.FlowID, request message.RequestID) any
 }
 
-// Counter is a machine with counters since start.
+// Counter is a machine with counters since start. The tags are used during the
+// call of yield only; values with the same name and tags are added up.
 type Counter interface {
-	Counters(yield func(name string, value int64) bool)
+	Counters(yield func(name string, tags map[string]string, value int64) bool)
 }
 
 // Gauger is a machine with gauges.
@@ -88,8 +93,9 @@
 	kernel   *kernel.Kernel
 	core     Core
 	log      logs.Log
-	udp      interface{ Stats() udp.Stats }   // nil when there is none
-	peers    interface{ Stats() peers.Stats } // nil when there is none
+	udp      interface{ Stats() udp.Stats }        // nil when there is none
+	peers    interface{ Stats() peers.Stats }      // nil when there is none
+	store    interface{ Stats() storewatch.Stats } // nil when there is none
 	listener net.Listener
 	server   *http.Server
 }
@@ -129,6 +135,7 @@
 	// Metrics leave out services that do not exist or have no such counters.
 	s.udp, _ = kernel.Lookup[interface{ Stats() udp.Stats }](k, core.UDPName)
 	s.peers, _ = kernel.Lookup[interface{ Stats() peers.Stats }](k, core.PeersName)
+	s.store, _ = kernel.Lookup[interface{ Stats() storewatch.Stats }](k, storewatch.Name)
 	s.server = &http.Server{
 		Handler:        s.handler(),
 		ReadTimeout:    readTimeout,
