--- a/decide/vm/counters.go
+++ b/decide/vm/counters.go
@@ -48,7 +48,7 @@
 		return 0
 	}
 	share := float64(flows) * float64(t.row.Weight) / float64(weight)
-	return float64(t.flows.Len())/share - 1
+	return float64(t.flowCount())/share - 1
 }
 
 // HealthTargets calls yield for every target whose health this VM must check.
--- a/decide/vm/target.go
+++ b/decide/vm/target.go
@@ -53,6 +53,9 @@
 	lastTransfer uint64
 	sweep        time.Duration
 	created      time.Duration
+
+	inherited      int           // flows of a crashed owner that were not adopted yet
+	inheritedUntil time.Duration // when they count as ended
 }
 
 // pending is a request that this VM has not answered yet.
@@ -142,6 +145,7 @@
 func (v *VM) activate(t *target) {
 	if len(t.epochs) == 0 {
 		t.epochs = []message.Epoch{v.newEpoch()}
+		v.inheritLoad(t)
 		v.counters.Takeovers++
 		v.noteTarget(notice.TakenOver, t, 0, t.flows.Len())
 	}
@@ -260,6 +264,9 @@
 		return
 	}
 	t.sweep = v.now + sweepInterval
+	if v.now >= t.inheritedUntil {
+		t.inherited = 0
+	}
 	for key, p := range t.pending {
 		if p.waits(t) && v.now >= p.deadline {
 			t.log.Refuse(v.now, key, p.attempt, message.CauseDeadline)
--- a/lab/fleet/faults_test.go
+++ b/lab/fleet/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -200,3 +201,57 @@
 		t.Errorf("planned changes failed calls: %v", failed)
 	}
 }
+
+// Guards against a new owner that takes the flows of all other targets, because
+// it has heard of no loads yet, and counts none of a crashed owner's flows.
+func TestShareHoldsWhenOwnersChangeDuringAFlood(t *testing.T) {
+	for _, crash := range []bool{false, true} {
+		f := New(wales(17))
+		spec := tracking(14)
+		f.AddService(spec)
+		f.StartVMs(15)
+		f.Advance(6 * time.Second)
+		c := f.NewCaller()
+		open := func(n int) {
+			for range n {
+				c.Open("tracking")
+				f.Advance(time.Second / 3000)
+			}
+		}
+		open(7000)
+		owner, _ := f.busiestOwner("tracking")
+		if crash {
+			f.KillVM(owner)
+		} else {
+			f.LeaveVM(owner)
+		}
+		open(21000)
+		f.Advance(8 * time.Second)
+		worst := f.worstShare("tracking", c)
+		t.Logf("crash %v: worst target %.1f%% off its share", crash, 100*worst)
+		if worst > 0.05 {
+			t.Errorf("a target is %.1f%% off its share", 100*worst)
+		}
+	}
+}
+
+// worstShare returns the largest deviation of a target of equal weights from its
+// share of a caller's flows.
+func (f *Fleet) worstShare(service string, c *Caller) float64 {
+	flows := make(map[message.TargetID]int)
+	total := 0
+	for id := session.FlowID(1); ; id++ {
+		b, ok := c.Binding(id)
+		if !ok {
+			break
+		}
+		flows[b.Target]++
+		total++
+	}
+	share := float64(total) / float64(len(f.services[service].Targets))
+	worst := 0.0
+	for _, n := range flows {
+		worst = max(worst, math.Abs(float64(n)/share-1))
+	}
+	return worst
+}
