--- a/caller/sockets.go
+++ b/caller/sockets.go
@@ -173,7 +173,7 @@
 	data, err := wire.Append(s.buf[:0], body)
 	s.buf = data
 	if err == nil {
-		conn := s.conns[flowOf(body).Lo%uint64(len(s.conns))]
+		conn := s.conns[message.FlowOf(body).Lo%uint64(len(s.conns))]
 		err = conn.Send(data)
 	}
 	if err != nil {
@@ -183,21 +183,6 @@
 	s.sent.Add(1)
 }
 
-func flowOf(body message.Body) message.FlowID {
-	switch m := body.(type) {
-	case *message.Open:
-		return m.Flow
-	case *message.Request:
-		return m.Flow
-	case *message.Cancel:
-		return m.Flow
-	case *message.Close:
-		return m.Flow
-	default:
-		return message.FlowID{}
-	}
-}
-
 // Stats returns the counters.
 func (s *Sockets) Stats() SocketStats {
 	return SocketStats{
--- a/decide/vm/flows.go
+++ b/decide/vm/flows.go
@@ -14,7 +14,7 @@
 
 // serve handles a message at the active owner of its target.
 func (v *VM) serve(t *target, f *message.Forward) {
-	if m := t.moving[flowOf(f.Inner)]; m != nil {
+	if m := t.moving[message.FlowOf(f.Inner)]; m != nil {
 		m.keep(f)
 		return
 	}
@@ -85,7 +85,7 @@
 	if s != nil && !v.knowsLoads(t, s) {
 		// A new owner can't judge shares yet. It takes the flows that are placed
 		// here, and none that other targets pass on.
-		first, ok := v.firstRanked(s, flowOf(f.Inner), takesNewFlows)
+		first, ok := v.firstRanked(s, message.FlowOf(f.Inner), takesNewFlows)
 		return ok && first.target == t.id
 	}
 	return v.withinShare(t)
@@ -94,7 +94,7 @@
 // findFlow returns the flow of a message whose flow is not in the target's
 // table. If it returns nil, the message was passed on or answered.
 func (v *VM) findFlow(t *target, f *message.Forward) *flowtable.Flow {
-	id := flowOf(f.Inner)
+	id := message.FlowOf(f.Inner)
 	if moved, ok := t.moved[id]; ok {
 		v.passToTarget(f, v.placeOfMoved(t, f, moved))
 		return nil
@@ -109,7 +109,7 @@
 		v.flowUnknown(f, message.CauseUnknownFlow)
 		return nil
 	}
-	if f.Hinted && slices.Contains(t.lost, bindingOf(f.Inner).Epoch) {
+	if f.Hinted && slices.Contains(t.lost, message.BindingOf(f.Inner).Epoch) {
 		v.flowUnknown(f, message.CauseTargetLost)
 		return nil
 	}
@@ -126,7 +126,7 @@
 // adoptable reports whether the binding proves that an unknown flow belongs to
 // the target: an earlier owner's state is gone, or the flow was idle for long.
 func (v *VM) adoptable(t *target, f *message.Forward) bool {
-	b := bindingOf(f.Inner)
+	b := message.BindingOf(f.Inner)
 	if !f.Hinted || b.Target != t.id || b.Epoch == 0 {
 		return false
 	}
@@ -137,7 +137,7 @@
 // because the target in its binding is leaving and may have handed it over.
 func (v *VM) searchFromFirst(f *message.Forward) {
 	elsewhere := func(row *table.Target) bool { return row.ID != f.Target }
-	first, ok := v.firstRanked(v.table.Service(serviceOf(f.Inner)), flowOf(f.Inner), elsewhere)
+	first, ok := v.firstRanked(v.table.Service(message.ServiceOf(f.Inner)), message.FlowOf(f.Inner), elsewhere)
 	if !ok {
 		v.flowUnknown(f, message.CauseUnknownFlow)
 		return
@@ -166,7 +166,7 @@
 	if f.Hops < maxMoves || s == nil {
 		return moved.to
 	}
-	first, ok := v.moveTarget(t, s, flowOf(f.Inner))
+	first, ok := v.moveTarget(t, s, message.FlowOf(f.Inner))
 	if !ok {
 		return moved.to
 	}
--- a/decide/vm/ingress.go
+++ b/decide/vm/ingress.go
@@ -34,7 +34,7 @@
 
 // forwarded handles a datagram that another VM passed on.
 func (v *VM) forwarded(f *message.Forward) {
-	if v.table.Service(serviceOf(f.Inner)) == nil {
+	if v.table.Service(message.ServiceOf(f.Inner)) == nil {
 		v.busy(f, message.CauseUnknownTable, tableRetry)
 		return
 	}
@@ -43,12 +43,12 @@
 
 // route chooses the target of a caller's message and delivers it to its owner.
 func (v *VM) route(f *message.Forward) {
-	s := v.table.Service(serviceOf(f.Inner))
+	s := v.table.Service(message.ServiceOf(f.Inner))
 	if s == nil {
 		v.busy(f, message.CauseUnknownTable, tableRetry)
 		return
 	}
-	if v.mayBeRemoved(bindingOf(f.Inner)) {
+	if v.mayBeRemoved(message.BindingOf(f.Inner)) {
 		v.busy(f, message.CauseUnknownTable, busyRetry)
 		return
 	}
@@ -75,7 +75,7 @@
 
 // choose decides which target's owner gets a message. It allocates nothing.
 func (v *VM) choose(s *table.Service, body message.Body) (choice, bool) {
-	if b := bindingOf(body); !b.IsZero() {
+	if b := message.BindingOf(body); !b.IsZero() {
 		if row, ok := v.row(s.ID, b.Target); ok {
 			return choice{target: row.ID, domain: row.DomainID, hinted: true}, true
 		}
@@ -84,7 +84,7 @@
 	if open, ok := body.(*message.Open); ok && !open.Refresh {
 		return v.place(s, open, rank(ranks[:], s, open.Flow, takesNewFlows))
 	}
-	return v.firstRanked(s, flowOf(body), isRanked)
+	return v.firstRanked(s, message.FlowOf(body), isRanked)
 }
 
 // firstRanked returns the first target of a flow's ranking that use accepts.
@@ -173,7 +173,7 @@
 
 // domainOf returns the failure domain of a message's target.
 func (v *VM) domainOf(f *message.Forward) message.DomainID {
-	row, _ := v.row(serviceOf(f.Inner), f.Target)
+	row, _ := v.row(message.ServiceOf(f.Inner), f.Target)
 	return row.DomainID
 }
 
@@ -195,12 +195,12 @@
 		return
 	}
 	v.counters.Forwarded++
-	v.trace.add(v, decision{action: actionForward, flow: flowOf(f.Inner), target: f.Target, vm: to})
+	v.trace.add(v, decision{action: actionForward, flow: message.FlowOf(f.Inner), target: f.Target, vm: to})
 }
 
 // handle serves a message if this VM owns its target, or passes it on.
 func (v *VM) handle(f *message.Forward) {
-	row, ok := v.row(serviceOf(f.Inner), f.Target)
+	row, ok := v.row(message.ServiceOf(f.Inner), f.Target)
 	if !ok {
 		// The target is gone, or belongs to another service: choose anew.
 		v.reroute(f)
@@ -217,7 +217,7 @@
 			v.passToOwner(f, owner, known)
 			return
 		}
-		t = v.addTarget(v.table.Service(serviceOf(f.Inner)), row)
+		t = v.addTarget(v.table.Service(message.ServiceOf(f.Inner)), row)
 		v.tickOwnership(t)
 	}
 	switch t.machine.Phase() {
@@ -271,12 +271,12 @@
 // searchNext passes a message of an unknown flow to the owner of the next target
 // of the ranking. It returns false at the end of the ranking.
 func (v *VM) searchNext(f *message.Forward, use func(*table.Target) bool) bool {
-	s := v.table.Service(serviceOf(f.Inner))
+	s := v.table.Service(message.ServiceOf(f.Inner))
 	if s == nil || f.Hops >= message.MaxHops {
 		return false
 	}
 	var ranks [maxRanked]rendezvous.Ranked
-	ranking := rank(ranks[:], s, flowOf(f.Inner), use)
+	ranking := rank(ranks[:], s, message.FlowOf(f.Inner), use)
 	for i, r := range ranking {
 		if s.Targets[r.Index].ID != f.Target || i+1 == len(ranking) {
 			continue
@@ -306,7 +306,7 @@
 
 // reply sends a refusal of the message in f to its caller.
 func (v *VM) reply(f *message.Forward, r message.Refusal) {
-	r.Flow = flowOf(f.Inner)
+	r.Flow = message.FlowOf(f.Inner)
 	switch m := f.Inner.(type) {
 	case *message.Request:
 		r.ID = m.ID
@@ -315,50 +315,5 @@
 	default:
 		return
 	}
-	v.refusal(f.Caller, &r, f.Target, v.workOf(serviceOf(f.Inner), kindOf(f.Inner)))
-}
-
-func serviceOf(body message.Body) message.ServiceID {
-	switch m := body.(type) {
-	case *message.Open:
-		return m.Service
-	case *message.Request:
-		return m.Service
-	case *message.Cancel:
-		return m.Service
-	case *message.Close:
-		return m.Service
-	default:
-		return 0
-	}
-}
-
-func flowOf(body message.Body) message.FlowID {
-	switch m := body.(type) {
-	case *message.Open:
-		return m.Flow
-	case *message.Request:
-		return m.Flow
-	case *message.Cancel:
-		return m.Flow
-	case *message.Close:
-		return m.Flow
-	default:
-		return message.FlowID{}
-	}
-}
-
-func bindingOf(body message.Body) message.Binding {
-	switch m := body.(type) {
-	case *message.Open:
-		return m.Binding
-	case *message.Request:
-		return m.Binding
-	case *message.Cancel:
-		return m.Binding
-	case *message.Close:
-		return m.Binding
-	default:
-		return message.Binding{}
-	}
+	v.refusal(f.Caller, &r, f.Target, v.workOf(message.ServiceOf(f.Inner), kindOf(f.Inner)))
 }
--- /dev/null
+++ b/decide/vm/receive.go
@@ -0,0 +1,217 @@
+package vm
+
+import (
+	"slices"
+
+	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/decide/notice"
+	"github.com/gypsumspan/gypsumspan/decide/ownership"
+	"github.com/gypsumspan/gypsumspan/decide/table"
+)
+
+// receiveHandover collects the chunks of a handover and merges it when it is whole.
+func (v *VM) receiveHandover(from message.Address, m *message.Handover) {
+	t := v.receivingTarget(m)
+	if t == nil {
+		v.acknowledge(from.VM, m, false)
+		return
+	}
+	if t.machine.Phase() == ownership.Sending && !v.settleCrossing(t, from.VM, m) {
+		// The sender tries again, at this VM or at the next owner.
+		return
+	}
+	if t.lastTransfer == m.Transfer {
+		// The confirmation was lost.
+		v.acknowledge(from.VM, m, true)
+		return
+	}
+	if m.Source != 0 {
+		v.receiveFlows(t, from.VM, m)
+		return
+	}
+	if t.incoming == nil || t.incoming.transfer != m.Transfer {
+		t.incoming = &incoming{
+			from:     from.VM,
+			transfer: m.Transfer,
+			chunks:   make(map[uint32]*message.Handover),
+			kept:     t.takeKept(),
+		}
+	}
+	in := t.incoming
+	in.chunks[m.Chunk] = m
+	if m.Last {
+		in.count = int(m.Chunk) + 1
+	}
+	if in.count == 0 || len(in.chunks) < in.count {
+		return
+	}
+	v.mergeHandover(t, in)
+	v.acknowledge(from.VM, m, true)
+	v.noteTarget(notice.Received, t, from.VM, t.flows.Len())
+	v.trace.add(v, decision{action: actionActivate, target: t.id, vm: from.VM})
+	v.replayIncoming(t)
+	v.pump(t)
+}
+
+// settleCrossing ends this VM's own handover when its receiver sends the target
+// back before it has confirmed. It reports whether the other handover may be
+// merged.
+func (v *VM) settleCrossing(t *target, from message.VMID, m *message.Handover) bool {
+	if from != t.machine.Receiver() || m.Source != 0 {
+		return false
+	}
+	if slices.Contains(m.Epochs, t.epochs[0]) {
+		// Only a VM that has merged this VM's transfer knows its epoch. What waited
+		// here comes back in the other handover.
+		v.dropWaitingRequests(t)
+		t.outgoing = nil
+		t.machine.Confirmed(v.now)
+		return true
+	}
+	if v.config.Self.ID > from {
+		return false
+	}
+	// Both send at once. The lower id gives up its epochs, because a copy of its
+	// transfer may still be merged, and takes the other's state.
+	v.revoke(t)
+	t.machine.Confirmed(v.now)
+	return true
+}
+
+// dropWaitingRequests forgets the requests that were not dispatched.
+func (v *VM) dropWaitingRequests(t *target) {
+	for key, p := range t.pending {
+		if !p.dispatched {
+			delete(t.pending, key)
+		}
+	}
+}
+
+// takeKept returns the messages that wait for an earlier try of the handover.
+func (t *target) takeKept() []*message.Forward {
+	if t.incoming == nil {
+		return nil
+	}
+	return t.incoming.kept
+}
+
+// receivingTarget returns the state that a handover is merged into, or nil if
+// this VM can't take it now.
+func (v *VM) receivingTarget(m *message.Handover) *target {
+	t := v.targets[m.Target]
+	if m.Source != 0 {
+		// Flows of another target: only an active owner can take them.
+		if t == nil || t.machine.Phase() != ownership.Active || t.row.State == table.Leaving {
+			return nil
+		}
+		return t
+	}
+	if t != nil {
+		return t
+	}
+	if row, s := v.table.Target(m.Target); row != nil {
+		return v.addTarget(s, *row)
+	}
+	s := v.table.Service(m.Service)
+	if s == nil {
+		return nil
+	}
+	row := table.Target{ID: m.Target, DomainID: m.Domain, Addr: m.Addr, Limit: m.Limit, State: table.Leaving}
+	v.removed[row.ID] = removedTarget{row: row, service: s.ID, until: v.now + removedRetention}
+	return v.addTarget(s, row)
+}
+
+func (v *VM) acknowledge(to message.VMID, m *message.Handover, accepted bool) {
+	v.send(message.VMAddress(to, m.Reply), &message.HandoverAck{Target: m.Target, Transfer: m.Transfer, Accepted: accepted})
+}
+
+// mergeHandover adds the state of another owner: its stamps with their log, its
+// flows, its queue and its slots in use.
+func (v *VM) mergeHandover(t *target, in *incoming) {
+	v.counters.HandoversReceived++
+	t.lastTransfer = in.transfer
+	for i := range in.count {
+		c := in.chunks[uint32(i)]
+		t.addEpochs(c.Epochs)
+		v.importFlows(t, c)
+	}
+	for i := range in.count {
+		c := in.chunks[uint32(i)]
+		for _, r := range c.InFlight {
+			v.importInFlight(t, r)
+		}
+	}
+	t.machine.Received(v.now, in.from)
+	for i := range in.count {
+		v.importQueue(t, in.chunks[uint32(i)])
+	}
+}
+
+func (v *VM) importQueue(t *target, c *message.Handover) {
+	for i := range c.Queue {
+		v.importQueued(t, &c.Queue[i])
+	}
+}
+
+// importFlows adds flows with their floors and log entries.
+func (v *VM) importFlows(t *target, c *message.Handover) {
+	for _, r := range c.Flows {
+		delete(t.moved, r.Flow)
+		t.flows.Import(v.now, r)
+		t.log.RaiseFloor(r.Flow, r.Floor)
+	}
+	t.log.Import(v.now, c.Log)
+}
+
+// importInFlight notes a request that the previous owner has at the target.
+func (v *VM) importInFlight(t *target, r message.InFlightRecord) {
+	if t.pending[r.Key] != nil {
+		return
+	}
+	deadline := v.now + r.EndsIn
+	t.queue.Occupy(r.Key, deadline)
+	t.pending[r.Key] = &pending{
+		key:        r.Key,
+		attempt:    r.Attempt,
+		kind:       noKind,
+		caller:     r.Caller,
+		deadline:   deadline,
+		dispatched: true,
+		sentAt:     v.now,
+	}
+	v.inFlight[r.Key] = t
+}
+
+// importQueued offers a request that waited at the previous owner. Its log entry
+// came with the handover.
+func (v *VM) importQueued(t *target, q *message.QueuedRequest) {
+	if len(q.Parts) == 0 {
+		return
+	}
+	first := &q.Parts[0]
+	if t.pending[first.Key()] != nil {
+		return
+	}
+	p := &pending{
+		key:      first.Key(),
+		attempt:  first.Attempt,
+		kind:     first.Kind,
+		caller:   q.Caller,
+		ingress:  q.Ingress,
+		deadline: v.now + first.Deadline,
+	}
+	for i := range q.Parts {
+		p.parts = append(p.parts, &q.Parts[i])
+	}
+	t.pending[p.key] = p
+	v.offer(t, p)
+}
+
+// replayIncoming serves the messages that waited for a handover.
+func (v *VM) replayIncoming(t *target) {
+	kept := t.takeKept()
+	t.incoming = nil
+	for _, f := range kept {
+		v.handle(f)
+	}
+}
