--- a/decide/flowtable/flowtable.go
+++ b/decide/flowtable/flowtable.go
@@ -1,5 +1,5 @@
-// Package flowtable holds the flows of one owned target, and the cache in which
-// an ingress VM remembers the targets of flows.
+// Package flowtable holds the flows of one owned target. The request log of the
+// target holds the floors of the flows.
 package flowtable
 
 import (
@@ -17,7 +17,6 @@
 type Flow struct {
 	ID       message.FlowID
 	Service  message.ServiceID
-	Floor    message.RequestID // requests at or below have ended
 	LastSeen time.Duration
 	Fresh    bool            // the target has not seen the flow yet
 	Epochs   []message.Epoch // stamps accepted beside the target's own
@@ -28,11 +27,6 @@
 	return slices.Contains(f.Epochs, e)
 }
 
-// RaiseFloor notes that the request has ended and its log entry is gone.
-func (f *Flow) RaiseFloor(id message.RequestID) {
-	f.Floor = max(f.Floor, id)
-}
-
 // AddEpochs accepts further stamps, the newest MaxEpochs of them.
 func (f *Flow) AddEpochs(epochs []message.Epoch) {
 	for _, e := range epochs {
@@ -149,13 +143,12 @@
 	}
 }
 
-// Export returns the record of a flow for a handover. epochs are the stamps
-// that the receiver shall accept for it.
+// Export returns the record of a flow for a handover, without its floor. epochs
+// are the stamps that the receiver shall accept for it.
 func (f *Flow) Export(now time.Duration, epochs []message.Epoch) message.FlowRecord {
 	return message.FlowRecord{
 		Flow:    f.ID,
 		Service: f.Service,
-		Floor:   f.Floor,
 		Idle:    now - f.LastSeen,
 		Fresh:   f.Fresh,
 		Epochs:  epochs,
@@ -169,7 +162,6 @@
 		f = &Flow{ID: r.Flow, Service: r.Service, Fresh: r.Fresh}
 		t.flows[r.Flow] = f
 	}
-	f.Floor = max(f.Floor, r.Floor)
 	f.LastSeen = max(f.LastSeen, now-r.Idle)
 	f.Fresh = f.Fresh && r.Fresh
 	f.AddEpochs(r.Epochs)
--- /dev/null
+++ b/decide/flowtable/flowtable_test.go
@@ -0,0 +1,58 @@
+package flowtable
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gypsumspan/gypsumspan/decide/message"
+)
+
+const service message.ServiceID = 1
+
+var id = message.FlowID{Hi: 1, Lo: 2}
+
+// Guards against a delayed copy that opens a closed flow again.
+func TestClosedFlowIsRemembered(t *testing.T) {
+	is := is.New(t)
+	table := New(time.Hour)
+	is.True(table.Open(0, service, id, true) != nil)
+	is.True(table.Close(time.Second, id))
+	is.True(table.Open(2*time.Second, service, id, true) == nil)
+	table.Expire(time.Second+closedRetention, func(*Flow) {})
+	is.True(table.Open(2*closedRetention, service, id, true) != nil)
+}
+
+// Guards against flows that are kept for ever, and against flows that end while
+// they are in use.
+func TestOnlyIdleFlowsExpire(t *testing.T) {
+	is := is.New(t)
+	table := New(time.Hour)
+	other := message.FlowID{Lo: 9}
+	table.Open(0, service, id, true)
+	used := table.Open(0, service, other, true)
+	table.Touch(30*time.Minute, used)
+	var removed []message.FlowID
+	table.Expire(time.Hour, func(f *Flow) { removed = append(removed, f.ID) })
+	is.Equal(removed, []message.FlowID{id})
+	is.True(table.Get(other) != nil)
+}
+
+// Guards against a handover that loses what protects a flow: its stamps and
+// whether the target has seen it.
+func TestImportMergesFlows(t *testing.T) {
+	is := is.New(t)
+	table := New(time.Hour)
+	table.Open(0, service, id, true)
+	f := table.Import(time.Minute, message.FlowRecord{
+		Flow: id, Service: service, Idle: time.Second, Epochs: []message.Epoch{3, 5},
+	})
+	is.True(!f.Fresh)
+	is.Equal(f.LastSeen, 59*time.Second)
+	is.True(f.Accepts(3) && f.Accepts(5) && !f.Accepts(7))
+	f.AddEpochs([]message.Epoch{7, 9, 11})
+	is.True(!f.Accepts(3)) // the oldest makes room
+	is.True(f.Accepts(5) && f.Accepts(11))
+	is.Equal(f.Export(time.Minute, f.Epochs).Epochs, []message.Epoch{5, 7, 9, 11})
+}
--- a/decide/vm/members.go
+++ b/decide/vm/members.go
@@ -12,6 +12,11 @@
 func (v *VM) tickMembers() {
 	messages, event := v.members.Tick(v.now)
 	v.emit(messages)
+	if event.LeaveRequested {
+		// The platform will take this VM away. It goes on answering until its
+		// process is stopped.
+		v.startLeave()
+	}
 	if event.Paused {
 		v.pause()
 		v.notices.Add(notice.Notice{Kind: notice.Paused, Gap: event.Gap})
--- a/decide/vm/vm.go
+++ b/decide/vm/vm.go
@@ -189,12 +189,20 @@
 // the requests in flight. Left reports the end.
 func (v *VM) Leave(now time.Duration) []message.Message {
 	v.begin(now)
+	v.startLeave()
+	return v.out
+}
+
+// startLeave marks the VM as leaving, so that it hands over what it owns.
+func (v *VM) startLeave() {
+	v.leaveIdle = v.now
+	if v.leaving {
+		return
+	}
 	v.leaving = true
-	v.leaveIdle = now
 	v.noteLeaveStarted()
-	v.emit(v.members.Leave(now))
+	v.emit(v.members.Leave(v.now))
 	v.followMembers()
-	return v.out
 }
 
 // leaveLinger is how long a VM that has handed everything over still passes on
--- a/decide/vm/vm_test.go
+++ b/decide/vm/vm_test.go
@@ -337,3 +337,19 @@
 	again.Attempt = 2
 	b.expectDispatch(b.call(&again))
 }
+
+// Guards against a VM that keeps its targets although the platform is about to
+// take it away.
+func TestVMListCanStartTheLeave(t *testing.T) {
+	b := newBench(t)
+	list := func(state message.MemberState) {
+		self := b.config.Self
+		self.State = state
+		b.Receive(b.at, platformMessage(&message.VMList{Members: []message.Member{self}}))
+		b.tick(10 * time.Millisecond)
+	}
+	list(message.MemberAlive)
+	b.is.True(!b.leaving)
+	list(message.MemberLeaving)
+	b.is.True(b.leaving)
+}
