--- a/decide/flowtable/flowtable.go
+++ b/decide/flowtable/flowtable.go
@@ -104,6 +104,12 @@
 	return ok
 }
 
+// Closed reports whether the flow was closed within the last minute.
+func (t *Table) Closed(id message.FlowID) bool {
+	_, ok := t.closed[id]
+	return ok
+}
+
 // Remove forgets a flow, for example because it moved to another target.
 func (t *Table) Remove(id message.FlowID) {
 	delete(t.flows, id)
--- a/decide/vm/loads.go
+++ b/decide/vm/loads.go
@@ -49,6 +49,9 @@
 	// enoughReports is the number of other targets whose loads are enough to judge
 	// a target's share in a large service.
 	enoughReports = 8
+	// inheritedRetention is how long flows of a crashed owner count that send
+	// nothing. Callers that ended with the owner's VM never close theirs.
+	inheritedRetention = 10 * time.Minute
 	// loadRetention is how long a report counts.
 	loadRetention = 20 * time.Second
 	// shareExcess is the part of its share by which a target may exceed it before
@@ -176,7 +179,7 @@
 	l, ok := v.loads[t.service][t.id]
 	if ok && v.now-l.at <= loadRetention {
 		t.inherited = int(l.flows)
-		t.inheritedUntil = v.now + v.config.FlowIdle
+		t.inheritedUntil = v.now + inheritedRetention
 	}
 }
 
--- a/lab/fleet/faults_test.go
+++ b/lab/fleet/faults_test.go
@@ -232,6 +232,17 @@
 		if worst > 0.05 {
 			t.Errorf("a target is %.1f%% off its share", 100*worst)
 		}
+		// Flows that end before the new owner has adopted them must not count on.
+		for id := session.FlowID(1); id <= 28000; id++ {
+			c.Close(id)
+			open(1)
+		}
+		f.Advance(8 * time.Second)
+		worst = f.worstShare("tracking", c)
+		t.Logf("crash %v, every flow renewed: worst target %.1f%% off its share", crash, 100*worst)
+		if worst > 0.05 {
+			t.Errorf("a target is %.1f%% off its share after every flow was renewed", 100*worst)
+		}
 	}
 }
 
@@ -240,13 +251,11 @@
 func (f *Fleet) worstShare(service string, c *Caller) float64 {
 	flows := make(map[message.TargetID]int)
 	total := 0
-	for id := session.FlowID(1); ; id++ {
-		b, ok := c.Binding(id)
-		if !ok {
-			break
+	for id := session.FlowID(1); id <= session.FlowID(c.Counters().Opens); id++ {
+		if b, ok := c.Binding(id); ok {
+			flows[b.Target]++
+			total++
 		}
-		flows[b.Target]++
-		total++
 	}
 	share := float64(total) / float64(len(f.services[service].Targets))
 	worst := 0.0
