--- a/decide/vm/loads.go
+++ b/decide/vm/loads.go
@@ -56,7 +56,7 @@
 	loadRetention = 20 * time.Second
 	// shareExcess is the part of its share by which a target may exceed it before
 	// new flows are passed on. It leaves room to the bound of 5%.
-	shareExcess = 0.03
+	shareExcess = 0.015
 	// shareSlack is the number of flows that a target may have beyond its share
 	// in any case, so that few flows don't travel along the ranking.
 	shareSlack = 4
