Use decide/retry in the caller session

Cause: the session had its own budget and back-off while decide/retry was written beside it. Change: the session's settings are those of decide/retry; its own copies are gone.

--- a/caller/session/config.go
+++ b/caller/session/config.go
@@ -1,6 +1,10 @@
 package session
 
-import "time"
+import (
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/decide/retry"
+)
 
 // Defaults of Config.
 const (
@@ -36,12 +40,24 @@
 	MaxRTO         time.Duration // upper bound of the time-out and its back-off
 	IdleRefresh    time.Duration // see DefaultIdleRefresh
 	RetransmitRate int           // datagrams per second and kind
-	// NewBudget returns the retry budget of one kind. Nil: 10% of requests.
-	NewBudget func() Budget
-	// Backoff computes delays before retries. Nil: exponential with jitter.
-	Backoff Backoff
+	// Budget is the retry budget of each kind of a service.
+	Budget retry.BudgetConfig
+	// Backoff sets the delays before retries.
+	Backoff retry.BackoffConfig
 }
 
+// Defaults of Config.Budget and Config.Backoff.
+const (
+	// budgetReserve allows retries before the first requests have earned them.
+	budgetReserve = 10
+	// budgetCapacity bounds the burst of retries after a long quiet time.
+	budgetCapacity = 100
+	// backoffBase is the range of the first delay.
+	backoffBase = 20 * time.Millisecond
+	// backoffMax is the largest range of a delay.
+	backoffMax = time.Second
+)
+
 // withDefaults returns c with defaults in place of zero fields.
 func (c Config) withDefaults() Config {
 	c.InitialRTO = orDefault(c.InitialRTO, DefaultInitialRTO)
@@ -49,12 +65,10 @@
 	c.MaxRTO = orDefault(c.MaxRTO, DefaultMaxRTO)
 	c.IdleRefresh = orDefault(c.IdleRefresh, DefaultIdleRefresh)
 	c.RetransmitRate = orDefault(c.RetransmitRate, DefaultRetransmitRate)
-	if c.NewBudget == nil {
-		c.NewBudget = newTokenBudget
-	}
-	if c.Backoff == nil {
-		c.Backoff = jitteredBackoff{}
-	}
+	c.Budget.Reserve = orDefault(c.Budget.Reserve, budgetReserve)
+	c.Budget.Capacity = orDefault(c.Budget.Capacity, budgetCapacity)
+	c.Backoff.Base = orDefault(c.Backoff.Base, backoffBase)
+	c.Backoff.Max = orDefault(c.Backoff.Max, backoffMax)
 	return c
 }
 
--- a/caller/session/flow.go
+++ b/caller/session/flow.go
@@ -168,7 +168,7 @@
 	if f.reopens == 0 {
 		return 0
 	}
-	return s.config.Backoff.Delay(f.reopens, 0, s.rng.Float64())
+	return s.backoff.Delay(f.reopens, 0)
 }
 
 // learn replaces the binding if the sender answered to the current one. The
--- a/caller/session/receive.go
+++ b/caller/session/receive.go
@@ -198,7 +198,7 @@
 		c.redirects++
 		return true
 	}
-	return c.class.budget.TryRetry(s.now)
+	return c.class.budget.Retry()
 }
 
 // retryDelay is zero for the first new attempt after "may have run", which is
@@ -207,5 +207,5 @@
 	if m.Reason == message.MayHaveRun && c.retries == 1 {
 		return 0
 	}
-	return max(s.config.Backoff.Delay(c.retries, m.RetryAfter, s.rng.Float64()), minPause)
+	return max(s.backoff.Delay(c.retries, m.RetryAfter), minPause)
 }
--- a/caller/session/session.go
+++ b/caller/session/session.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/decide/retry"
 )
 
 // FlowID names a flow within a session. It stays the same when the flow is
@@ -67,6 +68,7 @@
 type Session struct {
 	config   Config
 	rng      *rand.Rand
+	backoff  *retry.Backoff
 	now      time.Duration
 	lastFlow FlowID
 	lastCall CallID
@@ -89,15 +91,18 @@
 type class struct {
 	rto        estimator
 	retransmit rateLimit
-	budget     Budget
+	budget     *retry.Budget
 }
 
 // New returns a session without flows. The seed makes flow ids and jitter; it
 // must be unpredictable outside tests, since flow ids must be unique worldwide.
 func New(config Config, seed [32]byte) *Session {
+	config = config.withDefaults()
+	rng := rand.New(rand.NewChaCha8(seed))
 	return &Session{
-		config:  config.withDefaults(),
-		rng:     rand.New(rand.NewChaCha8(seed)),
+		config:  config,
+		rng:     rng,
+		backoff: retry.NewBackoff(config.Backoff, rng.Uint64()),
 		flows:   make(map[FlowID]*flow),
 		byWire:  make(map[message.FlowID]*flow),
 		calls:   make(map[CallID]*call),
@@ -134,7 +139,7 @@
 	s.lastCall++
 	c := &call{id: s.lastCall, flow: f, request: request, parts: parts, deadline: now + request.Timeout}
 	c.class = s.classOf(f.service, int(request.Kind))
-	c.class.budget.OnRequest(now)
+	c.class.budget.Attempt()
 	c.alarm = s.alarms.create(func() { s.callDue(c) })
 	s.calls[c.id] = c
 	f.calls = append(f.calls, c)
@@ -239,7 +244,7 @@
 	c := &class{
 		rto:        estimator{initial: s.config.InitialRTO, lowest: s.config.MinRTO, highest: s.config.MaxRTO},
 		retransmit: rateLimit{perSecond: rate, tokens: rate, last: s.now},
-		budget:     s.config.NewBudget(),
+		budget:     retry.NewBudget(s.config.Budget),
 	}
 	s.classes[key] = c
 	return c
--- a/caller/session/session_test.go
+++ b/caller/session/session_test.go
@@ -129,7 +129,7 @@
 		is.True(errors.Is(out.Results[0].Err, ErrNotRun))
 		is.True(errors.Is(out.Results[0].Err, ErrBudget))
 	}
-	is.True(retried <= calls/10+budgetStart)
+	is.True(retried <= calls/10+budgetReserve)
 }
 
 // TestPayloadSplit guards against wrong part sizes and payloads above the limit.
