Give up old stamps when a target comes back in part

Cause, found by reading: when two handovers crossed and the second arrived in part, the VM could go on with its old epochs, although requests that ran at the other VM were missing from its log. Change: such an activation revokes the epochs. Result: the new test fails without the change: the request is dispatched.

--- a/decide/vm/target.go
+++ b/decide/vm/target.go
@@ -143,6 +143,11 @@
 // activate takes the ownership. Kept state stays valid: its stamps were issued
 // by this VM or inherited with their log.
 func (v *VM) activate(t *target) {
+	if len(t.epochs) > 0 && t.incoming != nil && len(t.incoming.chunks) > 0 {
+		// Another VM had merged this VM's state and sent it back, but not all of it
+		// arrived. What it dispatched meanwhile is not in the log here.
+		v.revoke(t)
+	}
 	if len(t.epochs) == 0 {
 		t.epochs = []message.Epoch{v.newEpoch()}
 		v.inheritLoad(t)
--- a/decide/vm/vm_test.go
+++ b/decide/vm/vm_test.go
@@ -353,3 +353,14 @@
 	list(message.MemberLeaving)
 	b.is.True(b.leaving)
 }
+
+// Guards against old stamps that stay valid when a target comes back in part: the
+// missing part of the log may hold requests that ran at the other VM.
+func TestTargetThatCameBackInPartGetsANewEpoch(t *testing.T) {
+	b := newBench(t)
+	binding := b.open("a")
+	owned := b.targets[binding.Target]
+	owned.incoming = &incoming{chunks: map[uint32]*message.Handover{0: {}}}
+	b.activate(owned)
+	b.expectRefusal(b.call(b.request(1, binding)), message.MayHaveRun, message.CauseStaleEpoch)
+}
