Use the field's words for closed kinds and requests handed over in flight

Cause: the code called a kind that an owner does not want a closed door, and used relay both for VMs that watch the store and for requests in flight at a handover. Change: names only.

--- a/decide/message/control.go
+++ b/decide/message/control.go
@@ -32,7 +32,7 @@
 	Sequence     uint64
 	Self         Member
 	Updates      []Member
-	TableVersion uint64 // sum of what the sender's table holds, see decide/table
+	TableVersion uint64 // highest revision in the sender's table
 	TableHash    uint64
 }
 
--- a/decide/message/message.go
+++ b/decide/message/message.go
@@ -127,7 +127,7 @@
 	CauseStaleEpoch         // epoch of another ownership
 	CauseQueueFull          // queue limit of the target or kind
 	CauseDeadline           // can't finish before the deadline
-	CauseDoor               // refused by the ingress while the kind is closed
+	CauseKindClosed         // refused by the ingress while the kind is closed
 	CauseNoTarget           // no target takes new flows
 	CauseTargetLost         // the target crashed or shed the request
 	CauseUnreachable        // the owner or target can't be reached now
--- a/decide/vm/answers.go
+++ b/decide/vm/answers.go
@@ -11,10 +11,10 @@
 	"github.com/gypsumspan/gypsumspan/decide/table"
 )
 
-// relay is a request that was in flight when this VM handed its target over. What
+// handedRequest is a request that was in flight when this VM handed its target over. What
 // the target says about it goes to the receiver of the handover, which may have
 // handed the target on.
-type relay struct {
+type handedRequest struct {
 	target message.TargetID
 	to     message.VMID
 	addr   netip.AddrPort
@@ -34,7 +34,7 @@
 		}
 		return
 	}
-	r, ok := v.relays[key]
+	r, ok := v.handedInFlight[key]
 	if !ok || from.Addr != r.addr {
 		v.counters.StrayAnswers++
 		return
@@ -43,18 +43,18 @@
 }
 
 // passOnPart passes one part of an answer on and forgets the request after the last.
-func (v *VM) passOnPart(r relay, part *message.Answer) {
+func (v *VM) passOnPart(r handedRequest, part *message.Answer) {
 	v.passOn(r, &message.Released{Target: r.target, Answer: part})
 	r.seen |= 1 << part.Part
 	if bits.OnesCount64(r.seen) >= int(part.Parts) {
-		delete(v.relays, part.Key())
+		delete(v.handedInFlight, part.Key())
 		return
 	}
-	v.relays[part.Key()] = r
+	v.handedInFlight[part.Key()] = r
 }
 
 // passOn sends a target's words to the VM that took the target over.
-func (v *VM) passOn(r relay, m *message.Released) {
+func (v *VM) passOn(r handedRequest, m *message.Released) {
 	v.sendControl(r.to, m)
 }
 
@@ -64,7 +64,7 @@
 	if !ok {
 		return
 	}
-	if r, ok := v.relays[key]; ok && v.inFlight[key] == nil {
+	if r, ok := v.handedInFlight[key]; ok && v.inFlight[key] == nil {
 		v.passOnReleased(r, m)
 		return
 	}
@@ -98,7 +98,7 @@
 }
 
 // passOnReleased passes on what came from a previous owner.
-func (v *VM) passOnReleased(r relay, m *message.Released) {
+func (v *VM) passOnReleased(r handedRequest, m *message.Released) {
 	if m.Answer != nil {
 		v.passOnPart(r, m.Answer)
 		return
@@ -161,7 +161,7 @@
 		v.shed(t, m)
 		return
 	}
-	if r, ok := v.relays[key]; ok {
+	if r, ok := v.handedInFlight[key]; ok {
 		v.passOn(r, &message.Released{Target: r.target, Shed: m})
 	}
 }
--- a/decide/vm/handover.go
+++ b/decide/vm/handover.go
@@ -191,7 +191,7 @@
 		return
 	}
 	v.noteTarget(notice.HandedOver, t, t.machine.Receiver(), t.flows.Len())
-	v.keepRelays(t, t.machine.Receiver())
+	v.keepInFlight(t, t.machine.Receiver())
 	v.passOnParts(t)
 	v.passOnAnswers(t, t.machine.Receiver(), t.id, anyFlow)
 	v.handed[t.id] = handedTarget{to: t.machine.Receiver(), until: v.now + handedRetention}
@@ -203,7 +203,7 @@
 func (v *VM) passOnParts(t *target) {
 	for _, p := range t.sortedPending() {
 		t.log.Parts(p.key, func(part *message.Answer) bool {
-			v.passOnPart(v.relays[p.key], part)
+			v.passOnPart(v.handedInFlight[p.key], part)
 			return true
 		})
 	}
@@ -238,12 +238,12 @@
 	until time.Duration
 }
 
-// keepRelays remembers the requests in flight, so that what the target says about
+// keepInFlight remembers the requests in flight, so that what the target says about
 // them reaches the new owner.
-func (v *VM) keepRelays(t *target, to message.VMID) {
+func (v *VM) keepInFlight(t *target, to message.VMID) {
 	for key, p := range t.pending {
 		if p.dispatched {
-			v.relays[key] = relay{target: t.id, to: to, addr: t.row.Addr, until: p.deadline + time.Second}
+			v.handedInFlight[key] = handedRequest{target: t.id, to: to, addr: t.row.Addr, until: p.deadline + time.Second}
 		}
 	}
 }
--- a/decide/vm/ingress.go
+++ b/decide/vm/ingress.go
@@ -21,8 +21,8 @@
 // for each hop.
 const maxRanked = message.MaxHops + 1
 
-// door is one kind of work of one target, which an ingress may refuse.
-type door struct {
+// kindAt is one kind of work of one target, which an ingress may refuse.
+type kindAt struct {
 	target message.TargetID
 	kind   message.KindID
 }
@@ -59,8 +59,8 @@
 	}
 	f.Target = choice.target
 	f.Hinted = choice.hinted
-	if wait := v.doorClosed(f); wait > 0 {
-		v.busy(f, message.CauseDoor, wait)
+	if wait := v.kindClosedFor(f); wait > 0 {
+		v.busy(f, message.CauseKindClosed, wait)
 		return
 	}
 	v.deliver(f)
@@ -140,22 +140,22 @@
 	return true
 }
 
-// doorClosed returns for how long the owner wants no more requests of this kind.
-func (v *VM) doorClosed(f *message.Forward) time.Duration {
+// kindClosedFor returns for how long the owner wants no more requests of this kind.
+func (v *VM) kindClosedFor(f *message.Forward) time.Duration {
 	r, ok := f.Inner.(*message.Request)
 	if !ok {
 		return 0
 	}
-	until, ok := v.doors[door{target: f.Target, kind: r.Kind}]
+	until, ok := v.closedKinds[kindAt{target: f.Target, kind: r.Kind}]
 	if !ok {
 		return 0
 	}
 	return until - v.now
 }
 
-// closeDoor notes an owner's back-pressure.
-func (v *VM) closeDoor(m *message.KindClosed) {
-	v.doors[door{target: m.Target, kind: m.Kind}] = v.now + m.ClosedFor
+// closeKind notes an owner's back-pressure.
+func (v *VM) closeKind(m *message.KindClosed) {
+	v.closedKinds[kindAt{target: m.Target, kind: m.Kind}] = v.now + m.ClosedFor
 }
 
 // deliver brings a message to the owner of its target, here or at another VM.
--- a/decide/vm/metrics_test.go
+++ b/decide/vm/metrics_test.go
@@ -101,13 +101,13 @@
 	b.call(b.request(1, message.Binding{}))
 	before := len(b.work)
 	for id := range message.ServiceID(100) {
-		b.workOf(id, 7).refused[message.Busy][message.CauseDoor]++
+		b.workOf(id, 7).refused[message.Busy][message.CauseKindClosed]++
 	}
 	b.is.Equal(len(b.work), before)
 	service := message.ServiceIDOf("a")
 	b.is.Equal(testing.AllocsPerRun(100, func() {
 		w := b.workOf(service, 0)
-		w.refused[message.Busy][message.CauseDoor]++
+		w.refused[message.Busy][message.CauseKindClosed]++
 		w.waited += time.Millisecond
 	}), 0.0)
 }
--- a/decide/vm/requests.go
+++ b/decide/vm/requests.go
@@ -246,7 +246,7 @@
 	}
 	closed := &message.KindClosed{Service: t.service, Target: t.id, Kind: p.kind, ClosedFor: wait}
 	if p.ingress == v.config.Self.ID {
-		v.closeDoor(closed)
+		v.closeKind(closed)
 		return
 	}
 	v.sendData(p.ingress, closed)
--- a/decide/vm/target.go
+++ b/decide/vm/target.go
@@ -189,7 +189,7 @@
 	kept := t.takeKept()
 	v.refuseQueued(t)
 	if owner, ok := v.ownerOf(t.id, t.row.DomainID); ok {
-		v.keepRelays(t, owner)
+		v.keepInFlight(t, owner)
 	}
 	v.dropTarget(t)
 	for _, f := range kept {
--- a/decide/vm/vm.go
+++ b/decide/vm/vm.go
@@ -70,15 +70,15 @@
 	places      places
 	changed     []message.ServiceID // whose targets findTargets has not seen
 
-	targets   map[message.TargetID]*target // targets with state at this VM
-	order     []*target                    // the same, sorted by id
-	inFlight  map[message.RequestKey]*target
-	relays    map[message.RequestKey]relay
-	moves     map[uint64]*move
-	loads     map[message.ServiceID]map[message.TargetID]load
-	doors     map[door]time.Duration
-	reconcile time.Duration // next full search for targets to own
-	reports   time.Duration // next load reports
+	targets        map[message.TargetID]*target // targets with state at this VM
+	order          []*target                    // the same, sorted by id
+	inFlight       map[message.RequestKey]*target
+	handedInFlight map[message.RequestKey]handedRequest
+	moves          map[uint64]*move
+	loads          map[message.ServiceID]map[message.TargetID]load
+	closedKinds    map[kindAt]time.Duration
+	reconcile      time.Duration // next full search for targets to own
+	reports        time.Duration // next load reports
 
 	leaving   bool
 	leaveIdle time.Duration // since when nothing is left to hand over
@@ -99,23 +99,23 @@
 	config.AnswerBytes = cmp.Or(config.AnswerBytes, DefaultAnswerBytes)
 	config.Membership.Self = config.Self
 	v := &VM{
-		config:    config,
-		now:       now,
-		started:   now,
-		rng:       rand.New(rand.NewPCG(config.Seed, uint64(config.Self.ID))),
-		owners:    ownership.NewOwners(config.Self.Domain),
-		replica:   table.NewReplica(),
-		removed:   make(map[message.TargetID]removedTarget),
-		handed:    make(map[message.TargetID]handedTarget),
-		places:    make(places),
-		targets:   make(map[message.TargetID]*target),
-		inFlight:  make(map[message.RequestKey]*target),
-		relays:    make(map[message.RequestKey]relay),
-		moves:     make(map[uint64]*move),
-		loads:     make(map[message.ServiceID]map[message.TargetID]load),
-		doors:     make(map[door]time.Duration),
-		work:      make(map[workKey]*work),
-		otherWork: work{service: "other", kind: "other"},
+		config:         config,
+		now:            now,
+		started:        now,
+		rng:            rand.New(rand.NewPCG(config.Seed, uint64(config.Self.ID))),
+		owners:         ownership.NewOwners(config.Self.Domain),
+		replica:        table.NewReplica(),
+		removed:        make(map[message.TargetID]removedTarget),
+		handed:         make(map[message.TargetID]handedTarget),
+		places:         make(places),
+		targets:        make(map[message.TargetID]*target),
+		inFlight:       make(map[message.RequestKey]*target),
+		handedInFlight: make(map[message.RequestKey]handedRequest),
+		moves:          make(map[uint64]*move),
+		loads:          make(map[message.ServiceID]map[message.TargetID]load),
+		closedKinds:    make(map[kindAt]time.Duration),
+		work:           make(map[workKey]*work),
+		otherWork:      work{service: "other", kind: "other"},
 	}
 	v.table = v.replica.Table()
 	v.members = membership.New(config.Membership, v.rng.Uint64(), now)
@@ -140,7 +140,7 @@
 	case *message.Forward:
 		v.forwarded(body)
 	case *message.KindClosed:
-		v.closeDoor(body)
+		v.closeKind(body)
 	case *message.Answer:
 		v.targetAnswer(m.From, body)
 	case *message.Shed:
@@ -219,7 +219,7 @@
 	if !v.leaving {
 		return
 	}
-	if len(v.inFlight) > 0 || len(v.relays) > 0 || len(v.moves) > 0 || v.ownsFlows() {
+	if len(v.inFlight) > 0 || len(v.handedInFlight) > 0 || len(v.moves) > 0 || v.ownsFlows() {
 		v.leaveIdle = v.now
 	}
 	v.noteLeft()
@@ -285,14 +285,14 @@
 			delete(v.handed, id)
 		}
 	}
-	for key, r := range v.relays {
+	for key, r := range v.handedInFlight {
 		if v.now >= r.until {
-			delete(v.relays, key)
+			delete(v.handedInFlight, key)
 		}
 	}
-	for d, until := range v.doors {
+	for d, until := range v.closedKinds {
 		if v.now >= until {
-			delete(v.doors, d)
+			delete(v.closedKinds, d)
 		}
 	}
 	v.noteLeaveProgress()
--- a/decide/vm/words.go
+++ b/decide/vm/words.go
@@ -19,7 +19,7 @@
 		"Compare gypsumspan_waiting by kind, find the caller that floods, or add targets or slots."},
 	message.CauseDeadline: {"The request could not finish before its deadline.",
 		"Check the target's answer time and the deadline that the caller sets; add targets if the queue is long."},
-	message.CauseDoor: {"The owner told this VM to refuse the kind for a moment, because its queue is full.",
+	message.CauseKindClosed: {"The owner told this VM to refuse the kind for a moment, because its queue is full.",
 		"Compare gypsumspan_waiting by kind, or add targets or slots."},
 	message.CauseNoTarget: {"No target of the service takes new flows, or no owner of one is known.",
 		"Check states in the table, targets out of service (GS3301) and the members that this VM sees."},
