--- a/decide/ownership/owners_test.go
+++ b/decide/ownership/owners_test.go
@@ -1,6 +1,7 @@
 package ownership
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -10,6 +11,9 @@
 	"github.com/gypsumspan/gypsumspan/decide/message"
 )
 
+// Fixes the seed of package rapid; -rapid.seed on the command line sets another.
+var _ = flag.Set("rapid.seed", "1")
+
 // member returns a VM of one of three failure domains.
 func member(id int) message.Member {
 	return message.Member{ID: message.VMID(id), Domain: message.DomainID(id%3 + 1)}
