Drop the placement of later opens at the next rank

Cause: the protocol let a later attempt of an open be placed one rank later, but the caller library never counted attempts, so it had no effect. Tried: counting them in the session. Change: the field and the rule are gone; a new flow whose first-ranked owner has crashed waits for the detection, at most 3 s.

--- a/decide/message/message.go
+++ b/decide/message/message.go
@@ -36,7 +36,6 @@
 type Open struct {
 	Service ServiceID
 	Flow    FlowID
-	Attempt uint32 // from 1; later attempts may be placed at a later rank
 	Refresh bool
 	Binding Binding // only with Refresh
 }
--- a/decide/vm/bench_test.go
+++ b/decide/vm/bench_test.go
@@ -95,7 +95,7 @@
 		name string
 		body message.Body
 	}{
-		{"new flow", &message.Open{Service: s.ID, Flow: flow, Attempt: 1}},
+		{"new flow", &message.Open{Service: s.ID, Flow: flow}},
 		{"bound", &message.Request{Service: s.ID, Flow: flow, ID: 1, Parts: 1, Binding: binding}},
 		{"without binding", &message.Request{Service: s.ID, Flow: flow, ID: 1, Parts: 1}},
 	}
--- a/decide/vm/ingress.go
+++ b/decide/vm/ingress.go
@@ -82,7 +82,7 @@
 	}
 	var ranks [maxRanked]rendezvous.Ranked
 	if open, ok := body.(*message.Open); ok && !open.Refresh {
-		return v.place(s, open, rank(ranks[:], s, open.Flow, takesNewFlows))
+		return v.place(s, rank(ranks[:], s, open.Flow, takesNewFlows))
 	}
 	return v.firstRanked(s, message.FlowOf(body), isRanked)
 }
@@ -99,18 +99,10 @@
 }
 
 // place chooses the target of a new flow: the first of the ranking whose owner is
-// known. Every second attempt starts one rank later, so that a new flow does not
-// wait until a dead owner is detected.
-func (v *VM) place(s *table.Service, open *message.Open, ranking []rendezvous.Ranked) (choice, bool) {
-	if len(ranking) == 0 {
-		return choice{}, false
-	}
-	start := 0
-	if open.Attempt > 1 {
-		start = int(open.Attempt-1) / 2 % len(ranking)
-	}
-	for i := range ranking {
-		row := &s.Targets[ranking[(start+i)%len(ranking)].Index]
+// known.
+func (v *VM) place(s *table.Service, ranking []rendezvous.Ranked) (choice, bool) {
+	for _, r := range ranking {
+		row := &s.Targets[r.Index]
 		if _, ok := v.ownerOf(row.ID, row.DomainID); ok {
 			return choice{target: row.ID, domain: row.DomainID}, true
 		}
--- a/decide/vm/metrics_test.go
+++ b/decide/vm/metrics_test.go
@@ -76,7 +76,7 @@
 	b.at += 20 * time.Millisecond
 	b.answer(1, targetAddrs[0])
 	b.receive(message.TargetAddress(0, targetAddrs[0]), &message.Shed{Flow: flow, ID: 2, Attempt: 1})
-	b.call(&message.Open{Service: 99, Flow: flow, Attempt: 1})
+	b.call(&message.Open{Service: 99, Flow: flow})
 	values, _ = metricsOf(b.VM)
 	for name, want := range map[string]float64{
 		"completed_total k0 a":                         1,
--- a/decide/vm/vm_test.go
+++ b/decide/vm/vm_test.go
@@ -80,7 +80,7 @@
 
 func (b *bench) open(service string) message.Binding {
 	b.t.Helper()
-	out := b.call(&message.Open{Service: message.ServiceIDOf(service), Flow: flow, Attempt: 1})
+	out := b.call(&message.Open{Service: message.ServiceIDOf(service), Flow: flow})
 	bound, ok := only(out).(*message.Bound)
 	if !ok {
 		b.t.Fatalf("Open was answered by %T", only(out))
@@ -252,7 +252,7 @@
 	binding := b.open("a")
 	b.call(&message.Close{Service: message.ServiceIDOf("a"), Flow: flow, Binding: binding})
 	b.expectRefusal(b.call(b.request(1, binding)), message.FlowUnknown, message.CauseUnknownFlow)
-	late := &message.Open{Service: message.ServiceIDOf("a"), Flow: flow, Attempt: 1}
+	late := &message.Open{Service: message.ServiceIDOf("a"), Flow: flow}
 	b.expectRefusal(b.call(late), message.FlowUnknown, message.CauseUnknownFlow)
 }
 
@@ -302,7 +302,7 @@
 	b := newBench(t)
 	binding := b.open("a")
 	b.put("a", targetAddrs[0], table.Draining)
-	open := &message.Open{Service: message.ServiceIDOf("a"), Flow: message.FlowID{Hi: 5}, Attempt: 1}
+	open := &message.Open{Service: message.ServiceIDOf("a"), Flow: message.FlowID{Hi: 5}}
 	forward := &message.Forward{Ingress: 5, Caller: callerAddr, Target: binding.Target, Inner: open}
 	b.expectRefusal(b.receive(message.VMAddress(5, callerAddr), forward), message.Busy, message.CauseNoTarget)
 	b.expectDispatch(b.call(b.request(1, binding)))
--- a/lab/capacity/datagrams.go
+++ b/lab/capacity/datagrams.go
@@ -66,7 +66,7 @@
 			call[*message.Forward](r, ingressRequest(id, binding, i, nil))
 			return
 		}
-		call[*message.Forward](r, &message.Open{Service: id, Flow: flowID(i), Attempt: 1})
+		call[*message.Forward](r, &message.Open{Service: id, Flow: flowID(i)})
 	})
 }
 
--- a/lab/capacity/rig.go
+++ b/lab/capacity/rig.go
@@ -141,7 +141,7 @@
 }
 
 func (r *ownerRig) open(i int) message.Binding {
-	open := &message.Open{Service: r.service.ID, Flow: flowID(i), Attempt: 1}
+	open := &message.Open{Service: r.service.ID, Flow: flowID(i)}
 	return call[*message.Bound](r.rig, open).Binding
 }
 
--- a/lab/fleet/trace.go
+++ b/lab/fleet/trace.go
@@ -63,7 +63,7 @@
 	case *message.Forward:
 		return fmt.Sprintf("forward hop %d at %s hinted %v: %s", b.Hops, t.targets[b.Target], b.Hinted, t.describe(b.Inner))
 	case *message.Open:
-		return fmt.Sprintf("open %v attempt %d refresh %v binding %s", b.Flow, b.Attempt, b.Refresh, t.targets[b.Binding.Target])
+		return fmt.Sprintf("open %v refresh %v binding %s", b.Flow, b.Refresh, t.targets[b.Binding.Target])
 	case *message.Bound:
 		return fmt.Sprintf("bound %v to %s", b.Flow, t.targets[b.Binding.Target])
 	case *message.Request:
--- a/wire/datagram.go
+++ b/wire/datagram.go
@@ -9,7 +9,6 @@
 	return &wirepb.Open{
 		Service: uint64(m.Service),
 		Flow:    flowToPB(m.Flow),
-		Attempt: m.Attempt,
 		Refresh: m.Refresh,
 		Binding: bindingToPB(m.Binding),
 	}
@@ -19,7 +18,6 @@
 	return &message.Open{
 		Service: message.ServiceID(p.GetService()),
 		Flow:    flowFromPB(p.GetFlow()),
-		Attempt: p.GetAttempt(),
 		Refresh: p.GetRefresh(),
 		Binding: bindingFromPB(p.GetBinding()),
 	}
