Measure heap slopes of the tiny run on sizes above the noise

The check took the heap of 10, 20 and 40 objects, a few kilobytes, and other parts of the process free as much between two readings.

--- a/lab/capacity/flows.go
+++ b/lab/capacity/flows.go
@@ -23,27 +23,26 @@
 
 func flowExperiments() []Experiment {
 	flows := []int{1_000, 10_000, 100_000}
-	tiny := []int{10, 20, 40}
 	return []Experiment{
 		{
-			Name: "owner.flow.memory", Unit: Bytes, Per: "open flow", Sizes: flows, Tiny: tiny,
+			Name: "owner.flow.memory", Unit: Bytes, Per: "open flow", Sizes: flows, Tiny: tinyHeapSizes(),
 			Measure: func(m *Meter, n int) Point { return at(n, flowHeap(m, n)) },
 		},
 		{
-			Name: "owner.usedflow.memory", Unit: Bytes, Per: "open flow with an expired request", Sizes: flows, Tiny: tiny,
+			Name: "owner.usedflow.memory", Unit: Bytes, Per: "open flow with an expired request", Sizes: flows, Tiny: tinyHeapSizes(),
 			Measure: func(m *Meter, n int) Point { return at(n, usedFlowHeap(m, n)) },
 		},
 		{
-			Name: "owner.entry.memory", Unit: Bytes, Per: "request log entry with an answer of 64 B", Sizes: flows, Tiny: tiny,
+			Name: "owner.entry.memory", Unit: Bytes, Per: "request log entry with an answer of 64 B", Sizes: flows, Tiny: tinyHeapSizes(),
 			Measure: func(m *Meter, n int) Point { return at(n, entryHeap(m, n)) },
 		},
 		{
 			Name: "owner.queued.memory", Unit: Bytes, Per: "queued request of 64 B",
-			Sizes: []int{100, 1_000, 10_000}, Tiny: tiny,
+			Sizes: []int{100, 1_000, 10_000}, Tiny: tinyHeapSizes(),
 			Measure: func(m *Meter, n int) Point { return at(n, queuedHeap(m, n)) },
 		},
 		{
-			Name: "caller.flow.memory", Unit: Bytes, Per: "open flow", Sizes: flows, Tiny: tiny,
+			Name: "caller.flow.memory", Unit: Bytes, Per: "open flow", Sizes: flows, Tiny: tinyHeapSizes(),
 			Measure: func(m *Meter, n int) Point { return at(n, sessionHeap(m, n)) },
 		},
 	}
--- a/lab/capacity/members.go
+++ b/lab/capacity/members.go
@@ -15,7 +15,7 @@
 	tiny := []int{8, 16, 32}
 	return []Experiment{
 		{
-			Name: "members.memory", Unit: Bytes, Per: "member", Sizes: sizes, Tiny: tiny,
+			Name: "members.memory", Unit: Bytes, Per: "member", Sizes: sizes, Tiny: tinyHeapSizes(),
 			Measure: func(m *Meter, n int) Point { return at(n, membersHeap(m, n)) },
 		},
 		{
--- a/lab/capacity/owners.go
+++ b/lab/capacity/owners.go
@@ -33,7 +33,7 @@
 			Measure: func(m *Meter, n int) Point { return at(n, catchUpTime(m, n)) },
 		},
 		{
-			Name: "owners.memory", Unit: Bytes, Per: "cached target", Sizes: []int{1_800, 18_000, fleetTargets}, Tiny: tiny,
+			Name: "owners.memory", Unit: Bytes, Per: "cached target", Sizes: []int{1_800, 18_000, fleetTargets}, Tiny: tinyHeapSizes(),
 			Measure: func(m *Meter, n int) Point { return at(n, ownersHeap(m, n)) },
 		},
 	}
--- a/lab/capacity/run.go
+++ b/lab/capacity/run.go
@@ -61,6 +61,11 @@
 	heapRounds   = 2
 )
 
+// tinyHeapSizes are the sizes of a memory measurement in a tiny run. Other parts
+// of the process free or take a few kilobytes between two readings of the heap,
+// as much as 40 small objects need; 1,600 need tens of kilobytes.
+func tinyHeapSizes() []int { return []int{100, 400, 1_600} }
+
 // Run measures the experiments one after the other. It returns ctx's error when
 // ctx ends between two points.
 func Run(ctx context.Context, o Options) (*Report, error) {
--- a/lab/capacity/table.go
+++ b/lab/capacity/table.go
@@ -17,17 +17,17 @@
 	targets := []int{1_800, 18_000, fleetTargets}
 	return []Experiment{
 		{
-			Name: "table.memory.target", Unit: Bytes, Per: "target", Sizes: targets, Tiny: []int{20, 40, 80},
+			Name: "table.memory.target", Unit: Bytes, Per: "target", Sizes: targets, Tiny: tinyHeapSizes(),
 			Measure: func(m *Meter, n int) Point { return at(n, replicaHeap(m, min(fixedServices, n), n, false)) },
 		},
 		{
 			Name: "table.memory.service", Unit: Bytes, Per: "service",
-			Sizes: []int{1_800, 6_000, fleetServices}, Tiny: []int{5, 10, 20},
+			Sizes: []int{1_800, 6_000, fleetServices}, Tiny: []int{25, 50, 99},
 			Measure: func(m *Meter, n int) Point { return at(n, replicaHeap(m, n, targetsBehind(n), false)) },
 		},
 		{
 			Name: "table.memory.expanded", Unit: Bytes, Per: "target in use",
-			Sizes: []int{1_800, 9_000, 18_000}, Tiny: []int{20, 40, 80},
+			Sizes: []int{1_800, 9_000, 18_000}, Tiny: tinyHeapSizes(),
 			Measure: func(m *Meter, n int) Point { return at(n, replicaHeap(m, servicesFor(n), n, true)) },
 		},
 		{
