Run the tests of whole fleets side by side

Each fleet is on its own, stepped by one thread with its own seed, so that the tests share nothing. No test, seed or number of checks changes.

--- a/lab/fleet/copies_test.go
+++ b/lab/fleet/copies_test.go
@@ -14,6 +14,7 @@
 // is gone, paused, or has handed its target or the flow over. Every datagram of
 // callers and VMs arrives a second time, after the ownership has changed.
 func TestDelayedCopiesRunOnce(t *testing.T) {
+	t.Parallel()
 	changes := []struct {
 		name   string
 		change func(f *Fleet, owner string, target string)
@@ -72,6 +73,7 @@
 	for _, c := range changes {
 		for _, delay := range delays {
 			t.Run(fmt.Sprintf("%s, copies after %v", c.name, delay), func(t *testing.T) {
+				t.Parallel()
 				o := wales(3)
 				o.Duplicate = 1
 				o.DuplicateDelay = delay
--- a/lab/fleet/edit_test.go
+++ b/lab/fleet/edit_test.go
@@ -11,6 +11,7 @@
 // Guards against a flow that is lost because its targets were replaced one after
 // the other while it was idle, so that its binding names a target of long ago.
 func TestIdleFlowIsFoundAfterAllTargetsWereReplaced(t *testing.T) {
+	t.Parallel()
 	f := New(wales(3))
 	spec := tracking(8)
 	f.AddService(spec)
--- a/lab/fleet/faults_test.go
+++ b/lab/fleet/faults_test.go
@@ -16,6 +16,7 @@
 // Guards against an outage longer than a check-in waits. Six VMs are killed in turn,
 // each replaced at once, so that a new VM is often the successor.
 func TestKilledVMsAreReplacedWithinTheDeadline(t *testing.T) {
+	t.Parallel()
 	f := New(wales(5))
 	spec := tracking(14)
 	f.AddService(spec)
@@ -50,6 +51,7 @@
 // planned faults must break no flow and fail no call. After crashes only calls in
 // flight may fail, and only as "may have run".
 func TestFaultsUnderTraffic(t *testing.T) {
+	t.Parallel()
 	cases := []struct {
 		name string
 		// fault runs while traffic flows; traffic sends calls for a time.
@@ -111,6 +113,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
 			f := New(wales(7))
 			spec := tracking(14)
 			f.AddService(spec)
@@ -137,6 +140,7 @@
 // Guards against flows of other targets that break, and against requests that run
 // twice, when a target crashes and starts again.
 func TestTargetCrashBreaksItsOwnFlowsOnly(t *testing.T) {
+	t.Parallel()
 	f := New(wales(11))
 	spec := tracking(14)
 	f.AddService(spec)
@@ -178,6 +182,7 @@
 // Guards against a slot that stays in use, and an answer that is never whole,
 // when some parts of an answer arrive before a handover and the others after it.
 func TestHandoverAmidAnswers(t *testing.T) {
+	t.Parallel()
 	o := wales(13)
 	o.Jitter = 40 * time.Millisecond
 	f := New(o)
@@ -205,6 +210,7 @@
 // Guards against a new owner that takes the flows of all other targets, because
 // it has heard of no loads yet, and counts none of a crashed owner's flows.
 func TestShareHoldsWhenOwnersChangeDuringAFlood(t *testing.T) {
+	t.Parallel()
 	for _, crash := range []bool{false, true} {
 		f := New(wales(17))
 		spec := tracking(14)
--- a/lab/fleet/fleet_test.go
+++ b/lab/fleet/fleet_test.go
@@ -67,6 +67,7 @@
 
 // Guards against a fleet that does not serve at all.
 func TestSteadyFleetAnswersEveryCall(t *testing.T) {
+	t.Parallel()
 	f := New(wales(1))
 	spec := tracking(14)
 	f.AddService(spec)
--- a/lab/fleet/fuzz_test.go
+++ b/lab/fleet/fuzz_test.go
@@ -195,6 +195,7 @@
 // refused request, a wrong answer, work for a leaving target or another service,
 // and a table that goes back or does not arrive.
 func TestPromisesHoldUnderFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		z := newFuzzer(t)
 		defer z.writeTrace(t)
@@ -259,6 +260,7 @@
 // Guards against planned changes, however they overlap, that break a flow or cut
 // a request.
 func TestPlannedChangesBreakNothing(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		z := newFuzzer(t)
 		defer z.writeTrace(t)
