Drop code without callers, share the jittered interval

requestlog.Settle and message.CauseOldAttempt had no caller outside tests; the table rows that used Settle now go through Withdraw and RecordPart, which the owner calls for a request in flight at a previous owner.

--- a/decide/message/message.go
+++ b/decide/message/message.go
@@ -135,7 +135,6 @@
 	CauseLogEvicted         // log entry or recorded answer is gone
 	CauseOwnerMoved         // ownership was given up while the request waited
 	CauseCancelled          // cancelled by the caller
-	CauseOldAttempt         // an attempt that was already refused
 	// NumCauses is the number of causes.
 	NumCauses
 )
@@ -145,7 +144,7 @@
 	names := [NumCauses]string{
 		"none", "no_stamp", "stale_epoch", "queue_full", "deadline", "kind_closed", "no_target",
 		"target_lost", "unreachable", "unknown_flow", "unknown_table", "log_evicted", "owner_moved",
-		"cancelled", "old_attempt",
+		"cancelled",
 	}
 	if c >= NumCauses {
 		return "unknown"
--- a/decide/requestlog/doc.go
+++ b/decide/requestlog/doc.go
@@ -8,8 +8,8 @@
 //	(none) -> Refused             Refuse
 //	Queued -> Dispatched          Dispatch
 //	Queued -> Refused             Refuse
-//	Dispatched -> Done            RecordPart, Settle
-//	Dispatched -> Refused         Withdraw, Settle: the target did not start it
+//	Dispatched -> Done            RecordPart
+//	Dispatched -> Refused         Withdraw: the target did not start it
 //	Refused -> Queued             Begin with a higher attempt
 //	Dispatched, Done -> Queued    Restart: idempotent requests only
 //	any -> (none)                 Expire, RemoveFlow
--- a/decide/requestlog/handover.go
+++ b/decide/requestlog/handover.go
@@ -78,24 +78,3 @@
 	}
 	return State(r.State) == Refused
 }
-
-// Settle applies a previous owner's message.Released to a request that it had
-// in flight: Refused if the target did not start it, Done if the previous owner
-// passed the answer on, and any other state if its deadline passed. It returns
-// false if the request is not one that was imported as Dispatched.
-func (l *Log) Settle(now time.Duration, key message.RequestKey, attempt uint32, state State) bool {
-	e := l.entries[key]
-	if e == nil || !e.imported || e.state != Dispatched || e.attempt != attempt {
-		return false
-	}
-	switch state {
-	case Refused:
-		return l.Withdraw(now, key, attempt)
-	case Done:
-		l.answers.evict(e)
-		l.setState(e, Done)
-	default:
-		l.Lapse(now, key)
-	}
-	return true
-}
--- a/decide/requestlog/log_test.go
+++ b/decide/requestlog/log_test.go
@@ -29,16 +29,15 @@
 	return &message.Answer{Part: i, Parts: n, Payload: make([]byte, size)}
 }
 
-func begin(l *Log)              { l.Begin(0, k, 1, deadline, false) }
-func dispatch(l *Log)           { l.Dispatch(0, k, 1) }
-func refuse(l *Log)             { l.Refuse(0, k, 1, message.CauseQueueFull) }
-func withdraw(l *Log)           { l.Withdraw(0, k, 1) }
-func lapse(l *Log)              { l.Lapse(deadline, k) }
-func expire(l *Log)             { l.Expire(deadline+retention, func(message.RequestKey) {}) }
-func whole(l *Log)              { l.RecordPart(0, k, 1, part(0, 1, 10)) }
-func half(l *Log)               { l.RecordPart(0, k, 1, part(1, 2, 10)) }
-func tooLarge(l *Log)           { l.RecordPart(0, k, 1, part(0, 1, 1000)) }
-func settle(s State) func(*Log) { return func(l *Log) { l.Settle(0, k, 1, s) } }
+func begin(l *Log)    { l.Begin(0, k, 1, deadline, false) }
+func dispatch(l *Log) { l.Dispatch(0, k, 1) }
+func refuse(l *Log)   { l.Refuse(0, k, 1, message.CauseQueueFull) }
+func withdraw(l *Log) { l.Withdraw(0, k, 1) }
+func lapse(l *Log)    { l.Lapse(deadline, k) }
+func expire(l *Log)   { l.Expire(deadline+retention, func(message.RequestKey) {}) }
+func whole(l *Log)    { l.RecordPart(0, k, 1, part(0, 1, 10)) }
+func half(l *Log)     { l.RecordPart(0, k, 1, part(1, 2, 10)) }
+func tooLarge(l *Log) { l.RecordPart(0, k, 1, part(0, 1, 1000)) }
 
 func imported(s State) func(*Log) {
 	return func(l *Log) {
@@ -90,9 +89,8 @@
 		{"imported as dispatched while queued", []func(*Log){begin, imported(Dispatched)}, 1, Evicted, false},
 		{"imported as refused while queued", []func(*Log){begin, imported(Refused)}, 1, RefusedBefore, true},
 		{"imported as queued after refusal", []func(*Log){refuse, imported(Queued)}, 1, RefusedBefore, true},
-		{"imported, shed at the previous owner", []func(*Log){imported(Dispatched), settle(Refused)}, 2, Fresh, true},
-		{"imported, answered by the previous owner", []func(*Log){imported(Dispatched), settle(Done)}, 2, Evicted, false},
-		{"settle of a request dispatched here", []func(*Log){begin, dispatch, settle(Refused)}, 1, Pending, false},
+		{"imported, shed at the previous owner", []func(*Log){imported(Dispatched), func(l *Log) { l.Withdraw(0, k, 1) }}, 2, Fresh, true},
+		{"imported, answered by the previous owner", []func(*Log){imported(Dispatched), whole}, 1, Replay, false},
 		{"flow removed", []func(*Log){begin, dispatch, whole, func(l *Log) { l.RemoveFlow(k.Flow) }}, 1, Fresh, true},
 		{"floor of a handed over flow", []func(*Log){func(l *Log) { l.RaiseFloor(k.Flow, k.ID) }}, 1, Evicted, false},
 	}
@@ -205,8 +203,7 @@
 			},
 			"withdraw": func(*rapid.T) {
 				key, attempt, m := draw()
-				settle := rapid.Bool().Draw(t, "settle")
-				if settle && l.Settle(now, key, attempt, Refused) || !settle && l.Withdraw(now, key, attempt) {
+				if l.Withdraw(now, key, attempt) {
 					if m.out != attempt {
 						t.Fatalf("withdrew attempt %d with %+v", attempt, *m)
 					}
--- a/decide/retry/doc.go
+++ b/decide/retry/doc.go
@@ -1,5 +1,5 @@
 // Package retry decides whether the caller library may send another attempt of
-// a request, and when.
+// a request, and when. It also spreads the intervals of periodic work.
 //
 // Budget limits retries to a part of the first attempts, so that retries cannot
 // multiply an overload: B. Beyer, C. Jones, J. Petoff, N. Murphy (eds.), "Site
--- a/decide/vm/words.go
+++ b/decide/vm/words.go
@@ -37,8 +37,6 @@
 		"Nothing during a planned change; look for GS3204 in the logs."},
 	message.CauseCancelled: {"The caller cancelled the request.",
 		"Nothing."},
-	message.CauseOldAttempt: {"This attempt had been refused before.",
-		"Nothing: a retry has a higher attempt number."},
 }
 
 // reasonWords say what a refusal means for the request.
--- a/services/healthcheck/healthcheck.go
+++ b/services/healthcheck/healthcheck.go
@@ -14,6 +14,7 @@
 
 	"github.com/gypsumspan/gypsumspan/decide/message"
 	"github.com/gypsumspan/gypsumspan/decide/rendezvous"
+	"github.com/gypsumspan/gypsumspan/decide/retry"
 	"github.com/gypsumspan/gypsumspan/events"
 	"github.com/gypsumspan/gypsumspan/kernel"
 	"github.com/gypsumspan/gypsumspan/services/core"
@@ -121,17 +122,12 @@
 		s.distribute(jobs)
 	}
 	if now >= s.next {
-		s.next = now + s.interval()
+		s.next = now + retry.Interval(s.rng, s.config.Interval, jitter)
 		s.ask()
 	}
 	return s.next
 }
 
-func (s *Service) interval() time.Duration {
-	factor := 1 + jitter*(2*s.rng.Float64()-1)
-	return time.Duration(float64(s.config.Interval) * factor)
-}
-
 // ask has the core duty list the targets. A refused command is repeated at the
 // next interval.
 func (s *Service) ask() {
