Restart VMs under their own names in the fuzz of whole fleets

Change: both fuzz tests restart VMs under their names, and TestFaultsUnderTraffic has three cases of it.

--- a/lab/fleet/faults_test.go
+++ b/lab/fleet/faults_test.go
@@ -78,6 +78,29 @@
 				f.Reap()
 			}
 		}},
+		{name: "every VM restarted in turn under its own name", fault: func(f *Fleet, traffic func(time.Duration)) {
+			for _, name := range append([]string(nil), f.VMs()...) {
+				domain := f.Domain(name)
+				f.LeaveVM(name)
+				for len(f.Reap()) == 0 {
+					traffic(100 * time.Millisecond)
+				}
+				f.StartVM(name, domain)
+				traffic(5 * time.Second)
+			}
+		}},
+		{name: "a VM killed and restarted under its own name after 0.3 s", crash: true, fault: func(f *Fleet, traffic func(time.Duration)) {
+			f.KillVM("vm03")
+			traffic(300 * time.Millisecond)
+			f.StartVM("vm03", "c")
+			traffic(8 * time.Second)
+		}},
+		{name: "a VM killed and restarted under its own name after 4 s", crash: true, fault: func(f *Fleet, traffic func(time.Duration)) {
+			f.KillVM("vm03")
+			traffic(4 * time.Second)
+			f.StartVM("vm03", "c")
+			traffic(8 * time.Second)
+		}},
 		{name: "a VM paused for 8 s", crash: true, fault: func(f *Fleet, traffic func(time.Duration)) {
 			f.SetPaused("vm04", true)
 			traffic(8 * time.Second)
--- a/lab/fleet/fuzz_test.go
+++ b/lab/fleet/fuzz_test.go
@@ -4,7 +4,9 @@
 	"errors"
 	"flag"
 	"fmt"
+	"maps"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -33,7 +35,8 @@
 	paused  map[string]bool
 	cut     map[string]bool
 	crashed map[*Target]bool
-	trace   *Trace // nil without -fleet.trace
+	left    map[string]string // failure domains of VMs that left, for a restart
+	trace   *Trace            // nil without -fleet.trace
 }
 
 func newFuzzer(t *rapid.T) *fuzzer {
@@ -48,6 +51,7 @@
 		paused:  make(map[string]bool),
 		cut:     make(map[string]bool),
 		crashed: make(map[*Target]bool),
+		left:    make(map[string]string),
 	}
 	if *traceFile != "" {
 		z.trace = z.f.StartTrace()
@@ -133,6 +137,16 @@
 				f.LeaveVM(z.vm(t))
 			}
 		},
+		"restart VM": func(t *rapid.T) {
+			if len(f.VMs()) > 4 {
+				name := z.vm(t)
+				domain := f.Domain(name)
+				f.KillVM(name)
+				z.paused[name] = false
+				f.Advance(time.Duration(rapid.IntRange(0, 6000).Draw(t, "down ms")) * time.Millisecond)
+				f.StartVM(name, domain)
+			}
+		},
 		"pause or resume VM": func(t *rapid.T) {
 			name := z.vm(t)
 			z.paused[name] = !z.paused[name]
@@ -223,9 +237,19 @@
 		"leave VM": func(t *rapid.T) {
 			name := z.vm(t)
 			if z.staying(f.Domain(name)) > 1 {
+				z.left[name] = f.Domain(name)
 				f.LeaveVM(name)
 			}
 		},
+		"restart VM": func(t *rapid.T) {
+			for _, name := range slices.Sorted(maps.Keys(z.left)) {
+				f.Reap()
+				if f.Machine(name) == nil && rapid.Bool().Draw(t, "restart") {
+					f.StartVM(name, z.left[name])
+					delete(z.left, name)
+				}
+			}
+		},
 		"table": func(t *rapid.T) {
 			spec := rapid.SampledFrom(z.specs).Draw(t, "service")
 			name := fmt.Sprintf("t%02d", rapid.IntRange(0, spec.Targets-3).Draw(t, "target"))
