Search for a flow whose target no young VM knows, instead of answering busy

Cause: a VM whose table is younger than 10 s answered busy for a binding to a target that it had never seen. When all VMs were replaced within 10 s after a row was removed, every copy of a request got busy until its deadline. Change: the ingress marks such a message (Forward.row_unknown) and searches along the ranking. The first VM on the way that knows the row follows the binding. Only if none does, a VM with a young table answers busy at the end.

--- a/decide/message/message.go
+++ b/decide/message/message.go
@@ -186,7 +186,10 @@
 	Hops    uint8
 	Target  TargetID // whose owner shall handle it
 	Hinted  bool     // Target comes from the binding, not only from the ranking
-	Inner   Body     // *Open, *Request, *Cancel or *Close
+	// RowUnknown is set when the ingress has no row of the target in the binding.
+	// The first VM on the way that has one sets Hinted instead.
+	RowUnknown bool
+	Inner      Body // *Open, *Request, *Cancel or *Close
 }
 
 // KindClosed tells an ingress for how long a target's owner wants no more work
--- a/decide/vm/flows.go
+++ b/decide/vm/flows.go
@@ -118,11 +118,22 @@
 		return nil
 	}
 	if !v.searchNext(f, isRanked) {
-		v.flowUnknown(f, message.CauseUnknownFlow)
+		v.notFound(f)
 	}
 	return nil
 }
 
+// notFound answers a message after the search for its flow has ended. If no VM on
+// the way knew the target in its binding, the flow may still be on the move from
+// a row that was removed before this VM got its table.
+func (v *VM) notFound(f *message.Forward) {
+	if f.RowUnknown && v.tableIsYoung() {
+		v.busy(f, message.CauseUnknownTable, busyRetry)
+		return
+	}
+	v.flowUnknown(f, message.CauseUnknownFlow)
+}
+
 // adoptable reports whether the binding proves that an unknown flow belongs to
 // the target: an earlier owner's state is gone, or the flow was idle for long.
 func (v *VM) adoptable(t *target, f *message.Forward) bool {
@@ -139,7 +150,7 @@
 	elsewhere := func(row *table.Target) bool { return row.ID != f.Target }
 	first, ok := v.firstRanked(v.table.Service(message.ServiceOf(f.Inner)), message.FlowOf(f.Inner), elsewhere)
 	if !ok {
-		v.flowUnknown(f, message.CauseUnknownFlow)
+		v.notFound(f)
 		return
 	}
 	v.passToTarget(f, first.target)
--- a/decide/vm/ingress.go
+++ b/decide/vm/ingress.go
@@ -48,10 +48,6 @@
 		v.busy(f, message.CauseUnknownTable, tableRetry)
 		return
 	}
-	if v.mayBeRemoved(message.BindingOf(f.Inner)) {
-		v.busy(f, message.CauseUnknownTable, busyRetry)
-		return
-	}
 	choice, ok := v.choose(s, f.Inner)
 	if !ok {
 		v.busy(f, message.CauseNoTarget, tableRetry)
@@ -59,6 +55,7 @@
 	}
 	f.Target = choice.target
 	f.Hinted = choice.hinted
+	f.RowUnknown = f.Hops == 0 && !choice.hinted && !message.BindingOf(f.Inner).IsZero()
 	if wait := v.kindClosedFor(f); wait > 0 {
 		v.busy(f, message.CauseKindClosed, wait)
 		return
@@ -192,6 +189,9 @@
 
 // handle serves a message if this VM owns its target, or passes it on.
 func (v *VM) handle(f *message.Forward) {
+	if f.RowUnknown {
+		f = v.resolve(f)
+	}
 	row, ok := v.row(message.ServiceOf(f.Inner), f.Target)
 	if !ok {
 		// The target is gone, or belongs to another service: choose anew.
@@ -224,8 +224,27 @@
 	}
 }
 
+// resolve follows the binding of a message whose ingress did not know the
+// target's row, if this VM knows it.
+func (v *VM) resolve(f *message.Forward) *message.Forward {
+	b := message.BindingOf(f.Inner)
+	if _, ok := v.row(message.ServiceOf(f.Inner), b.Target); !ok {
+		return f
+	}
+	next := *f
+	next.Target = b.Target
+	next.Hinted = true
+	next.RowUnknown = false
+	return &next
+}
+
 // reroute chooses the target of a message again, after its target has left the table.
 func (v *VM) reroute(f *message.Forward) {
+	if f.Hinted && v.tableIsYoung() {
+		// Another VM knows the row, so that this one will learn of it.
+		v.busy(f, message.CauseUnknownTable, busyRetry)
+		return
+	}
 	if f.Hops >= message.MaxHops {
 		v.busy(f, message.CauseUnreachable, busyRetry)
 		return
--- a/decide/vm/rows.go
+++ b/decide/vm/rows.go
@@ -23,17 +23,8 @@
 // removed a short time before. Flows of such a target are still on the move.
 const youngTable = 10 * time.Second
 
-// mayBeRemoved reports whether a binding names a target that this VM has never
-// seen, but may be one that was just removed.
-func (v *VM) mayBeRemoved(b message.Binding) bool {
-	if b.IsZero() || v.now-v.tableFirst >= youngTable {
-		return false
-	}
-	if t, _ := v.table.Target(b.Target); t != nil {
-		return false
-	}
-	_, ok := v.removed[b.Target]
-	return !ok
+func (v *VM) tableIsYoung() bool {
+	return v.now-v.tableFirst < youngTable
 }
 
 // rowsOf returns the services in force that a delta may change.
--- a/wire/datagram.go
+++ b/wire/datagram.go
@@ -253,11 +253,12 @@
 
 func forwardToPB(m *message.Forward) *wirepb.Forward {
 	p := &wirepb.Forward{
-		Ingress: uint64(m.Ingress),
-		Caller:  endpointToPB(m.Caller),
-		Hops:    uint32(m.Hops),
-		Target:  uint64(m.Target),
-		Hinted:  m.Hinted,
+		Ingress:    uint64(m.Ingress),
+		Caller:     endpointToPB(m.Caller),
+		Hops:       uint32(m.Hops),
+		Target:     uint64(m.Target),
+		Hinted:     m.Hinted,
+		RowUnknown: m.RowUnknown,
 	}
 	switch inner := m.Inner.(type) {
 	case *message.Open:
@@ -274,11 +275,12 @@
 
 func forwardFromPB(p *wirepb.Forward) *message.Forward {
 	m := &message.Forward{
-		Ingress: message.VMID(p.GetIngress()),
-		Caller:  endpointFromPB(p.GetCaller()),
-		Hops:    uint8(min(p.GetHops(), message.MaxHops)),
-		Target:  message.TargetID(p.GetTarget()),
-		Hinted:  p.GetHinted(),
+		Ingress:    message.VMID(p.GetIngress()),
+		Caller:     endpointFromPB(p.GetCaller()),
+		Hops:       uint8(min(p.GetHops(), message.MaxHops)),
+		Target:     message.TargetID(p.GetTarget()),
+		Hinted:     p.GetHinted(),
+		RowUnknown: p.GetRowUnknown(),
 	}
 	switch inner := p.GetInner().(type) {
 	case *wirepb.Forward_Open:
