Search from the first rank when a moved flow is not where it went

Cause: a packet that follows a flow from a leaving target came to the next target as if the ranking had led there. When that target had been handed to another VM meanwhile, which does not know where the flow went on to, the search went on from this rank, missed the ranks before it and answered flow unknown. Ruled out: restarts of VMs; the flow breaks by two leaving targets and one handover. Change: such a packet counts as hinted, so that the search starts at the first rank, unless the flow went back to the target in the binding: the owner would adopt it by the binding.

--- a/decide/vm/flows.go
+++ b/decide/vm/flows.go
@@ -96,7 +96,8 @@
 func (v *VM) findFlow(t *target, f *message.Forward) *flowtable.Flow {
 	id := message.FlowOf(f.Inner)
 	if moved, ok := t.moved[id]; ok {
-		v.passToTarget(f, v.placeOfMoved(t, f, moved))
+		to := v.placeOfMoved(t, f, moved)
+		v.passToTarget(f, to, to != message.BindingOf(f.Inner).Target)
 		return nil
 	}
 	if v.adoptable(t, f) {
@@ -153,16 +154,18 @@
 		v.notFound(f)
 		return
 	}
-	v.passToTarget(f, first.target)
+	v.passToTarget(f, first.target, false)
 }
 
 // passToTarget passes a message to the owner of another target of the service.
-func (v *VM) passToTarget(f *message.Forward, to message.TargetID) {
+// If hinted is set and the flow is not there, the search starts at the first rank:
+// the target may have left too, and its new owner not know where the flow went.
+func (v *VM) passToTarget(f *message.Forward, to message.TargetID, hinted bool) {
 	if f.Hops >= message.MaxHops {
 		v.busy(f, message.CauseUnreachable, busyRetry)
 		return
 	}
-	v.passAlong(f, to)
+	v.passAlong(f, to, hinted)
 }
 
 // maxMoves is the number of hops after which a packet no longer follows a flow
--- a/decide/vm/ingress.go
+++ b/decide/vm/ingress.go
@@ -292,7 +292,7 @@
 		if s.Targets[r.Index].ID != f.Target || i+1 == len(ranking) {
 			continue
 		}
-		v.passAlong(f, s.Targets[ranking[i+1].Index].ID)
+		v.passAlong(f, s.Targets[ranking[i+1].Index].ID, false)
 		return true
 	}
 	return false
@@ -300,10 +300,10 @@
 
 // passAlong brings a message to the owner of another target of its service. It counts
 // as one hop, whether or not this VM is that owner.
-func (v *VM) passAlong(f *message.Forward, to message.TargetID) {
+func (v *VM) passAlong(f *message.Forward, to message.TargetID, hinted bool) {
 	next := *f
 	next.Target = to
-	next.Hinted = false
+	next.Hinted = hinted
 	if owner, ok := v.ownerOf(to, v.domainOf(&next)); ok && owner == v.config.Self.ID {
 		next.Hops++
 	}
