Hand over where the flows of a leaving target went

Cause: the owner of a leaving target passes packets on to where each flow went, but a handover of that target did not carry this. The new owner then searched along the ranking, which misses a flow at a target of which the row was removed meanwhile, and answered flow unknown. Change: Handover has a list of moved flows (flow, target, time left), merged by the receiver. A message with an unknown row is served where its flow is.

--- a/decide/message/control.go
+++ b/decide/message/control.go
@@ -131,6 +131,14 @@
 	Log      []LogRecord
 	Queue    []QueuedRequest
 	InFlight []InFlightRecord
+	Moved    []MovedRecord
+}
+
+// MovedRecord is a flow that has moved from a leaving target to another one.
+type MovedRecord struct {
+	Flow   FlowID
+	To     TargetID
+	EndsIn time.Duration // packets of the flow are passed on until then
 }
 
 // InFlightRecord is a request that the old owner has at the target.
--- a/decide/vm/handover.go
+++ b/decide/vm/handover.go
@@ -91,6 +91,10 @@
 			})
 		}
 	}
+	for _, id := range sortedMoved(t.moved) {
+		m := t.moved[id]
+		b.addMoved(message.MovedRecord{Flow: id, To: m.to, EndsIn: m.until - v.now})
+	}
 	return b.finish()
 }
 
@@ -146,7 +150,7 @@
 // room returns the current chunk, or a new one if it is full.
 func (b *chunkBuilder) room() *message.Handover {
 	c := b.current()
-	if len(c.Flows)+len(c.Log)+len(c.InFlight) >= chunkRecords || len(c.Queue) >= chunkRequests {
+	if len(c.Flows)+len(c.Log)+len(c.InFlight)+len(c.Moved) >= chunkRecords || len(c.Queue) >= chunkRequests {
 		b.open()
 	}
 	return b.current()
@@ -172,6 +176,11 @@
 	c.InFlight = append(c.InFlight, r)
 }
 
+func (b *chunkBuilder) addMoved(r message.MovedRecord) {
+	c := b.room()
+	c.Moved = append(c.Moved, r)
+}
+
 func (b *chunkBuilder) finish() []*message.Handover {
 	b.current().Last = true
 	return b.chunks
--- a/decide/vm/ingress.go
+++ b/decide/vm/ingress.go
@@ -225,9 +225,12 @@
 }
 
 // resolve follows the binding of a message whose ingress did not know the
-// target's row, if this VM knows it.
+// target's row, if this VM knows it and the flow is not here.
 func (v *VM) resolve(f *message.Forward) *message.Forward {
 	b := message.BindingOf(f.Inner)
+	if t := v.targets[f.Target]; t != nil && t.flows.Get(message.FlowOf(f.Inner)) != nil {
+		return f
+	}
 	if _, ok := v.row(message.ServiceOf(f.Inner), b.Target); !ok {
 		return f
 	}
--- a/decide/vm/moves.go
+++ b/decide/vm/moves.go
@@ -95,6 +95,15 @@
 	return waiting, busy
 }
 
+func sortedMoved(moved map[message.FlowID]movedFlow) []message.FlowID {
+	ids := make([]message.FlowID, 0, len(moved))
+	for id := range moved {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, compareFlows)
+	return ids
+}
+
 func sortedTargets(groups map[message.TargetID][]*flowtable.Flow) []message.TargetID {
 	ids := make([]message.TargetID, 0, len(groups))
 	for id := range groups {
--- a/decide/vm/receive.go
+++ b/decide/vm/receive.go
@@ -141,6 +141,9 @@
 			v.importInFlight(t, r)
 		}
 	}
+	for i := range in.count {
+		v.importMoved(t, in.chunks[uint32(i)].Moved)
+	}
 	t.machine.Received(v.now, in.from)
 	for i := range in.count {
 		v.importQueue(t, in.chunks[uint32(i)])
@@ -163,6 +166,20 @@
 	t.log.Import(v.now, c.Log)
 }
 
+// importMoved takes over where flows of a leaving target went, so that their
+// packets are still passed on when the target's owner changes.
+func (v *VM) importMoved(t *target, records []message.MovedRecord) {
+	for _, r := range records {
+		if t.flows.Get(r.Flow) != nil {
+			continue
+		}
+		if known, ok := t.moved[r.Flow]; ok && known.until >= v.now+r.EndsIn {
+			continue
+		}
+		t.moved[r.Flow] = movedFlow{to: r.To, until: v.now + r.EndsIn}
+	}
+}
+
 // importInFlight notes a request that the previous owner has at the target.
 func (v *VM) importInFlight(t *target, r message.InFlightRecord) {
 	if t.pending[r.Key] != nil {
--- a/wire/control.go
+++ b/wire/control.go
@@ -155,6 +155,22 @@
 	}
 }
 
+func movedRecordToPB(m *message.MovedRecord) *wirepb.MovedRecord {
+	return &wirepb.MovedRecord{
+		Flow:     flowToPB(m.Flow),
+		To:       uint64(m.To),
+		EndsInUs: micros(m.EndsIn),
+	}
+}
+
+func movedRecordFromPB(p *wirepb.MovedRecord) *message.MovedRecord {
+	return &message.MovedRecord{
+		Flow:   flowFromPB(p.GetFlow()),
+		To:     message.TargetID(p.GetTo()),
+		EndsIn: fromMicros(p.GetEndsInUs()),
+	}
+}
+
 func queuedRequestToPB(m *message.QueuedRequest) *wirepb.QueuedRequest {
 	return &wirepb.QueuedRequest{
 		Caller:  endpointToPB(m.Caller),
@@ -188,6 +204,7 @@
 		Log:      mapToPB(m.Log, logRecordToPB),
 		Queue:    mapToPB(m.Queue, queuedRequestToPB),
 		InFlight: mapToPB(m.InFlight, inFlightRecordToPB),
+		Moved:    mapToPB(m.Moved, movedRecordToPB),
 	}
 }
 
@@ -208,6 +225,7 @@
 		Log:      mapFromPB(p.GetLog(), logRecordFromPB),
 		Queue:    mapFromPB(p.GetQueue(), queuedRequestFromPB),
 		InFlight: mapFromPB(p.GetInFlight(), inFlightRecordFromPB),
+		Moved:    mapFromPB(p.GetMoved(), movedRecordFromPB),
 	}
 }
 
