--- a/lab/fleet/edit_test.go
+++ b/lab/fleet/edit_test.go
@@ -42,3 +42,69 @@
 		t.Errorf("%d of %d calls answered, failed: %v, broken flows: %d", ok, len(l.Flows), failed, f.Broken())
 	}
 }
+
+// Guards against a flow that is lost when its target's owner leaves after the
+// flow has moved on, while the row of the target that it moved to is removed.
+func TestMovedFlowIsFoundAfterItsOldOwnerLeft(t *testing.T) {
+	t.Parallel()
+	f := New(wales(4))
+	spec := tracking(8)
+	f.AddService(spec)
+	f.StartVMs(12)
+	f.Advance(6 * time.Second)
+	l := f.NewLoad(spec, 800)
+	f.Advance(time.Second)
+	owner, first := f.busiestOwner(spec.Name)
+	f.SetState(spec.Name, first, table.Leaving)
+	f.Advance(2 * time.Second)
+	f.LeaveVM(owner)
+	f.Advance(2 * time.Second)
+	f.Reap()
+	_, second := f.busiestOwner(spec.Name)
+	f.RemoveRow(spec.Name, second)
+	for range l.Flows {
+		l.Send(1)
+		f.Advance(100 * time.Microsecond)
+	}
+	f.Drain(10 * time.Second)
+	check(t, f)
+	ok, failed := failures(f)
+	if ok != len(l.Flows) || f.Broken() > 0 {
+		t.Errorf("%d of %d calls answered, failed: %v, broken flows: %d", ok, len(l.Flows), failed, f.Broken())
+	}
+}
+
+// Guards against requests that get only busy until their deadline, because every
+// VM is newer than the removal of the row in the flow's binding.
+func TestNewVMsFindFlowsOfARemovedRow(t *testing.T) {
+	t.Parallel()
+	f := New(wales(6))
+	spec := tracking(8)
+	f.AddService(spec)
+	f.StartVMs(6)
+	f.Advance(6 * time.Second)
+	l := f.NewLoad(spec, 200)
+	f.Advance(time.Second)
+	f.RemoveRow(spec.Name, "t00")
+	f.Advance(time.Second)
+	old := append([]string(nil), f.VMs()...)
+	for _, name := range old {
+		f.StartVM(name+"n", f.Domain(name))
+	}
+	f.Advance(3500 * time.Millisecond)
+	for _, name := range old {
+		f.LeaveVM(name)
+	}
+	f.Advance(1500 * time.Millisecond)
+	f.Reap()
+	for range l.Flows {
+		l.Send(0)
+		f.Advance(time.Millisecond)
+	}
+	f.Drain(10 * time.Second)
+	check(t, f)
+	ok, failed := failures(f)
+	if ok != len(l.Flows) || f.Broken() > 0 {
+		t.Errorf("%d of %d calls answered, failed: %v, broken flows: %d", ok, len(l.Flows), failed, f.Broken())
+	}
+}
