Let shares follow the usual use of the slots during a flood

Cause of the missed flood bounds at the sites' rates, found in a simulation of one target with the sites' rates and service times: map-update (0.85 slots, share 0.375) and load-status (1.39 of 1.0) are above their shares in every decision, with and without a flood. They are served after the kinds within their shares, map-update holds at most one or two slots, and during a flood they divide what is left with the flooding kind by start tags, 1 : 4 and 2 : 4. The wait is spent in the queue behind the flooding kind.

Ruled out: late classification (map-update waits up to 1.3 s at p99 in the first 0.3 s of the flood and 3.8 s later), and retries (the simulation has none).

Each kind gets a baseline, a slow average of its dispatched work that is learned while the kinds together ask for at most all slots. Kinds that usually need more than their configured share get it from those that usually need less. Kinds within their configured share are still served first, then those within their effective share. Contention lets the protection fade to the configured shares.

--- a/decide/admission/doc.go
+++ b/decide/admission/doc.go
@@ -22,6 +22,11 @@
 // their share are therefore served after the others, and hold a limited number
 // of slots while other kinds have recent demand; see classify.
 //
+// A kind that regularly uses more than its configured share, since others use
+// less, keeps that work when another kind floods: its effective share follows a
+// slow average of its use. During lasting contention the effective shares return
+// to the configured ones; see setWeights and baseline.
+//
 // Times are durations since the start of the VM. A Queue is not safe for
 // concurrent use. Offer, Next and Finish allocate nothing once the queue has
 // been in use for a while. The package reports outcomes as values and has no
--- a/decide/admission/flights.go
+++ b/decide/admission/flights.go
@@ -25,6 +25,7 @@
 func (q *Queue) start(now time.Duration, k *kind, item Item) {
 	q.charge(k)
 	k.served.add(now, k.service)
+	k.usual.fresh += k.service
 	k.inFlight++
 	q.addFlight(flight{key: item.Key, kind: int(item.Kind), until: item.Deadline})
 }
--- a/decide/admission/kind.go
+++ b/decide/admission/kind.go
@@ -28,15 +28,26 @@
 	recentDemand = 10 * time.Second
 )
 
+// class says in which order kinds are served.
+type class uint8
+
+const (
+	withinShare class = iota // offers at most its configured share
+	withinUsual              // more, but at most its effective share
+	aboveShare               // more than both
+)
+
 // kind is one kind of work.
 type kind struct {
 	buckets
-	share    float64
+	share    float64 // configured
+	weight   float64 // effective share, see setWeights
+	usual    baseline
 	urgency  table.Urgency
 	removed  bool // no longer in the table
 	inFlight int
 	slots    int     // it may hold now, see classify
-	over     bool    // offers more than its share
+	class    class   // see classify
 	start    float64 // start tag of the next item, in seconds of work by share
 	service  float64 // moving average of the service time, in seconds
 	measured bool
@@ -50,6 +61,7 @@
 
 func (k *kind) configure(c KindConfig) {
 	k.share = float64(max(c.Share, 1))
+	k.weight = k.share
 	k.urgency = c.Urgency
 	k.removed = false
 }
@@ -83,9 +95,18 @@
 	k.service += (s - k.service) * averageWeight
 }
 
+// part returns the share by which k is served now: the effective one if it is
+// above its share, else no less than the configured one.
+func (k *kind) part() float64 {
+	if k.class == aboveShare {
+		return k.weight
+	}
+	return max(k.weight, k.share)
+}
+
 // cost is the length of one item in virtual time.
 func (k *kind) cost() float64 {
-	return k.service / k.share
+	return k.service / k.part()
 }
 
 // offer counts an offered item, served or not. budget is the time until its
--- a/decide/admission/pressure.go
+++ b/decide/admission/pressure.go
@@ -53,7 +53,7 @@
 	if k.closed {
 		scale = 0.5
 	}
-	room := float64(q.capacity) * k.share / max(q.recentShares(now), k.share)
+	room := float64(q.capacity) * k.part() / max(q.recentShares(now), k.part())
 	full := float64(q.waiting) >= scale*float64(q.capacity)*7/8
 	if full && float64(k.len) >= scale*room*7/8 {
 		return true
--- a/decide/admission/queue.go
+++ b/decide/admission/queue.go
@@ -20,8 +20,11 @@
 	byEnd    deadlineHeap
 	known    map[message.RequestKey]ref
 	flights  []flight
-	virtual  float64 // virtual time: the start tag of the last dispatched item
-	protect  bool    // classify applies; tests switch it off to measure its effect
+	virtual  float64       // virtual time: the start tag of the last dispatched item
+	learning bool          // learned is set
+	learned  time.Duration // time of the last update of the baselines
+	protect  bool          // classify applies; tests switch it off to measure its effect
+	adapt    bool          // setWeights applies; tests switch it off to measure its effect
 }
 
 // ref says where an item is: a node index if waiting, or -1 minus the index of
@@ -42,6 +45,7 @@
 		known:    make(map[message.RequestKey]ref, 2*(c.QueueCapacity+max(c.Limit, 0))),
 		flights:  make([]flight, 0, max(c.Limit, 0)),
 		protect:  true,
+		adapt:    true,
 	}
 	q.linkFree()
 	q.SetKinds(c.Kinds)
@@ -60,7 +64,7 @@
 // longer listed are refused by Next.
 func (q *Queue) SetKinds(kinds []KindConfig) {
 	for len(q.kinds) < len(kinds) {
-		q.kinds = append(q.kinds, kind{service: initialService.Seconds()})
+		q.kinds = append(q.kinds, kind{service: initialService.Seconds(), usual: baseline{trust: 1}})
 		q.kinds[len(q.kinds)-1].init()
 	}
 	for i := range q.kinds {
--- a/decide/admission/schedule.go
+++ b/decide/admission/schedule.go
@@ -20,44 +20,63 @@
 // pick returns the kind that may take a slot now, or nil. Kinds with waiting
 // items are considered, and candidate as if it had one.
 func (q *Queue) pick(now time.Duration, candidate *kind) *kind {
+	q.classify(now)
 	if len(q.flights) >= q.limit {
 		return nil
 	}
-	q.classify(now)
 	return q.earliest(candidate)
 }
 
-// classify compares the offered work of each kind with its share of the slots
-// among the kinds with recent demand.
+// classify compares the offered work of each kind with its configured and its
+// effective share of the slots among the kinds with recent demand.
 //
-// A kind over its share is served after those within theirs. The latter offer
-// less than all slots, so the kind still gets its own share. By start tags alone,
-// a kind of long items waits after each item until the flood has caught up in
-// virtual time, even while its own demand is low.
+// Kinds within their configured share are served first, whatever the baselines
+// say, then those within their effective share, see setWeights, then the others.
+// The first two offer less than all slots unless demand within the configured
+// shares has grown, so a kind above its share still gets its effective one. By
+// start tags alone, a kind of long items waits after each item until the flood
+// has caught up in virtual time, even while its own demand is low.
 //
-// A kind that floods may also hold no more slots than its share, rounded up, and
-// must leave at least one slot to the others. Without this, an item that arrives
-// finds all slots taken by the flood and waits for the rest of a service time of
-// the flooding kind, which may be many times its own. A flooding kind that was
-// served much less than its share, since the others had all slots for a while,
-// may hold one more.
+// A kind that floods may also hold no more slots than its effective share,
+// rounded up, and must leave at least one slot to the others. Without this, an
+// item that arrives finds all slots taken by the flood and waits for the rest of
+// a service time of the flooding kind, which may be many times its own. A
+// flooding kind that was served much less than its share, since the others had
+// all slots for a while, may hold one more.
 func (q *Queue) classify(now time.Duration) {
+	q.updateBaselines(now)
 	shares := q.recentShares(now)
+	q.setWeights(now, shares)
 	for i := range q.kinds {
 		k := &q.kinds[i]
-		fair := float64(q.limit) * k.share / max(shares, k.share)
+		slots := float64(q.limit) / max(shares, k.share) // by share
 		demand := k.demand.slots(now)
-		k.over = demand > fair
+		granted := max(k.weight, k.share) * slots
+		k.class = withinShare
 		k.slots = q.limit
-		if demand > floodFactor*fair && k.share < shares {
-			k.slots = q.floodSlots(now, k, fair)
+		if demand > k.share*slots {
+			k.class = withinUsual
+		}
+		if demand > granted && !q.starved(now, k) {
+			k.class = aboveShare
+		}
+		if demand > floodFactor*granted && k.share < shares {
+			k.slots = q.floodSlots(now, k, k.weight*slots)
 		}
 		if !q.protect {
-			k.over, k.slots = false, q.limit
+			k.class, k.slots = withinShare, q.limit
 		}
 	}
 }
 
+// starved reports whether a kind that gave up a part of its share gets less than
+// its usual work. The other kinds can take that part twice, once by their
+// effective shares and once by growth within their configured ones.
+func (q *Queue) starved(now time.Duration, k *kind) bool {
+	usual, ok := k.usual.slots()
+	return ok && k.weight < k.share && k.served.slots(now) < usual
+}
+
 // floodSlots returns how many slots the flooding kind k may hold if its share of
 // them is fair.
 func (q *Queue) floodSlots(now time.Duration, k *kind, fair float64) int {
@@ -87,11 +106,11 @@
 	return best
 }
 
-// before reports whether a is served before b: kinds within their share first,
-// then by start tag, then by urgency.
+// before reports whether a is served before b: by class, then by start tag, then
+// by urgency.
 func (q *Queue) before(a, b *kind) bool {
-	if a.over != b.over {
-		return b.over
+	if a.class != b.class {
+		return a.class < b.class
 	}
 	ta, tb := q.tag(a), q.tag(b)
 	if ta != tb {
@@ -131,23 +150,24 @@
 	return now+wait+k.needed(now) > deadline
 }
 
-// waitFor returns the time in which k's share of the slots serves the given
-// number of items. With no slots it is 0, since nothing is known then.
+// waitFor returns the time in which k's present part of the slots serves the
+// given number of items. With no slots it is 0, since nothing is known then.
 func (q *Queue) waitFor(k *kind, items int32) time.Duration {
-	slots := float64(q.limit) * k.share / q.busyShares(k)
+	slots := float64(q.limit) * k.part() / q.busyParts(k)
 	if slots == 0 {
 		return 0
 	}
 	return seconds(float64(items) * k.service / slots)
 }
 
-// busyShares returns the sum of the shares of k and of all kinds that wait or run.
-func (q *Queue) busyShares(k *kind) float64 {
+// busyParts returns the sum of the shares in force of k and of all kinds that
+// wait or run.
+func (q *Queue) busyParts(k *kind) float64 {
 	sum := 0.0
 	for i := range q.kinds {
 		o := &q.kinds[i]
 		if o == k || o.len > 0 || o.inFlight > 0 {
-			sum += o.share
+			sum += o.part()
 		}
 	}
 	return sum
@@ -178,13 +198,13 @@
 // mostOver returns the kind with the most waiting items for its share, counting
 // one more item of kind extra. Among equals the less urgent kind is returned.
 func (q *Queue) mostOver(extra *kind) *kind {
-	best, bestLoad := extra, float64(extra.len+1)/extra.share
+	best, bestLoad := extra, float64(extra.len+1)/extra.part()
 	for i := range q.kinds {
 		k := &q.kinds[i]
 		if k == extra || k.len == 0 {
 			continue
 		}
-		load := float64(k.len) / k.share
+		load := float64(k.len) / k.part()
 		if load > bestLoad || (load == bestLoad && k.urgency > best.urgency) {
 			best, bestLoad = k, load
 		}
--- a/decide/admission/sim_test.go
+++ b/decide/admission/sim_test.go
@@ -53,7 +53,8 @@
 	at     time.Duration
 	item   Item
 	took   time.Duration
-	normal bool // part of the demand that is the same without the flood
+	normal bool          // part of the demand that is the same without the flood
+	ended  time.Duration // 0: not dispatched
 }
 
 // end is the end of a request in progress.
@@ -120,8 +121,12 @@
 
 // simulate runs one scheduler in virtual time until no request is left.
 func simulate(t *testing.T, s scheduler, seed uint64, load float64, f flood) []result {
-	list := arrivals(seed, load, f)
-	results := make([]result, len(works))
+	return serve(t, s, arrivals(seed, load, f), len(works))
+}
+
+// serve runs one scheduler on a list of arrivals until no request is left.
+func serve(t *testing.T, s scheduler, list []arrival, kinds int) []result {
+	results := make([]result, kinds)
 	var running []end // by time
 	begin := func(now time.Duration, key message.RequestKey) {
 		if s.InFlight() > slots {
@@ -140,6 +145,7 @@
 			a := running[0].of
 			now = running[0].at
 			running = running[1:]
+			a.ended = now
 			s.Finish(now, a.item.Key, a.took)
 			results[a.item.Kind].end(now, a)
 		} else {
