Classify kinds only when a slot is free again

Cause: since every offer to a full target classified all kinds, only to refresh the shares for the expected wait. Those of the last decision with a free slot are recent enough.

--- a/decide/admission/schedule.go
+++ b/decide/admission/schedule.go
@@ -20,10 +20,10 @@
 // pick returns the kind that may take a slot now, or nil. Kinds with waiting
 // items are considered, and candidate as if it had one.
 func (q *Queue) pick(now time.Duration, candidate *kind) *kind {
-	q.classify(now)
 	if len(q.flights) >= q.limit {
 		return nil
 	}
+	q.classify(now)
 	return q.earliest(candidate)
 }
 
