Hold floods that the ingress hides; start histories with the first item

First, the baselines counted the seconds of a new fleet before its first load as calm use of 0 slots. Second, ingress VMs refuse the closed kind for up to 1 s at a time. The owner's meter of submission then falls below its share, while the queue holds 250 of its items: the kind counted as within its share, was served first, and its work was learned as usual.

Change: the history of a kind starts with its first item. A refused item whose kind is above its share, waiting work included, marks the kind as flooding for 2 s. Nothing is learned while a kind floods.

Ruled out: counting the waiting work in every decision. A kind of long items within its share would be above it with a few items in the queue.

--- a/decide/admission/baseline.go
+++ b/decide/admission/baseline.go
@@ -67,7 +67,9 @@
 }
 
 // updateBaselines learns from the time since the last update, or fades during
-// contention: the kinds together offer more than all slots.
+// contention. The history of a kind
+// starts with its first item, since the time between a takeover or cold start
+// and its first load says nothing about its usual use.
 func (q *Queue) updateBaselines(now time.Duration) {
 	if !q.learning {
 		// The time before the first decision says nothing about use.
@@ -81,18 +83,26 @@
 	q.learned = now
 	contention := q.contention(now)
 	for i := range q.kinds {
-		if contention {
-			q.kinds[i].usual.fade(elapsed.Seconds())
-		} else {
-			q.kinds[i].usual.learn(elapsed.Seconds())
+		k := &q.kinds[i]
+		switch {
+		case contention:
+			k.usual.fade(elapsed.Seconds())
+		case k.offered:
+			k.usual.learn(elapsed.Seconds())
 		}
 	}
 }
 
+// contention reports whether the kinds together offer more than all slots, or a
+// kind floods, whose demand may be hidden by ingress VMs that refuse it.
 func (q *Queue) contention(now time.Duration) bool {
 	demand := 0.0
 	for i := range q.kinds {
-		demand += q.kinds[i].demand.slots(now)
+		k := &q.kinds[i]
+		if now < k.held {
+			return true
+		}
+		demand += k.demand.slots(now)
 	}
 	return demand > float64(q.limit)
 }
@@ -115,7 +125,7 @@
 		slack += max(0, -wanted)
 	}
 	moved := min(excess, slack)
-	if moved == 0 || !q.adapt {
+	if moved == 0 {
 		return
 	}
 	for i := range q.kinds {
--- a/decide/admission/kind.go
+++ b/decide/admission/kind.go
@@ -26,6 +26,10 @@
 	// recentDemand is how long after its last item a kind still counts as one
 	// that others must leave slots for.
 	recentDemand = 10 * time.Second
+	// floodHold is how long after a refusal a kind above its share still counts
+	// as flooding. Ingress VMs refuse a closed kind for up to maxClosed, and the
+	// owner then sees a demand below its share, while the queue is full of it.
+	floodHold = 2 * maxClosed
 )
 
 // class says in which order kinds are served.
@@ -48,6 +52,7 @@
 	inFlight int
 	slots    int     // it may hold now, see classify
 	class    class   // see classify
+	granted  float64 // the slots of the larger of its two shares
 	start    float64 // start tag of the next item, in seconds of work by share
 	service  float64 // moving average of the service time, in seconds
 	measured bool
@@ -57,6 +62,7 @@
 	offered  bool          // an item was offered at demand.at
 	budget   float64       // longest time until the deadline, fading, in seconds
 	closed   bool
+	held     time.Duration // counts as flooding until then
 }
 
 func (k *kind) configure(c KindConfig) {
@@ -146,6 +152,13 @@
 	return m.decayed(now) / meterWindow.Seconds()
 }
 
+// floods reports whether k's demand, together with the work that waits, exceeds
+// its share. The meter alone falls below the share while ingress VMs refuse k.
+func (k *kind) floods(now time.Duration) bool {
+	waiting := float64(k.len) * k.service / meterWindow.Seconds()
+	return k.demand.slots(now)+waiting > k.granted
+}
+
 // recent reports whether the kind waits, runs or was offered recently.
 func (k *kind) recent(now time.Duration) bool {
 	if k.len > 0 || k.inFlight > 0 {
--- a/decide/admission/queue.go
+++ b/decide/admission/queue.go
@@ -24,7 +24,6 @@
 	learning bool          // learned is set
 	learned  time.Duration // time of the last update of the baselines
 	protect  bool          // classify applies; tests switch it off to measure its effect
-	adapt    bool          // setWeights applies; tests switch it off to measure its effect
 }
 
 // ref says where an item is: a node index if waiting, or -1 minus the index of
@@ -45,7 +44,6 @@
 		known:    make(map[message.RequestKey]ref, 2*(c.QueueCapacity+max(c.Limit, 0))),
 		flights:  make([]flight, 0, max(c.Limit, 0)),
 		protect:  true,
-		adapt:    true,
 	}
 	q.linkFree()
 	q.SetKinds(c.Kinds)
@@ -110,7 +108,7 @@
 	}
 	k.offer(now, item.Deadline-now)
 	if now+k.needed(now) > item.Deadline {
-		return q.refuse(k, message.CauseDeadline)
+		return q.refuse(now, k, message.CauseDeadline)
 	}
 	if q.pick(now, k) == k && k.len == 0 {
 		q.start(now, k, item)
@@ -118,10 +116,10 @@
 	}
 	i := k.choose(item.Caller, q.seed)
 	if q.tooLate(now, k, i, item.Deadline) {
-		return q.refuse(k, message.CauseDeadline)
+		return q.refuse(now, k, message.CauseDeadline)
 	}
 	if q.waiting == q.capacity {
-		return q.overflow(item, k, i)
+		return q.overflow(now, item, k, i)
 	}
 	q.enqueue(item, k, i)
 	return Verdict{Outcome: Queued}
@@ -149,7 +147,7 @@
 // after slots were freed and on every tick.
 func (q *Queue) Next(now time.Duration) (Item, Verdict, bool) {
 	if n := q.hopeless(now); n != none {
-		return q.refuseWaiting(n, message.CauseDeadline)
+		return q.refuseWaiting(now, n, message.CauseDeadline)
 	}
 	k := q.pick(now, nil)
 	if k == nil {
@@ -157,10 +155,10 @@
 	}
 	n := k.all[k.current()].head
 	if k.removed {
-		return q.refuseWaiting(n, message.CauseUnknownTable)
+		return q.refuseWaiting(now, n, message.CauseUnknownTable)
 	}
 	if now+k.needed(now) > q.nodes[n].item.Deadline {
-		return q.refuseWaiting(n, message.CauseDeadline)
+		return q.refuseWaiting(now, n, message.CauseDeadline)
 	}
 	item := q.serve(k)
 	q.start(now, k, item)
@@ -181,14 +179,18 @@
 	return none
 }
 
-func (q *Queue) refuseWaiting(n int32, cause message.Cause) (Item, Verdict, bool) {
+func (q *Queue) refuseWaiting(now time.Duration, n int32, cause message.Cause) (Item, Verdict, bool) {
 	item := q.nodes[n].item
 	q.unqueue(n)
-	return item, q.refuse(&q.kinds[item.Kind], cause), true
+	return item, q.refuse(now, &q.kinds[item.Kind], cause), true
 }
 
-// refuse returns the verdict on a refused item of kind k.
-func (q *Queue) refuse(k *kind, cause message.Cause) Verdict {
+// refuse returns the verdict on a refused item of kind k, and notes whether k
+// floods.
+func (q *Queue) refuse(now time.Duration, k *kind, cause message.Cause) Verdict {
+	if k.floods(now) {
+		k.held = now + floodHold
+	}
 	return Verdict{Outcome: Refused, Cause: cause, RetryAfter: q.retryAfter(k)}
 }
 
--- a/decide/admission/queue_test.go
+++ b/decide/admission/queue_test.go
@@ -219,7 +219,8 @@
 }
 
 // Guards the limit and the accounting of items: whatever the sequence of calls,
-// nothing is dispatched above the limit, and each item waits, runs or has ended.
+// nothing is dispatched above the limit, each item waits, runs or has ended, and
+// the effective shares add up to the configured ones.
 func TestQueueAgainstOracle(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		q := New(Config{Limit: 2, QueueCapacity: 8, Kinds: []KindConfig{{table.Urgent, 2}, {table.Normal, 1}, {table.Bulk, 1}}})
@@ -296,6 +297,16 @@
 				if q.Len() != len(waits) || q.InFlight() != len(runs) || len(q.known) != len(waits)+len(runs) || len(q.byEnd) != len(waits) {
 					t.Fatalf("%d wait, %d run; want %d and %d", q.Len(), q.InFlight(), len(waits), len(runs))
 				}
+				sum, weights := q.recentShares(now), 0.0
+				q.setWeights(now, sum)
+				for i := range q.kinds {
+					if k := &q.kinds[i]; k.recent(now) {
+						weights += k.weight
+					}
+				}
+				if weights < sum-1e-9 || weights > sum+1e-9 {
+					t.Fatalf("effective shares add up to %v, not %v", weights, sum)
+				}
 			},
 		})
 	})
--- a/decide/admission/schedule.go
+++ b/decide/admission/schedule.go
@@ -51,16 +51,17 @@
 		k := &q.kinds[i]
 		slots := float64(q.limit) / max(shares, k.share) // by share
 		demand := k.demand.slots(now)
-		granted := max(k.weight, k.share) * slots
+		k.granted = max(k.weight, k.share) * slots
 		k.class = withinShare
 		k.slots = q.limit
 		if demand > k.share*slots {
 			k.class = withinUsual
 		}
-		if demand > granted && !q.starved(now, k) {
+		held := now < k.held
+		if (held || demand > k.granted) && !q.starved(now, k) {
 			k.class = aboveShare
 		}
-		if demand > floodFactor*granted && k.share < shares {
+		if (held || demand > floodFactor*k.granted) && k.share < shares {
 			k.slots = q.floodSlots(now, k, k.weight*slots)
 		}
 		if !q.protect {
@@ -175,7 +176,7 @@
 
 // overflow makes room in the full queue for an item of kind k and bucket i, or
 // refuses it. The longest bucket of the kind most over its share gives way.
-func (q *Queue) overflow(item Item, k *kind, i int32) Verdict {
+func (q *Queue) overflow(now time.Duration, item Item, k *kind, i int32) Verdict {
 	over := q.mostOver(k)
 	extra := int32(none)
 	if over == k {
@@ -183,10 +184,10 @@
 	}
 	longest := over.longest(extra)
 	if over == k && longest == i {
-		return q.refuse(k, message.CauseQueueFull)
+		return q.refuse(now, k, message.CauseQueueFull)
 	}
 	n := over.all[longest].tail
-	v := q.refuse(over, message.CauseQueueFull)
+	v := q.refuse(now, over, message.CauseQueueFull)
 	v.Outcome = Queued
 	v.Victim = q.nodes[n].item
 	v.HasVictim = true
