Measure floods against the effective share

At the start of a flood a kind also went first until its demand exceeded the configured share, after about 0.1 s.

Change: a refused item marks its kind as flooding if its demand and waiting work exceed the effective share. A kind above its effective share competes by start tags with the effective shares, also while it is below the configured one. So a kind that grows within its configured share gets what the baselines of the others leave, and the rest as their protection fades.

--- a/decide/admission/kind.go
+++ b/decide/admission/kind.go
@@ -36,8 +36,8 @@
 type class uint8
 
 const (
-	withinShare class = iota // offers at most its configured share
-	withinUsual              // more, but at most its effective share
+	withinShare class = iota // offers at most its configured and its effective share
+	withinUsual              // more than one of them
 	aboveShare               // more than both
 )
 
@@ -52,7 +52,7 @@
 	inFlight int
 	slots    int     // it may hold now, see classify
 	class    class   // see classify
-	granted  float64 // the slots of the larger of its two shares
+	fair     float64 // the slots of its effective share
 	start    float64 // start tag of the next item, in seconds of work by share
 	service  float64 // moving average of the service time, in seconds
 	measured bool
@@ -101,13 +101,13 @@
 	k.service += (s - k.service) * averageWeight
 }
 
-// part returns the share by which k is served now: the effective one if it is
-// above its share, else no less than the configured one.
+// part returns the share by which k is served now: the effective one, but no less
+// than the configured one while k is within its share.
 func (k *kind) part() float64 {
-	if k.class == aboveShare {
-		return k.weight
+	if k.class == withinShare {
+		return max(k.weight, k.share)
 	}
-	return max(k.weight, k.share)
+	return k.weight
 }
 
 // cost is the length of one item in virtual time.
@@ -153,10 +153,10 @@
 }
 
 // floods reports whether k's demand, together with the work that waits, exceeds
-// its share. The meter alone falls below the share while ingress VMs refuse k.
+// its effective share. The meter alone falls below the share while ingress VMs refuse k.
 func (k *kind) floods(now time.Duration) bool {
 	waiting := float64(k.len) * k.service / meterWindow.Seconds()
-	return k.demand.slots(now)+waiting > k.granted
+	return k.demand.slots(now)+waiting > k.fair
 }
 
 // recent reports whether the kind waits, runs or was offered recently.
--- a/decide/admission/schedule.go
+++ b/decide/admission/schedule.go
@@ -51,18 +51,19 @@
 		k := &q.kinds[i]
 		slots := float64(q.limit) / max(shares, k.share) // by share
 		demand := k.demand.slots(now)
-		k.granted = max(k.weight, k.share) * slots
+		k.fair = k.weight * slots
+		granted := max(k.weight, k.share) * slots
 		k.class = withinShare
 		k.slots = q.limit
-		if demand > k.share*slots {
+		if demand > min(k.weight, k.share)*slots {
 			k.class = withinUsual
 		}
 		held := now < k.held
-		if (held || demand > k.granted) && !q.starved(now, k) {
+		if (held || demand > granted) && !q.starved(now, k) {
 			k.class = aboveShare
 		}
-		if (held || demand > floodFactor*k.granted) && k.share < shares {
-			k.slots = q.floodSlots(now, k, k.weight*slots)
+		if (held || demand > floodFactor*granted) && k.share < shares {
+			k.slots = q.floodSlots(now, k)
 		}
 		if !q.protect {
 			k.class, k.slots = withinShare, q.limit
@@ -78,11 +79,10 @@
 	return ok && k.weight < k.share && k.served.slots(now) < usual
 }
 
-// floodSlots returns how many slots the flooding kind k may hold if its share of
-// them is fair.
-func (q *Queue) floodSlots(now time.Duration, k *kind, fair float64) int {
-	slots := math.Ceil(fair)
-	if k.served.slots(now) < catchUp*fair {
+// floodSlots returns how many slots the flooding kind k may hold.
+func (q *Queue) floodSlots(now time.Duration, k *kind) int {
+	slots := math.Ceil(k.fair)
+	if k.served.slots(now) < catchUp*k.fair {
 		slots++
 	}
 	return max(min(int(slots), q.limit-1), 1)
