Count only the calls during the flood

Cause: the flood experiment set the first start time of counted calls when the flood began, but calls that had ended before were in the counts already: 2.2 s of calm load, which starts with 0.2 s of calls at once while the flood's flows are opened.

Change: the counts are reset when the flood begins.

--- a/lab/measure/flood.go
+++ b/lab/measure/flood.go
@@ -110,8 +110,9 @@
 	}
 	flooding := t.openFlood(c)
 	t.run(2 * time.Second)
-	group.from = t.fleet.Now()
-	group.until = group.from + floodTime
+	// Calls that ended by now must not count: those after the start of the load,
+	// which come at once, would set the p99 of both runs.
+	group.reset(t.fleet.Now(), floodTime)
 	t.startFlood(c, flooding)
 	t.run(floodTime)
 	t.stop()
--- a/lab/measure/tally.go
+++ b/lab/measure/tally.go
@@ -33,6 +33,13 @@
 	return &tallies{until: 1 << 62, kinds: make(map[kindKey]*tally)}
 }
 
+// reset forgets all counts. From now on only calls that start within length of
+// from count.
+func (g *tallies) reset(from, length time.Duration) {
+	g.from, g.until = from, from+length
+	g.kinds = make(map[kindKey]*tally)
+}
+
 // count notes an ended call.
 func (g *tallies) count(r fleet.Result) {
 	if r.Started < g.from || r.Started >= g.until {
