--- a/decide/admission/kind.go
+++ b/decide/admission/kind.go
@@ -26,17 +26,33 @@
 	// recentDemand is how long after its last item a kind still counts as one
 	// that others must leave slots for.
 	recentDemand = 10 * time.Second
+	// floodHold is how long after a refusal a kind above its share still counts
+	// as flooding. Ingress VMs refuse a closed kind for up to maxClosed, and the
+	// owner then sees a demand below its share, while the queue is full of it.
+	floodHold = 2 * maxClosed
+)
+
+// class says in which order kinds are served.
+type class uint8
+
+const (
+	withinShare class = iota // offers at most its configured and its effective share
+	withinUsual              // more than one of them
+	aboveShare               // more than both
 )
 
 // kind is one kind of work.
 type kind struct {
 	buckets
-	share    float64
+	share    float64 // configured
+	weight   float64 // effective share, see setWeights
+	usual    baseline
 	urgency  table.Urgency
 	removed  bool // no longer in the table
 	inFlight int
 	slots    int     // it may hold now, see classify
-	over     bool    // offers more than its share
+	class    class   // see classify
+	fair     float64 // the slots of its effective share
 	start    float64 // start tag of the next item, in seconds of work by share
 	service  float64 // moving average of the service time, in seconds
 	measured bool
@@ -46,10 +62,12 @@
 	offered  bool          // an item was offered at demand.at
 	budget   float64       // longest time until the deadline, fading, in seconds
 	closed   bool
+	held     time.Duration // counts as flooding until then
 }
 
 func (k *kind) configure(c KindConfig) {
 	k.share = float64(max(c.Share, 1))
+	k.weight = k.share
 	k.urgency = c.Urgency
 	k.removed = false
 }
@@ -83,9 +101,18 @@
 	k.service += (s - k.service) * averageWeight
 }
 
+// part returns the share by which k is served now: the effective one, but no less
+// than the configured one while k is within its share.
+func (k *kind) part() float64 {
+	if k.class == withinShare {
+		return max(k.weight, k.share)
+	}
+	return k.weight
+}
+
 // cost is the length of one item in virtual time.
 func (k *kind) cost() float64 {
-	return k.service / k.share
+	return k.service / k.part()
 }
 
 // offer counts an offered item, served or not. budget is the time until its
@@ -125,6 +152,13 @@
 	return m.decayed(now) / meterWindow.Seconds()
 }
 
+// floods reports whether k's demand, together with the work that waits, exceeds
+// its effective share. The meter alone falls below the share while ingress VMs refuse k.
+func (k *kind) floods(now time.Duration) bool {
+	waiting := float64(k.len) * k.service / meterWindow.Seconds()
+	return k.demand.slots(now)+waiting > k.fair
+}
+
 // recent reports whether the kind waits, runs or was offered recently.
 func (k *kind) recent(now time.Duration) bool {
 	if k.len > 0 || k.inFlight > 0 {
