Report changed loads early and refresh the others rarely

Cause: a load report is up to a second old. When four targets renew all their flows within 6 s, a target that was added gains a sixth of its share in that time, so its owner compares fresh own flows with stale flows of the others.

A report now goes out when the flows differ by more than 0.5% (and 4 flows) from the last report or from what receivers expect by it, at most every 100 ms a target and 48 reports a second a VM, and otherwise every 5 s. It goes out at once for a changed weight or health, and within a second when an owner of the service is new or has restarted.

--- a/decide/vm/target.go
+++ b/decide/vm/target.go
@@ -54,6 +54,8 @@
 	sweep        time.Duration
 	created      time.Duration
 
+	reporting reporting
+
 	inherited      int           // flows of a crashed owner that were not adopted yet
 	inheritedUntil time.Duration // when they count as ended
 }
--- a/decide/vm/vm.go
+++ b/decide/vm/vm.go
@@ -78,7 +78,9 @@
 	loads          map[message.ServiceID]map[message.TargetID]load
 	closedKinds    map[kindAt]time.Duration
 	reconcile      time.Duration // next full search for targets to own
-	reports        time.Duration // next load reports
+	reportCredit   float64       // load reports of changed flows that may be sent now
+	reportFilled   time.Duration // when reportCredit was last refilled
+	nextReport     int           // index in order of the next changed target to report
 
 	leaving   bool
 	leaveIdle time.Duration // since when nothing is left to hand over
--- a/lab/measure/imbalance_test.go
+++ b/lab/measure/imbalance_test.go
@@ -16,3 +16,34 @@
 		}
 	}
 }
+
+// Guards against targets that get more or fewer flows than their share after a
+// change of the table, because owners see each other's flows as of a second ago
+// while flows move between the targets, or because a small target is short of what
+// each of the others has in excess.
+func TestFastRenewalKeepsTheShares(t *testing.T) {
+	cases := []struct {
+		name   string
+		site   Site
+		seed   uint64
+		change func(*trial)
+	}{
+		{"a target added, tasmania", Tasmania(), 1, addTargets},
+		{"a target added, wales", Wales(), 1, addTargets},
+		{"a weight edited, wales", Wales(), 2, editOneWeight},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			c.site.Services = c.site.Services[1:]
+			c.site.Services[0].Weight = func(n int) uint32 { return uint32(1 + n%3) }
+			tr := newTrial(c.site, c.seed, c.site.VMs)
+			tr.fill(float64(c.site.FlowsPerTarget))
+			c.change(tr)
+			tr.renew()
+			if worst := tr.worstDeviation(c.site.Services[0].Name); worst > shareBound {
+				t.Errorf("the worst target is %.1f%% off its share", worst)
+			}
+		})
+	}
+}
