Measure load reports by the size of the service

The capacity run measured load reports for services of 9 targets only, and without flows. control.load.rest, .steady and .rise measure an owned target of services of 4, 17 and 450 targets at the size in two years: at rest, with as many flows opened as closed (63 a second at a VM), and with flows opened only.

--- a/lab/capacity/control.go
+++ b/lab/capacity/control.go
@@ -1,6 +1,8 @@
 package capacity
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/decide/message"
@@ -27,6 +29,9 @@
 			Sizes: []int{400, 1_600, 6_400}, Tiny: []int{80, 160, 320},
 			Measure: func(_ *Meter, n int) Point { return loadTraffic(n) },
 		},
+		serviceLoads("control.load.rest", 0, 0),
+		serviceLoads("control.load.steady", newFlowsPerTarget, newFlowsPerTarget),
+		serviceLoads("control.load.rise", newFlowsPerTarget, 0),
 	}
 }
 
@@ -39,6 +44,7 @@
 	perRound int
 	next     int
 	sum      [2]float64 // bytes by kind
+	eachTick func()     // what else happens; may be nil
 }
 
 // Kinds of counted control bytes.
@@ -68,6 +74,9 @@
 func (t *traffic) run() {
 	for until := t.now + quietTime; t.now < until; {
 		t.now += tick
+		if t.eachTick != nil {
+			t.eachTick()
+		}
 		out := t.Tick(t.now)
 		t.count(out)
 		acks := acksFor(out)
@@ -112,11 +121,118 @@
 	return t.sum[heartbeats]
 }
 
+const (
+	// loadVMs is the number of VMs in experiments on load reports.
+	loadVMs = 16 * domainCount
+	// newFlowsPerTarget is the number of flows opened per second and target in two
+	// years: 950,000 at 160,000 targets, or 63 at a VM.
+	newFlowsPerTarget = 950_000.0 / fleetTargets
+	// flowsPerTarget is the number of open flows at a target in two years.
+	flowsPerTarget = 110_000_000 / fleetTargets
+)
+
+// serviceLoads measures the load reports per owned target for services of
+// different sizes, while every owned target opens and closes flows at random times
+// (Poisson processes with the given rates per second).
+func serviceLoads(name string, opened, closed float64) Experiment {
+	return Experiment{
+		Name: name, Unit: BytesPerSecond, Per: "target of the service",
+		Sizes: []int{4, 17, 450}, Tiny: []int{4, 17, 34},
+		Measure: func(_ *Meter, n int) Point { return at(n, newLoadRig(n).perTarget(opened, closed)) },
+	}
+}
+
+// loadRig is a VM that owns about as many targets as a VM in two years, with the
+// flows of each.
+type loadRig struct {
+	*traffic
+	rng   *rand.Rand
+	owned []ownedFlows
+	last  int // flow
+}
+
+// ownedFlows are the open flows of an owned target.
+type ownedFlows struct {
+	service message.ServiceID
+	target  message.TargetID
+	flows   []int
+	binding message.Binding
+}
+
+// newLoadRig returns a rig whose services have size targets each.
+func newLoadRig(size int) *loadRig {
+	services := max(1, loadVMs*fleetTargets/fleetVMs/size)
+	all := members(loadVMs)
+	r := &loadRig{traffic: &traffic{rig: newRig(all, vm.Config{}), all: all}, rng: rand.New(rand.NewPCG(1, 1))}
+	r.load(services, services*size)
+	r.settle()
+	for n := range services {
+		s := service(n, services, services*size)
+		for i := range s.Targets {
+			if r.Owns(s.Targets[i].ID) {
+				r.owned = append(r.owned, ownedFlows{service: s.ID, target: s.Targets[i].ID})
+			}
+		}
+	}
+	for i := range r.owned {
+		for range flowsPerTarget {
+			r.open(&r.owned[i])
+		}
+	}
+	r.settle()
+	return r
+}
+
+// perTarget returns the bytes per second of load reports for one owned target.
+func (r *loadRig) perTarget(opened, closed float64) float64 {
+	r.eachTick = func() {
+		for i := range r.owned {
+			if r.rng.Float64() < opened*tick.Seconds() {
+				r.open(&r.owned[i])
+			}
+			if r.rng.Float64() < closed*tick.Seconds() {
+				r.closeOne(&r.owned[i])
+			}
+		}
+	}
+	return r.rate(loadReports) / float64(len(r.owned))
+}
+
+// open opens a flow as other owners pass it on for the last time, so that the
+// target takes it in any case.
+func (r *loadRig) open(o *ownedFlows) {
+	const passed = 4
+	r.last++
+	out := r.receive(r.passedOn(o, passed, &message.Open{Service: o.service, Flow: flowID(r.last)}))
+	for i := range out {
+		if b, ok := out[i].Body.(*message.Bound); ok {
+			o.binding = b.Binding
+			o.flows = append(o.flows, r.last)
+			return
+		}
+	}
+	panic(fmt.Sprintf("capacity: an Open caused %d messages and no Bound", len(out)))
+}
+
+func (r *loadRig) closeOne(o *ownedFlows) {
+	i := r.rng.IntN(len(o.flows))
+	flow := flowID(o.flows[i])
+	o.flows[i] = o.flows[len(o.flows)-1]
+	o.flows = o.flows[:len(o.flows)-1]
+	r.receive(r.passedOn(o, 0, &message.Close{Service: o.service, Flow: flow, Binding: o.binding}))
+}
+
+func (r *loadRig) passedOn(o *ownedFlows, hops uint8, inner message.Body) message.Message {
+	f := &message.Forward{
+		Ingress: r.all[1].ID, Caller: callerAddr, Hops: hops, Target: o.target, Hinted: hops == 0, Inner: inner,
+	}
+	return message.Message{From: memberAddress(r.all[1]), Body: f}
+}
+
 // loadTraffic counts load reports at a VM of a fleet of 16 per failure domain.
 // The size of the point is the number of targets that the VM owns.
 func loadTraffic(targets int) Point {
-	const vms = 16 * domainCount
-	t := &traffic{rig: newRig(members(vms), vm.Config{}), all: members(vms)}
+	t := &traffic{rig: newRig(members(loadVMs), vm.Config{}), all: members(loadVMs)}
 	services := servicesFor(targets)
 	t.load(services, targets)
 	t.settle()
