Search for targets to own at most every 100 ms after membership changes

Cause: each batch of membership changes in the own domain, or any while a failure domain is empty, started a search at once. With 20 batches a second and 40,000 targets (19 ms, computed) that is up to 38% of a core. Ruled out: a longer or growing interval, since it would delay the takeover after the loss of a rack. Change: searches after changes are at least 100 ms apart. The first change after a quiet time is still searched in the same tick.

--- a/decide/vm/members.go
+++ b/decide/vm/members.go
@@ -63,7 +63,7 @@
 	v.owners.Update(v.now, v.members.Live())
 	if seen := v.owners.Version(v.config.Self.Domain); seen != v.ownersSeen {
 		v.ownersSeen = seen
-		v.reconcile = v.now
+		v.reconcile = min(v.reconcile, max(v.now, v.searched+searchInterval))
 	}
 }
 
--- a/decide/vm/search.go
+++ b/decide/vm/search.go
@@ -13,6 +13,11 @@
 // without a known change. It covers the wait for an empty failure domain.
 const reconcileInterval = 10 * time.Second
 
+// searchInterval is the least time between two searches after membership
+// changes. A search of the own and an empty failure domain looks at 40,000
+// targets, 19 ms in a fleet of 15,000 VMs, and deaths come in batches.
+const searchInterval = 100 * time.Millisecond
+
 // places lists the targets of the table by failure domain, 8 bytes each, so that
 // a search decodes no service and looks at no target of another live domain.
 type places map[message.DomainID][]message.TargetID
@@ -67,6 +72,7 @@
 	if v.now < v.reconcile {
 		return
 	}
+	v.searched = v.now
 	v.reconcile = v.now + reconcileInterval
 	for _, domain := range slices.Sorted(maps.Keys(v.places)) {
 		v.findInDomain(domain)
--- a/decide/vm/vm.go
+++ b/decide/vm/vm.go
@@ -78,6 +78,7 @@
 	loads          map[message.ServiceID]map[message.TargetID]load
 	closedKinds    map[kindAt]time.Duration
 	reconcile      time.Duration // next full search for targets to own
+	searched       time.Duration // last search for targets to own
 	reports        time.Duration // next load reports
 
 	leaving   bool
