Add messages that compare the live set of a failure domain

DomainPull carries a digest for each bucket of the sender's live set, DomainMembers the members of buckets that differ; a heartbeat can carry one failure domain with a digest. Nothing sends them yet.

--- a/decide/message/control.go
+++ b/decide/message/control.go
@@ -34,6 +34,8 @@
 	Updates      []Member
 	TableVersion uint64 // highest revision in the sender's table
 	TableHash    uint64
+	DigestDomain DomainID // failure domain of Digest, 0 for none
+	Digest       uint64   // of the ids and incarnations of its live members
 }
 
 // HeartbeatAck answers a Heartbeat.
@@ -43,6 +45,8 @@
 	Updates      []Member
 	TableVersion uint64
 	TableHash    uint64
+	DigestDomain DomainID
+	Digest       uint64
 }
 
 // MembersPull asks for all members; a VM that joins sends it.
@@ -53,6 +57,23 @@
 	All []Member
 }
 
+// DomainPull asks for what differs in the live set of a failure domain. Members
+// fall into buckets by a hash of their ids.
+type DomainPull struct {
+	Domain  DomainID
+	Buckets []uint32 // digest of each bucket of the sender's live set
+}
+
+// DomainMembers answers DomainPull. The answer is bounded: it holds the members
+// of the first Listed differing buckets; the rest is asked for again.
+type DomainMembers struct {
+	Domain    DomainID
+	Buckets   uint32   // number of buckets of the question
+	Differing []uint32 // all buckets that differ
+	Listed    uint32   // how many of them Members covers
+	Members   []Member // live members of these buckets
+}
+
 // TableEntry is one key of the operators' table as the store holds it. A nil
 // Value is a deletion.
 type TableEntry struct {
@@ -161,23 +182,25 @@
 	Members []Member
 }
 
-func (*Heartbeat) isBody()    {}
-func (*HeartbeatAck) isBody() {}
-func (*MembersPull) isBody()  {}
-func (*Members) isBody()      {}
-func (*TablePull) isBody()    {}
-func (*TableDelta) isBody()   {}
-func (*LoadReport) isBody()   {}
-func (*Handover) isBody()     {}
-func (*HandoverAck) isBody()  {}
-func (*Released) isBody()     {}
-func (*VMList) isBody()       {}
+func (*Heartbeat) isBody()     {}
+func (*HeartbeatAck) isBody()  {}
+func (*MembersPull) isBody()   {}
+func (*Members) isBody()       {}
+func (*DomainPull) isBody()    {}
+func (*DomainMembers) isBody() {}
+func (*TablePull) isBody()     {}
+func (*TableDelta) isBody()    {}
+func (*LoadReport) isBody()    {}
+func (*Handover) isBody()      {}
+func (*HandoverAck) isBody()   {}
+func (*Released) isBody()      {}
+func (*VMList) isBody()        {}
 
 // IsControl reports whether body travels between VMs on a control link. All
 // other bodies are datagrams.
 func IsControl(body Body) bool {
 	switch body.(type) {
-	case *Heartbeat, *HeartbeatAck, *MembersPull, *Members, *TablePull, *TableDelta,
+	case *Heartbeat, *HeartbeatAck, *MembersPull, *Members, *DomainPull, *DomainMembers, *TablePull, *TableDelta,
 		*LoadReport, *Handover, *HandoverAck, *Released:
 		return true
 	default:
--- a/wire/control.go
+++ b/wire/control.go
@@ -282,6 +282,8 @@
 		Updates:      mapToPB(m.Updates, memberToPB),
 		TableVersion: m.TableVersion,
 		TableHash:    m.TableHash,
+		DigestDomain: uint32(m.DigestDomain),
+		Digest:       m.Digest,
 	}
 }
 
@@ -292,6 +294,42 @@
 		Updates:      mapFromPB(p.GetUpdates(), memberFromPB),
 		TableVersion: p.GetTableVersion(),
 		TableHash:    p.GetTableHash(),
+		DigestDomain: message.DomainID(p.GetDigestDomain()),
+		Digest:       p.GetDigest(),
+	}
+}
+
+func domainPullToPB(m *message.DomainPull) *wirepb.DomainPull {
+	return &wirepb.DomainPull{
+		DomainId: uint32(m.Domain),
+		Buckets:  m.Buckets,
+	}
+}
+
+func domainPullFromPB(p *wirepb.DomainPull) *message.DomainPull {
+	return &message.DomainPull{
+		Domain:  message.DomainID(p.GetDomainId()),
+		Buckets: p.GetBuckets(),
+	}
+}
+
+func domainMembersToPB(m *message.DomainMembers) *wirepb.DomainMembers {
+	return &wirepb.DomainMembers{
+		DomainId:  uint32(m.Domain),
+		Buckets:   m.Buckets,
+		Differing: m.Differing,
+		Listed:    m.Listed,
+		Members:   mapToPB(m.Members, memberToPB),
+	}
+}
+
+func domainMembersFromPB(p *wirepb.DomainMembers) *message.DomainMembers {
+	return &message.DomainMembers{
+		Domain:    message.DomainID(p.GetDomainId()),
+		Buckets:   p.GetBuckets(),
+		Differing: p.GetDiffering(),
+		Listed:    p.GetListed(),
+		Members:   mapFromPB(p.GetMembers(), memberFromPB),
 	}
 }
 
--- a/wire/envelope.go
+++ b/wire/envelope.go
@@ -40,6 +40,10 @@
 		env.Body = &wirepb.Envelope_MembersPull{MembersPull: &wirepb.MembersPull{}}
 	case *message.Members:
 		env.Body = &wirepb.Envelope_Members{Members: membersToPB(m)}
+	case *message.DomainPull:
+		env.Body = &wirepb.Envelope_DomainPull{DomainPull: domainPullToPB(m)}
+	case *message.DomainMembers:
+		env.Body = &wirepb.Envelope_DomainMembers{DomainMembers: domainMembersToPB(m)}
 	case *message.TablePull:
 		env.Body = &wirepb.Envelope_TablePull{TablePull: tablePullToPB(m)}
 	case *message.TableDelta:
@@ -95,6 +99,10 @@
 		return &message.MembersPull{}
 	case *wirepb.Envelope_Members:
 		return membersFromPB(b.Members)
+	case *wirepb.Envelope_DomainPull:
+		return domainPullFromPB(b.DomainPull)
+	case *wirepb.Envelope_DomainMembers:
+		return domainMembersFromPB(b.DomainMembers)
 	case *wirepb.Envelope_TablePull:
 		return tablePullFromPB(b.TablePull)
 	case *wirepb.Envelope_TableDelta:
--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -21,6 +21,7 @@
 		&message.Cancel{}, &message.Close{}, &message.Forward{}, &message.KindClosed{}, &message.Dispatch{},
 		&message.TargetCancel{}, &message.FlowEnd{}, &message.Shed{}, &message.Heartbeat{},
 		&message.HeartbeatAck{}, &message.MembersPull{}, &message.Members{}, &message.TablePull{},
+		&message.DomainPull{}, &message.DomainMembers{},
 		&message.TableDelta{}, &message.LoadReport{}, &message.Handover{},
 		&message.HandoverAck{}, &message.Released{},
 	}
