--- a/decide/membership/sim_test.go
+++ b/decide/membership/sim_test.go
@@ -57,6 +57,7 @@
 	cut     func(from, to int) bool
 	measure bool
 	bytes   int
+	load    []int // bytes by VM, counted if not nil
 	sent    int
 }
 
@@ -110,7 +111,7 @@
 func (s *sim) send(from int, out []message.Message) {
 	for _, m := range out {
 		if s.measure {
-			s.count(m.Body)
+			s.count(from, m.Body)
 		}
 		to, ok := s.byAddr[m.To.Addr]
 		if !ok || s.down[to] || s.cut != nil && s.cut(from, to) {
@@ -120,13 +121,18 @@
 	}
 }
 
-func (s *sim) count(body message.Body) {
+func (s *sim) count(from int, body message.Body) {
 	data, err := wire.Append(nil, body)
 	if err != nil {
 		panic(err)
 	}
-	s.bytes += len(data)
 	s.sent++
+	if s.load == nil {
+		s.bytes += len(data)
+		return
+	}
+	s.bytes += len(data) + frameBytes
+	s.load[from] += len(data) + frameBytes
 }
 
 // run handles events until the time end. It stops early once done reports true.
