--- a/decide/vm/vm.go
+++ b/decide/vm/vm.go
@@ -81,6 +81,7 @@
 	reportCredit   float64       // load reports of changed flows that may be sent now
 	reportFilled   time.Duration // when reportCredit was last refilled
 	nextReport     int           // index in order of the next changed target to report
+	searched       time.Duration // last search for targets to own
 
 	leaving   bool
 	leaveIdle time.Duration // since when nothing is left to hand over
