Add the setting outgoing.address and the command gypsumlab relay

A VM with several addresses, or behind an address translation, could not choose from which one its TCP connections leave: control links, health checks, VM list and store. A relay between failure domains needs to know the sender, too.

outgoing.address is an optional IP address; the system chooses when it is absent, as before. Parsing the hello of control links in the relay was ruled out: it would tie the relay to the protocol and does not work with TLS.

--- a/daemon/assemble.go
+++ b/daemon/assemble.go
@@ -71,6 +71,7 @@
 	return peers.New(peers.Config{
 		Self:         config.Self.ID,
 		Listen:       s.Listen.Control,
+		Outgoing:     s.Outgoing.Address,
 		DialTimeout:  s.Timings.PeerDialTimeout,
 		WriteTimeout: s.Timings.PeerWriteTimeout,
 		Idle:         s.Timings.PeerIdle,
@@ -90,6 +91,7 @@
 	return healthcheck.New(healthcheck.Config{
 		Interval: s.Timings.HealthInterval,
 		Timeout:  s.Timings.HealthTimeout,
+		Outgoing: s.Outgoing.Address,
 		Seed:     config.Seed,
 	})
 }
@@ -99,6 +101,7 @@
 		URL:      s.VMList.URL,
 		Interval: s.Timings.VMListInterval,
 		Timeout:  s.Timings.VMListTimeout,
+		Outgoing: s.Outgoing.Address,
 		Seed:     config.Seed,
 	})
 }
--- a/daemon/store.go
+++ b/daemon/store.go
@@ -12,7 +12,10 @@
 // StoreServices is the ServiceFactory of the load balancer: the watch of the
 // operators' table in the store that the settings name.
 func StoreServices(c MachineConfig) ([]kernel.Service, error) {
-	client, err := store.NewHTTP(store.HTTPConfig{Endpoints: c.Settings.Store.Endpoints})
+	client, err := store.NewHTTP(store.HTTPConfig{
+		Endpoints: c.Settings.Store.Endpoints,
+		Outgoing:  c.Settings.Outgoing.Address,
+	})
 	if err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
--- a/lab/command.go
+++ b/lab/command.go
@@ -27,7 +27,7 @@
 	}
 	root.AddCommand(targetCommand(), vmListCommand(), storeCommand(), tableCommand())
 	root.AddCommand(callCommand(), loadCommand(), httpCommand(), awaitCommand(), ownerCommand())
-	root.AddCommand(measureCommand(), capacityCommand())
+	root.AddCommand(measureCommand(), capacityCommand(), relayCommand())
 	return root
 }
 
--- a/services/healthcheck/healthcheck.go
+++ b/services/healthcheck/healthcheck.go
@@ -53,6 +53,7 @@
 type Config struct {
 	Interval time.Duration // mean
 	Timeout  time.Duration // of one poll
+	Outgoing netip.Addr    // local address of polls; invalid: the system chooses
 	Seed     uint64        // of the jitter
 }
 
--- a/services/healthcheck/poller.go
+++ b/services/healthcheck/poller.go
@@ -28,7 +28,7 @@
 		service: s,
 		name:    pollerName(i),
 		gate:    kernel.NewGate(),
-		client:  httpget.New(s.config.Timeout, maxAnswer),
+		client:  httpget.New(s.config.Timeout, maxAnswer, s.config.Outgoing),
 	}
 	p.ring = kernel.NewRing[job](k, p.name, pollerCapacity, kernel.DropNewest, p.gate)
 	return p
--- a/services/httpget/httpget.go
+++ b/services/httpget/httpget.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
 )
 
@@ -35,9 +36,13 @@
 }
 
 // New returns a client whose requests take at most timeout and whose answers
-// are at most limit bytes long.
-func New(timeout time.Duration, limit int64) *Client {
+// are at most limit bytes long. local is the local address of its connections;
+// if it is invalid, the system chooses.
+func New(timeout time.Duration, limit int64, local netip.Addr) *Client {
 	dialer := &net.Dialer{Timeout: timeout}
+	if local.IsValid() {
+		dialer.LocalAddr = &net.TCPAddr{IP: local.AsSlice()}
+	}
 	return &Client{
 		timeout: timeout,
 		limit:   limit,
--- a/services/peers/link.go
+++ b/services/peers/link.go
@@ -19,6 +19,9 @@
 // dial opens a link and sends the hello.
 func (s *Service) dial(addr netip.AddrPort) (*link, error) {
 	dialer := net.Dialer{Timeout: s.config.DialTimeout, Control: setUserTimeout}
+	if s.config.Outgoing.IsValid() {
+		dialer.LocalAddr = &net.TCPAddr{IP: s.config.Outgoing.AsSlice()}
+	}
 	conn, err := dialer.DialContext(s.dialing, "tcp", addr.String())
 	if err != nil {
 		return nil, fmt.Errorf("dial: %w", err)
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -50,6 +50,7 @@
 type Config struct {
 	Self         message.VMID
 	Listen       netip.AddrPort // TCP
+	Outgoing     netip.Addr     // local address of dialed links; invalid: the system chooses
 	DialTimeout  time.Duration
 	WriteTimeout time.Duration // of one message
 	Idle         time.Duration // an unused link is closed after this
--- a/services/vmlist/vmlist.go
+++ b/services/vmlist/vmlist.go
@@ -54,7 +54,8 @@
 	URL      string
 	Interval time.Duration // mean
 	Timeout  time.Duration
-	Seed     uint64 // of the jitter
+	Outgoing netip.Addr // local address of polls; invalid: the system chooses
+	Seed     uint64     // of the jitter
 }
 
 // Service is the service "vmlist".
@@ -75,7 +76,7 @@
 func New(config Config) *Service {
 	s := &Service{
 		config: config,
-		client: httpget.New(config.Timeout, maxList),
+		client: httpget.New(config.Timeout, maxList, config.Outgoing),
 		rng:    rand.New(rand.NewPCG(config.Seed, 0)),
 	}
 	s.ctx, s.cancel = context.WithCancel(context.Background())
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -21,6 +21,7 @@
 const (
 	typeString   = "string"
 	typeAddress  = "address"
+	typeIP       = "IP address"
 	typeDuration = "duration"
 	typeURL      = "URL"
 	typeURLs     = "list of URLs"
@@ -58,6 +59,9 @@
 	{Path: "advertise.control", Type: typeAddress, Range: advertisedRange, Optional: true,
 		Meaning: "Address under which other VMs reach `listen.control`; the same address when absent. Required when `listen.control` is 0.0.0.0 or [::].",
 		set:     advertisedValue(func(s *Settings) *netip.AddrPort { return &s.Advertise.Control })},
+	{Path: "outgoing.address", Type: typeIP, Range: ipRange, Optional: true,
+		Meaning: "Local address of the TCP connections that the VM opens: control links, health checks, VM list and store. The system chooses when absent. Datagrams leave from `listen.data` and `listen.callers`.",
+		set:     setOutgoingAddress},
 	{Path: "store.endpoints", Type: typeURLs, Range: "at least one " + urlRange,
 		Meaning: "Endpoints of the platform's store.",
 		set:     setEndpoints},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -25,6 +25,7 @@
 	VM        VM
 	Listen    Addresses
 	Advertise Advertised
+	Outgoing  Outgoing
 	Store     Store
 	VMList    VMList
 	Seeds     []Seed
@@ -53,6 +54,11 @@
 	Control netip.AddrPort
 }
 
+// Outgoing describes the connections that the VM opens.
+type Outgoing struct {
+	Address netip.Addr // local address; invalid: the system chooses
+}
+
 // Store is the platform's key-value store.
 type Store struct {
 	Endpoints []string // URLs
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -83,6 +83,8 @@
 		{"overlap with all addresses", "127.0.0.1:7500", "0.0.0.0:7400", 11, "listen.admin"},
 		{"nothing to advertise", "127.0.0.1:7200", "0.0.0.0:7200", 1, "advertise.data"},
 		{"advertised unspecified", "[store]", "[advertise]\ndata = \"0.0.0.0:1\"\n[store]", 19, "advertise.data"},
+		{"outgoing address with a port", "[store]", "[outgoing]\naddress = \"127.0.0.1:1\"\n[store]", 19, "outgoing.address"},
+		{"outgoing unspecified", "[store]", "[outgoing]\naddress = \"::\"\n[store]", 19, "outgoing.address"},
 		{"no endpoints", `["http://127.0.0.1:2379"]`, `[]`, 19, "store.endpoints"},
 		{"endpoint without scheme", `"http://127.0.0.1:2379"`, `"127.0.0.1:2379"`, 19, "store.endpoints"},
 		{"log level", `level = "info"`, `level = "loud"`, 30, "log.level"},
--- a/settings/values.go
+++ b/settings/values.go
@@ -21,6 +21,8 @@
 
 const advertisedRange = addressRange + ", not 0.0.0.0 or [::]"
 
+const ipRange = "an address of this machine, not 0.0.0.0 or [::]"
+
 const urlRange = "http or https URL with a host"
 
 // setter stores a raw TOML value in the settings and reports whether the value
@@ -63,6 +65,13 @@
 	return netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port()), true
 }
 
+func setOutgoingAddress(s *Settings, raw any) bool {
+	text, ok := raw.(string)
+	addr, err := netip.ParseAddr(text)
+	s.Outgoing.Address = addr.Unmap()
+	return ok && err == nil && addr.Zone() == "" && !s.Outgoing.Address.IsUnspecified()
+}
+
 func durationValue(low, high time.Duration, field func(t *Timings) *time.Duration) setter {
 	return func(s *Settings, raw any) bool {
 		text, ok := raw.(string)
--- a/store/http.go
+++ b/store/http.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -36,6 +37,9 @@
 	Endpoints []string
 	// Timeout bounds one call other than a watch; 0 is DefaultTimeout.
 	Timeout time.Duration
+	// Outgoing is the local address of connections; if it is invalid, the system
+	// chooses.
+	Outgoing netip.Addr
 }
 
 // HTTP is a Store over the JSON form of the etcd v3 API. It stays with one
@@ -62,11 +66,11 @@
 		}
 		h.endpoints = append(h.endpoints, strings.TrimRight(endpoint, "/"))
 	}
-	h.client = &http.Client{Transport: newTransport(h.timeout)}
+	h.client = &http.Client{Transport: newTransport(h.timeout, config.Outgoing)}
 	return h, nil
 }
 
-func newTransport(timeout time.Duration) *http.Transport {
+func newTransport(timeout time.Duration, local netip.Addr) *http.Transport {
 	dialer := &net.Dialer{
 		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -76,6 +80,9 @@
 			Count:    probeCount,
 		},
 	}
+	if local.IsValid() {
+		dialer.LocalAddr = &net.TCPAddr{IP: local.AsSlice()}
+	}
 	return &http.Transport{
 		DialContext:         dialer.DialContext,
 		TLSHandshakeTimeout: timeout,
