--- a/caller/session/call.go
+++ b/caller/session/call.go
@@ -194,6 +194,7 @@
 		Flow:    c.flow.handle,
 		Key:     message.RequestKey{Flow: c.flow.wire, ID: c.key},
 		Attempt: c.attempt,
+		Target:  c.flow.binding.Target,
 		Payload: payload,
 		Err:     err,
 	})
--- a/caller/session/session.go
+++ b/caller/session/session.go
@@ -34,6 +34,7 @@
 	Flow    FlowID
 	Key     message.RequestKey // key of the last attempt; ID 0: never sent
 	Attempt uint32             // last attempt sent under Key
+	Target  message.TargetID   // of the flow when the call ended; 0: none
 	Payload []byte             // whole answer
 	Err     error
 }
--- a/lab/await.go
+++ b/lab/await.go
@@ -25,11 +25,13 @@
 	MinFlows int      // flows of all targets together
 	Leaving  string   // "service/target" that must have no flows any more
 	URLs     []string // must answer 200
+	Revision int64    // lowest table revision that each VM must have
 }
 
 // vmStatus is what Await reads of a VM's answer.
 type vmStatus struct {
 	VM      string   `json:"vm"`
+	Table   int64    `json:"table_revision"`
 	Members []string `json:"members"`
 	Owned   []struct {
 		Target string `json:"target"`
@@ -128,6 +130,9 @@
 	owners := make(map[string][]string)
 	flows, leavingFlows := 0, 0
 	for _, s := range statuses {
+		if s.Table < c.Revision {
+			return fmt.Sprintf("%s has table revision %d instead of %d", s.VM, s.Table, c.Revision)
+		}
 		if c.Members > 0 && len(s.Members) != c.Members {
 			return fmt.Sprintf("%s knows %d live VMs instead of %d: %s", s.VM, len(s.Members), c.Members, strings.Join(s.Members, " "))
 		}
@@ -191,6 +196,7 @@
 	flags.StringSliceVar(&c.Admins, "admin", nil, "admin addresses of VMs that must answer")
 	flags.IntVar(&c.Members, "members", 0, "number of live VMs that each of them must know")
 	flags.IntVar(&c.Targets, "targets", 0, "number of targets that must have exactly one owner, without a running handover")
+	flags.Int64Var(&c.Revision, "revision", 0, "lowest table revision that each of them must have")
 	flags.IntVar(&c.MinFlows, "flows", 0, "number of flows that the targets must have together")
 	flags.StringVar(&workload, "open", "", "workload file whose flows must be open")
 	flags.Float64Var(&scale, "scale", 1, "factor of that workload's scale")
--- a/lab/command.go
+++ b/lab/command.go
@@ -221,6 +221,7 @@
 	flags.Float64Var(&o.OpenRate, "open-rate", 0, "flows per second while flows are opened; 0: that of the workload, scaled")
 	flags.BoolVar(&o.NoBrokenFlows, "no-broken-flows", false, "fail if a flow breaks")
 	flags.BoolVar(&o.NoCutCalls, "no-cut-calls", false, "fail if a call ends as may have run, at its deadline or cancelled, as in a run of planned changes only")
+	flags.BoolVar(&o.TypedFailures, "typed-failures", false, "fail if a call ends without an answer, a typed refusal or its deadline")
 	flags.BoolVar(&o.AllowMissing, "allow-missing", false, "accept targets whose records can't be read")
 	return cmd
 }
--- a/lab/generator.go
+++ b/lab/generator.go
@@ -57,6 +57,7 @@
 	outstanding int
 	records     map[uint64]*record     // by xxHash64 of the payload
 	busy        map[session.FlowID]int // calls in progress
+	impacts     *impacts
 	openTimeout time.Duration
 	openEnds    time.Duration
 	err         error // why the load was not made; valid after done
@@ -95,6 +96,7 @@
 		rng:     rand.New(rand.NewPCG(o.Seed, 1)),
 		records: make(map[uint64]*record),
 		busy:    make(map[session.FlowID]int),
+		impacts: newImpacts(o.Targets, o.Duration),
 		done:    make(chan struct{}),
 	}
 	for i := range w.Services {
@@ -178,6 +180,7 @@
 		g.outstanding--
 		g.endOn(e.result.Flow)
 		e.stream.tally.ended(e.record, e.payload, e.result, e.at-e.scheduled)
+		g.impacts.ended(e.scheduled-(g.endsAt-g.duration), e.at-e.scheduled, e.result)
 	}
 	return true
 }
--- a/lab/load.go
+++ b/lab/load.go
@@ -39,6 +39,9 @@
 	// NoCutCalls counts a call that ends as "may have run", at its deadline or
 	// cancelled as a broken promise, for runs of planned changes only.
 	NoCutCalls bool
+	// TypedFailures counts a call that ends neither by an answer nor by a typed
+	// refusal or its deadline as a broken promise.
+	TypedFailures bool
 	// AllowMissing accepts a run in which some targets' records can't be read,
 	// for experiments that kill targets. Their executions are then not checked.
 	AllowMissing bool
@@ -101,6 +104,9 @@
 	if cut := r.cutCalls(); o.NoCutCalls && cut > 0 {
 		return fmt.Errorf("%d calls were cut: %w", cut, ErrPromiseBroken)
 	}
+	if untyped := r.untypedFailures(); o.TypedFailures && untyped > 0 {
+		return fmt.Errorf("%d calls failed without a typed reason: %w", untyped, ErrPromiseBroken)
+	}
 	if missing := r.missing(); missing > 0 && !o.AllowMissing {
 		return fmt.Errorf("%d targets: %w", missing, ErrTarget)
 	}
@@ -116,6 +122,16 @@
 	return count
 }
 
+// untypedFailures counts the calls that failed otherwise than by a refusal or
+// their deadline.
+func (r *Report) untypedFailures() int {
+	count := 0
+	for _, k := range r.Kinds {
+		count += k.Cancelled
+	}
+	return count
+}
+
 func seedOf(seed, run uint64) (s [32]byte) {
 	binary.BigEndian.PutUint64(s[:], seed)
 	binary.BigEndian.PutUint64(s[8:], run)
@@ -195,6 +211,7 @@
 		Workload: o.Workload.Name, Seed: o.Seed, Seconds: o.Duration.Seconds(), BrokenFlows: state.counters.Broken,
 		Promises: promises, Kinds: g.kindReports(), Session: state.counters,
 		Targets: targetReports(o.Workload, o.Targets, state.flows, work),
+		Impacts: g.impacts.report(),
 	}
 	for i := range r.Targets {
 		r.Targets[i].PeakInFlight = seen[i].stats.PeakInFlight
--- a/lab/report.go
+++ b/lab/report.go
@@ -22,6 +22,7 @@
 	Promises    Promises           `json:"promises"`
 	Kinds       []KindReport       `json:"kinds"`
 	Targets     []TargetReport     `json:"targets"`
+	Impacts     []DomainImpact     `json:"impacts"` // by failure domain of the targets
 	Session     session.Counters   `json:"session"`
 	Sockets     caller.SocketStats `json:"sockets"`
 	Fabric      fabric.Stats       `json:"fabric"`
@@ -80,6 +81,9 @@
 	if err := t.Flush(); err != nil {
 		return fmt.Errorf("write report: %w", err)
 	}
+	if err := r.writeImpacts(w); err != nil {
+		return err
+	}
 	p := r.Promises
 	c := r.Session
 	_, err := fmt.Fprintf(w, "\nrefusals: not run %d, may have run %d, flow unknown %d, busy %d; retries %d, retransmitted datagrams %d\n%s"+
@@ -92,6 +96,18 @@
 	return nil
 }
 
+// writeImpacts writes the failure domains in which calls were affected.
+func (r *Report) writeImpacts(w io.Writer) error {
+	text := ""
+	for _, d := range r.Impacts {
+		text += d.String() + "\n"
+	}
+	if _, err := fmt.Fprintf(w, "\n%s", text); err != nil {
+		return fmt.Errorf("write report: %w", err)
+	}
+	return nil
+}
+
 // imbalance names the target of each service whose flows exceed its share most.
 func (r *Report) imbalance() string {
 	worst := make(map[string]*TargetReport)
