--- a/lab/tools_test.go
+++ b/lab/tools_test.go
@@ -17,6 +17,7 @@
 	"github.com/matryer/is"
 
 	"github.com/gypsumspan/gypsumspan/decide/sheet"
+	"github.com/gypsumspan/gypsumspan/standin/relay"
 	standin "github.com/gypsumspan/gypsumspan/standin/store"
 	"github.com/gypsumspan/gypsumspan/store"
 )
@@ -99,6 +100,7 @@
 		{"whole fleet", []string{`{"vm":"a","members":["a","b"],"owned":[{"target":"s/t1","phase":"active","flows":2}]}`,
 			`{"vm":"b","members":["a","b"],"owned":[{"target":"s/t2","phase":"active","flows":1},{"target":"s/t1","phase":"idle"}]}`},
 			Condition{Members: 2, Targets: 2, MinFlows: 3, Leaving: "s/t3"}, ""},
+		{"old table", []string{`{"vm":"a","table_revision":6}`, `{"vm":"b","table_revision":5}`}, Condition{Revision: 6}, "b has table revision 5 instead of 6"},
 		{"unknown member", []string{`{"vm":"a","members":["a"]}`}, Condition{Members: 2}, "a knows 1 live VMs instead of 2"},
 		{"handover", []string{`{"vm":"a","owned":[{"target":"s/t1","phase":"sending"}]}`}, Condition{Targets: 1}, "a has s/t1 in phase sending"},
 		{"no owner", []string{`{"vm":"a"}`}, Condition{Targets: 1}, "0 targets have an owner instead of 1"},
@@ -149,3 +151,16 @@
 	refused := &Report{Kinds: []KindReport{{Outcomes: Outcomes{NotRun: 1}}}}
 	is.NoErr(refused.verdict(LoadOptions{NoCutCalls: true, NoBrokenFlows: true}))
 }
+
+// TestRelayLinks guards against a link that is read in the wrong direction, and
+// faults that are accepted.
+func TestRelayLinks(t *testing.T) {
+	is := is.New(t)
+	links, err := parseLinks([]string{"127.0.0.1:1=127.0.1.1:2"})
+	is.NoErr(err)
+	is.Equal(links, []relay.Link{{Advertised: netip.MustParseAddrPort("127.0.0.1:1"), Real: netip.MustParseAddrPort("127.0.1.1:2")}})
+	for _, entry := range []string{"127.0.0.1:1", "127.0.0.1:1=", "=127.0.0.1:1", "localhost:1=127.0.0.1:1"} {
+		_, err := parseLinks([]string{entry})
+		is.True(errors.Is(err, ErrOption))
+	}
+}
