--- a/decide/vm/answers.go
+++ b/decide/vm/answers.go
@@ -218,37 +218,13 @@
 	if t == nil {
 		return
 	}
-	v.noteReached(t, m.Reached)
+	t.reached = t.reached || m.Reached
 	if !m.Reached && v.silent(t) {
 		t.health.Outcome(v.now, health.Unreachable)
 	}
 	t.health.Report(v.now, m)
 }
 
-// mergeTime is the time after the heal of a partition in which the VMs of both
-// sides find each other: probes of dead VMs are up to 4 s apart for a control
-// link in back-off, most take less than 3 s.
-const mergeTime = 3 * time.Second
-
-// noteReached notes the result of a health check of a target that was not reached
-// yet. If checks failed before, its failure domain was cut off and its VMs may
-// still serve it. The owner then waits until they had the time to take it back;
-// otherwise both would dispatch, and the limit would be exceeded.
-func (v *VM) noteReached(t *target, reached bool) {
-	switch {
-	case t.reached:
-	case !reached:
-		t.unreached = true
-		t.reachable = 0
-	case !t.unreached:
-		t.reached = true
-	case t.reachable == 0:
-		t.reachable = v.now
-	case v.now-t.reachable >= mergeTime:
-		t.reached = true
-	}
-}
-
 // silentAfter is the time without an answer after which a target with requests in
 // flight counts as silent. Their deadlines would tell only seconds later.
 const silentAfter = time.Second
--- a/decide/vm/target.go
+++ b/decide/vm/target.go
@@ -31,19 +31,17 @@
 	// first activation.
 	epochs []message.Epoch
 	// lost are epochs under which the target crashed and lost its flows.
-	lost      []message.Epoch
-	flows     *flowtable.Table
-	log       *requestlog.Log
-	queue     *admission.Queue
-	health    *health.Tracker
-	reached   bool          // the target has answered a health check or a request
-	unreached bool          // a health check failed before the target was reached
-	reachable time.Duration // when health checks began to succeed after that; 0: not yet
-	answered  time.Duration // last answer to a request
-	ejected   bool          // out of service for health
-	pending   map[message.RequestKey]*pending
-	moved     map[message.FlowID]movedFlow // flows that now belong to other targets
-	moving    map[message.FlowID]*move
+	lost     []message.Epoch
+	flows    *flowtable.Table
+	log      *requestlog.Log
+	queue    *admission.Queue
+	health   *health.Tracker
+	reached  bool          // the target has answered a health check or a request
+	answered time.Duration // last answer to a request
+	ejected  bool          // out of service for health
+	pending  map[message.RequestKey]*pending
+	moved    map[message.FlowID]movedFlow // flows that now belong to other targets
+	moving   map[message.FlowID]*move
 	// departing and departed describe the moves of a leaving target for notices.
 	departing bool
 	departed  int // flows that have moved
