Authenticate control links by mutual TLS

Cause: whoever reached a control address could send a Heartbeat or a Handover in the name of any VM.

Ruled out: verification by crypto/tls itself, since it compares certificates with host names or addresses and a VM keeps neither; session tickets, since a resumed session does not see a CA that was removed; a handshake without a byte of acceptance, since in TLS 1.3 the client's end finishes first and a refused VM would dial for each message without back-off.

A certificate names one VM as gypsumspan://<domain>/<vm>. The hello and the sender of heartbeats are compared with it; the receiver too. Open links are given up when the certificate runs out or its CA is gone. Without [tls] links stay plain and GS2201 is written once. standin/ca issues test certificates.

Result: go test -race -count 5 ./certs ./services/peers passes with right, foreign, expired, swapped and missing certificates and a rotation of certificate and CA.

--- a/daemon/assemble.go
+++ b/daemon/assemble.go
@@ -23,6 +23,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: machine: %w", ErrAssemble, err)
 	}
+	security, err := openSecurity(s)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrAssemble, err)
+	}
 	// The order matters where services do not need each other: admin and signals
 	// stop after core, so that they answer during the planned leave.
 	list := []kernel.Service{
@@ -34,6 +38,7 @@
 		core.New(machine),
 		newHealthcheck(s, config),
 	}
+	list = append(list, security...)
 	if s.VMList.URL != "" {
 		list = append(list, newVMList(s, config))
 	}
@@ -74,6 +79,7 @@
 		DialTimeout:  s.Timings.PeerDialTimeout,
 		WriteTimeout: s.Timings.PeerWriteTimeout,
 		Idle:         s.Timings.PeerIdle,
+		TLS:          s.TLS.On(),
 	})
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -142,6 +142,9 @@
 		events.F("control", s.Listen.Control),
 		events.F("admin", s.Listen.Admin),
 		events.F("version", version))
+	if !s.TLS.On() {
+		logger.Log(events.TLSOff, events.F("vm", s.VM.Name))
+	}
 }
 
 func logEnd(logger *events.Logger, s *settings.Settings, err error) {
--- /dev/null
+++ b/daemon/security.go
@@ -0,0 +1,40 @@
+package daemon
+
+import (
+	"crypto/x509"
+	"fmt"
+
+	"github.com/gypsumspan/gypsumspan/certs"
+	"github.com/gypsumspan/gypsumspan/kernel"
+	"github.com/gypsumspan/gypsumspan/services/certwatch"
+	"github.com/gypsumspan/gypsumspan/settings"
+)
+
+// openSecurity returns the service "certs", or none when TLS is off.
+func openSecurity(s *settings.Settings) ([]kernel.Service, error) {
+	if !s.TLS.On() {
+		return nil, nil
+	}
+	source, err := certs.Open(certs.Config{
+		Files: certs.Files{CA: s.TLS.CA, Cert: s.TLS.Cert, Key: s.TLS.Key},
+		Check: isOwn(certs.VM{Name: s.VM.Name, Domain: s.VM.Domain}),
+	})
+	if err != nil {
+		return nil, fmt.Errorf("tls: %w", err)
+	}
+	return []kernel.Service{certwatch.New(source, 0)}, nil
+}
+
+// isOwn returns a check that a certificate names self.
+func isOwn(self certs.VM) func(*x509.Certificate) error {
+	return func(cert *x509.Certificate) error {
+		vm, err := certs.VMOf(cert)
+		if err != nil {
+			return err
+		}
+		if vm != self {
+			return fmt.Errorf("certificate of %s on VM %s: %w", vm, self, certs.ErrIdentity)
+		}
+		return nil
+	}
+}
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -60,6 +60,42 @@
 		Fields:  []string{"peer", "error"}})
 )
 
+// Events of certificates, GS2200 to GS2299.
+var (
+	// TLSOff is written once at the start when the settings have no [tls] section.
+	TLSOff = declare(Event{Number: "GS2201", Level: Warn, Name: "tls_off",
+		Message: "control links and the admin address are not authenticated",
+		Fields:  []string{"vm"}})
+	// PeerRefused is written when the handshake of an incoming control link fails.
+	PeerRefused = declare(Event{Number: "GS2202", Level: Warn, Name: "peer_refused", Limited: true,
+		Message: "incoming control link was refused because of its certificate",
+		Fields:  []string{"remote", "error"}})
+	// PeerUntrusted is written when the VM at a control address is not the expected one.
+	PeerUntrusted = declare(Event{Number: "GS2203", Level: Warn, Name: "peer_untrusted", Limited: true,
+		Message: "control link was given up because of the peer's certificate",
+		Fields:  []string{"peer", "control", "error"}})
+	// PeerMismatch is written when a control message names another VM than its sender's certificate.
+	PeerMismatch = declare(Event{Number: "GS2204", Level: Warn, Name: "peer_mismatch", Limited: true,
+		Message: "control message was dropped because it names another VM than the certificate",
+		Fields:  []string{"certificate", "remote", "error"}})
+	// CertificatesReloaded is written when changed certificate files are in use.
+	CertificatesReloaded = declare(Event{Number: "GS2205", Level: Info, Name: "certificates_reloaded",
+		Message: "changed certificates are in use",
+		Fields:  []string{"expires"}})
+	// CertificatesUnusable is written when certificate files can't be used.
+	CertificatesUnusable = declare(Event{Number: "GS2206", Level: Error, Name: "certificates_unusable", Limited: true,
+		Message: "certificate files can't be used, the former ones stay in use",
+		Fields:  []string{"error"}})
+	// CertificateExpires is written when the own certificate runs out soon.
+	CertificateExpires = declare(Event{Number: "GS2207", Level: Warn, Name: "certificate_expires",
+		Message: "own certificate runs out soon",
+		Fields:  []string{"expires", "left"}})
+	// CertificateExpired is written when the own certificate has run out.
+	CertificateExpired = declare(Event{Number: "GS2208", Level: Error, Name: "certificate_expired",
+		Message: "own certificate has run out",
+		Fields:  []string{"expires"}})
+)
+
 // Events of polling, GS3000 to GS3199.
 var (
 	// VMListFailed is written when the platform's VM list can't be read.
--- a/services/admin/admin.go
+++ b/services/admin/admin.go
@@ -21,6 +21,7 @@
 
 	"github.com/gypsumspan/gypsumspan/decide/message"
 	"github.com/gypsumspan/gypsumspan/kernel"
+	"github.com/gypsumspan/gypsumspan/services/certwatch"
 	"github.com/gypsumspan/gypsumspan/services/core"
 	"github.com/gypsumspan/gypsumspan/services/logs"
 	"github.com/gypsumspan/gypsumspan/services/peers"
@@ -96,6 +97,7 @@
 	udp      interface{ Stats() udp.Stats }        // nil when there is none
 	peers    interface{ Stats() peers.Stats }      // nil when there is none
 	store    interface{ Stats() storewatch.Stats } // nil when there is none
+	certs    certwatch.Certificates                // nil when TLS is off
 	listener net.Listener
 	server   *http.Server
 }
@@ -136,6 +138,7 @@
 	s.udp, _ = kernel.Lookup[interface{ Stats() udp.Stats }](k, core.UDPName)
 	s.peers, _ = kernel.Lookup[interface{ Stats() peers.Stats }](k, core.PeersName)
 	s.store, _ = kernel.Lookup[interface{ Stats() storewatch.Stats }](k, storewatch.Name)
+	s.certs, _ = kernel.Lookup[certwatch.Certificates](k, certwatch.Name)
 	s.server = &http.Server{
 		Handler:        s.handler(),
 		ReadTimeout:    readTimeout,
--- a/services/admin/admin_test.go
+++ b/services/admin/admin_test.go
@@ -17,14 +17,17 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
+	"github.com/gypsumspan/gypsumspan/certs"
 	"github.com/gypsumspan/gypsumspan/decide/message"
 	"github.com/gypsumspan/gypsumspan/events"
 	"github.com/gypsumspan/gypsumspan/kernel"
+	"github.com/gypsumspan/gypsumspan/services/certwatch"
 	"github.com/gypsumspan/gypsumspan/services/core"
 	"github.com/gypsumspan/gypsumspan/services/logs"
 	"github.com/gypsumspan/gypsumspan/services/peers"
 	"github.com/gypsumspan/gypsumspan/services/storewatch"
 	"github.com/gypsumspan/gypsumspan/services/udp"
+	"github.com/gypsumspan/gypsumspan/standin/ca"
 )
 
 const testLimit = 20 * time.Second
@@ -81,6 +84,28 @@
 func (storeStub) Connect(*kernel.Kernel) error { return nil }
 func (storeStub) Stats() storewatch.Stats      { return storewatch.Stats{Reads: 3} }
 
+// newSource returns the certificates of a VM.
+func newSource(t *testing.T) *certs.Source {
+	t.Helper()
+	authority, err := ca.New(ca.For(time.Hour))
+	if err != nil {
+		t.Fatal(err)
+	}
+	pair, err := authority.VM(certs.VM{Name: "vm-1", Domain: "north"}, ca.For(time.Hour))
+	if err != nil {
+		t.Fatal(err)
+	}
+	files, err := authority.Write(t.TempDir(), "vm", pair)
+	if err != nil {
+		t.Fatal(err)
+	}
+	source, err := certs.Open(certs.Config{Files: files})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return source
+}
+
 func start(t *testing.T, c kernel.Service, wait time.Duration) (*Service, *events.Recorder) {
 	t.Helper()
 	before := goleak.IgnoreCurrent()
@@ -91,7 +116,7 @@
 	k := kernel.New(kernel.NewClock())
 	for _, service := range []kernel.Service{
 		logs.New(logger), udp.New(udp.Config{Callers: loopback, Data: loopback}, nil),
-		peers.New(peers.Config{Listen: loopback}), storeStub{}, s, c,
+		peers.New(peers.Config{Listen: loopback}), storeStub{}, certwatch.New(newSource(t), 0), s, c,
 	} {
 		if err := k.Register(service); err != nil {
 			t.Fatal(err)
--- a/services/admin/metrics.go
+++ b/services/admin/metrics.go
@@ -24,6 +24,7 @@
 	s.readUDP(scope)
 	s.readPeers(scope)
 	s.readStore(scope)
+	s.readCerts(scope)
 	machine, err := s.readMachine(r)
 	if err != nil {
 		s.write(w, r, "", nil, err)
@@ -96,6 +97,8 @@
 		"peers_sessions_refused_total": stats.SessionsRefused,
 		"peers_backoff_drops_total":    stats.BackoffDrops,
 		"peers_failed_drops_total":     stats.FailedDrops,
+		"peers_refused_total":          stats.Refused,
+		"peers_mismatches_total":       stats.Mismatches,
 	})
 }
 
@@ -113,6 +116,21 @@
 	})
 }
 
+// readCerts reports the seconds until the certificate runs out, which need no
+// clock of the reader and turn negative after the end.
+func (s *Service) readCerts(scope tally.Scope) {
+	if s.certs == nil {
+		return
+	}
+	stats := s.certs.Stats()
+	left := stats.Expires.Sub(s.certs.Source().Now())
+	scope.Gauge("certificate_left_seconds").Update(left.Seconds())
+	count(scope, map[string]uint64{
+		"certificate_reloads_total":  stats.Reloads,
+		"certificate_failures_total": stats.Failures,
+	})
+}
+
 func count(scope tally.Scope, values map[string]uint64) {
 	for name, value := range values {
 		scope.Counter(name).Inc(int64(value))
--- a/services/peers/link.go
+++ b/services/peers/link.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+
+	"github.com/gypsumspan/gypsumspan/certs"
 )
 
 // link is an outgoing link. One sending duty uses it.
@@ -14,6 +16,7 @@
 	service *Service
 	session *yamux.Session
 	stream  *yamux.Stream
+	peer    *certs.Peer // nil: plain TCP
 }
 
 // dial opens a link and sends the hello.
@@ -23,7 +26,15 @@
 	if err != nil {
 		return nil, fmt.Errorf("dial: %w", err)
 	}
-	counted := &countedConn{Conn: conn, sent: &s.count.bytesSent, received: &s.count.bytesReceived}
+	var counted net.Conn = &countedConn{Conn: conn, sent: &s.count.bytesSent, received: &s.count.bytesReceived}
+	var peer *certs.Peer
+	if s.certs != nil {
+		counted, peer, err = s.clientHandshake(counted)
+		if err != nil {
+			conn.Close()
+			return nil, fmt.Errorf("TLS handshake: %w", err)
+		}
+	}
 	session, err := yamux.Client(counted, yamuxConfig(s.config.WriteTimeout))
 	if err != nil {
 		conn.Close()
@@ -34,7 +45,7 @@
 		return nil, ErrClosed
 	}
 	s.count.links.Add(1)
-	l := &link{service: s, session: session}
+	l := &link{service: s, session: session, peer: peer}
 	if err := l.start(); err != nil {
 		l.close()
 		return nil, err
--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -10,9 +10,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gypsumspan/gypsumspan/certs"
 	"github.com/gypsumspan/gypsumspan/decide/message"
 	"github.com/gypsumspan/gypsumspan/decide/rendezvous"
 	"github.com/gypsumspan/gypsumspan/kernel"
+	"github.com/gypsumspan/gypsumspan/services/certwatch"
 	"github.com/gypsumspan/gypsumspan/services/core"
 	"github.com/gypsumspan/gypsumspan/services/logs"
 )
@@ -54,6 +56,8 @@
 	WriteTimeout time.Duration // of one message
 	Idle         time.Duration // an unused link is closed after this
 	MaxSessions  int           // incoming links
+	// TLS authenticates links by the certificates of the service "certs".
+	TLS bool
 }
 
 func (c *Config) setDefaults() {
@@ -85,6 +89,8 @@
 	SessionsRefused uint64 // incoming links above MaxSessions
 	BackoffDrops    uint64 // messages to a peer in back-off
 	FailedDrops     uint64 // messages lost by a failed dial, write or encoding
+	Refused         uint64 // links in either direction, because of the peer's certificate
+	Mismatches      uint64 // messages and links that name another VM than the certificate
 }
 
 type counters struct {
@@ -93,6 +99,7 @@
 	dialsFailed, linksFailed                 atomic.Uint64
 	sessionsFailed, sessionsRefused          atomic.Uint64
 	backoffDrops, failedDrops                atomic.Uint64
+	refused, mismatches                      atomic.Uint64
 }
 
 // Inbox takes received messages; it is the service "core".
@@ -106,6 +113,7 @@
 	kernel   *kernel.Kernel
 	log      logs.Log
 	inbox    Inbox
+	certs    *certs.Source // nil: plain TCP
 	listener net.Listener
 	senders  [senderCount]*sender
 	count    counters
@@ -129,7 +137,12 @@
 func (s *Service) Name() string { return core.PeersName }
 
 // Needs implements kernel.Service.
-func (s *Service) Needs() []string { return []string{logs.Name} }
+func (s *Service) Needs() []string {
+	if s.config.TLS {
+		return []string{logs.Name, certwatch.Name}
+	}
+	return []string{logs.Name}
+}
 
 // Setup opens the listening socket.
 func (s *Service) Setup(k *kernel.Kernel) error {
@@ -155,6 +168,13 @@
 	if s.inbox, err = kernel.Lookup[Inbox](k, core.Name); err != nil {
 		return err
 	}
+	if s.config.TLS {
+		source, err := kernel.Lookup[certwatch.Certificates](k, certwatch.Name)
+		if err != nil {
+			return err
+		}
+		s.certs = source.Source()
+	}
 	for _, d := range s.senders {
 		k.AddDuty(kernel.Duty{Name: d.name, Gate: d.gate, Step: d.step})
 	}
@@ -228,6 +248,8 @@
 		SessionsRefused: c.sessionsRefused.Load(),
 		BackoffDrops:    c.backoffDrops.Load(),
 		FailedDrops:     c.failedDrops.Load(),
+		Refused:         c.refused.Load(),
+		Mismatches:      c.mismatches.Load(),
 	}
 }
 
--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -16,6 +16,7 @@
 	"github.com/gypsumspan/gypsumspan/decide/message"
 	"github.com/gypsumspan/gypsumspan/events"
 	"github.com/gypsumspan/gypsumspan/kernel"
+	"github.com/gypsumspan/gypsumspan/services/certwatch"
 	"github.com/gypsumspan/gypsumspan/services/core"
 	"github.com/gypsumspan/gypsumspan/services/logs"
 	"github.com/gypsumspan/gypsumspan/wire"
@@ -44,18 +45,24 @@
 	t        *testing.T
 	inbox    *inbox
 	recorder *events.Recorder
+	certs    *certwatch.Service // nil: plain TCP
 	cancel   context.CancelFunc
 	done     chan error
 }
 
-func newNode(t *testing.T, k *kernel.Kernel, config Config) *node {
+func newNode(t *testing.T, k *kernel.Kernel, config Config, security ...*certwatch.Service) *node {
 	t.Helper()
 	if !config.Listen.IsValid() {
 		config.Listen = netip.MustParseAddrPort("127.0.0.1:0")
 	}
 	recorder, logger := events.NewRecorder(nil)
 	n := &node{Service: New(config), t: t, recorder: recorder, inbox: &inbox{messages: make(chan message.Message, 64)}}
-	for _, s := range []kernel.Service{logs.New(logger), n.Service, n.inbox} {
+	services := []kernel.Service{logs.New(logger), n.Service, n.inbox}
+	for _, s := range security {
+		n.certs = s
+		services = append(services, s)
+	}
+	for _, s := range services {
 		if err := k.Register(s); err != nil {
 			t.Fatal(err)
 		}
@@ -64,10 +71,10 @@
 }
 
 // startNode runs a node in a threaded kernel until the test ends.
-func startNode(t *testing.T, config Config) *node {
+func startNode(t *testing.T, config Config, security ...*certwatch.Service) *node {
 	t.Helper()
 	k := kernel.New(kernel.NewClock())
-	n := newNode(t, k, config)
+	n := newNode(t, k, config, security...)
 	if err := k.Assemble(); err != nil {
 		t.Fatal(err)
 	}
@@ -91,11 +98,11 @@
 }
 
 // steppedNode returns a sending node whose duties run in the returned stepper.
-func steppedNode(t *testing.T, config Config) (*node, *kernel.Stepper) {
+func steppedNode(t *testing.T, config Config, security ...*certwatch.Service) (*node, *kernel.Stepper) {
 	t.Helper()
 	stepper := kernel.NewStepper(1)
 	k := kernel.NewStepped(stepper)
-	n := newNode(t, k, config)
+	n := newNode(t, k, config, security...)
 	if err := stepper.Add(k); err != nil {
 		t.Fatal(err)
 	}
--- a/services/peers/sender.go
+++ b/services/peers/sender.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"net/netip"
@@ -137,7 +138,15 @@
 		d.service.count.backoffDrops.Add(1)
 		return
 	}
-	event, err := d.deliver(p, m.To.Addr, data)
+	event, err := d.deliver(p, m.To, data)
+	if errors.Is(err, errMismatch) {
+		// The address belongs to another VM now, which may be healthy: the link
+		// stays and there is no back-off.
+		d.service.count.mismatches.Add(1)
+		d.service.count.failedDrops.Add(1)
+		d.service.log.Log(event, events.F("peer", peerName(m.To)), events.F("control", m.To.Addr), events.F("error", err))
+		return
+	}
 	if err != nil {
 		// One line for each outage of a peer: dead VMs are tried for an hour.
 		if p.failures == 0 {
@@ -162,13 +171,16 @@
 // deliver writes data on the peer's link. A link that was open before and
 // fails at once, as after a restart of the peer, is replaced by a new one. It
 // returns the event to log with an error.
-func (d *sender) deliver(p *peer, addr netip.AddrPort, data []byte) (*events.Event, error) {
-	if p.link != nil && p.link.isClosed() {
+func (d *sender) deliver(p *peer, to message.Address, data []byte) (*events.Event, error) {
+	if p.link != nil && (p.link.isClosed() || p.link.isRefused()) {
 		p.closeLink()
 	}
 	reused := p.link != nil
-	if err := d.connect(p, addr); err != nil {
-		return events.PeerUnreachable, err
+	if event, err := d.connect(p, to.Addr); err != nil {
+		return event, err
+	}
+	if err := checkReceiver(p.link.peer, to.VM); err != nil {
+		return events.PeerUntrusted, err
 	}
 	err := p.link.write(data)
 	if err == nil {
@@ -179,8 +191,11 @@
 	if !reused || isTimeout(err) {
 		return events.PeerLinkFailed, err
 	}
-	if err := d.connect(p, addr); err != nil {
-		return events.PeerUnreachable, err
+	if event, err := d.connect(p, to.Addr); err != nil {
+		return event, err
+	}
+	if err := checkReceiver(p.link.peer, to.VM); err != nil {
+		return events.PeerUntrusted, err
 	}
 	if err := p.link.write(data); err != nil {
 		d.service.count.linksFailed.Add(1)
@@ -190,21 +205,26 @@
 	return nil, nil
 }
 
-// connect opens the peer's link unless it is open.
-func (d *sender) connect(p *peer, addr netip.AddrPort) error {
+// connect opens the peer's link unless it is open. It returns the event to log
+// with an error.
+func (d *sender) connect(p *peer, addr netip.AddrPort) (*events.Event, error) {
 	if p.link != nil {
-		return nil
+		return nil, nil
 	}
 	if !addr.IsValid() {
-		return ErrNoAddress
+		return events.PeerUnreachable, ErrNoAddress
 	}
 	l, err := d.service.dial(addr)
 	if err != nil {
 		d.service.count.dialsFailed.Add(1)
-		return err
+		if isRefusal(err) {
+			d.service.count.refused.Add(1)
+			return events.PeerUntrusted, err
+		}
+		return events.PeerUnreachable, err
 	}
 	p.link = l
-	return nil
+	return nil, nil
 }
 
 // noteFailure starts the back-off of a peer whose attempt began at began.
--- a/services/peers/session.go
+++ b/services/peers/session.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/yamux"
 	"github.com/panjf2000/ants/v2"
 
+	"github.com/gypsumspan/gypsumspan/certs"
 	"github.com/gypsumspan/gypsumspan/decide/message"
 	"github.com/gypsumspan/gypsumspan/events"
 	"github.com/gypsumspan/gypsumspan/kernel"
@@ -95,7 +96,17 @@
 	s.count.sessions.Add(1)
 	defer s.count.sessions.Add(-1)
 	remote := remoteAddr(conn)
-	counted := &countedConn{Conn: conn, sent: &s.count.bytesSent, received: &s.count.bytesReceived}
+	var counted net.Conn = &countedConn{Conn: conn, sent: &s.count.bytesSent, received: &s.count.bytesReceived}
+	var peer *certs.Peer
+	if s.certs != nil {
+		var err error
+		counted, peer, err = s.serverHandshake(counted)
+		if err != nil {
+			conn.Close()
+			s.refuse(remote, err)
+			return
+		}
+	}
 	session, err := yamux.Server(counted, yamuxConfig(s.config.WriteTimeout))
 	if err != nil {
 		conn.Close()
@@ -106,7 +117,14 @@
 		return
 	}
 	defer s.open.remove(session)
-	if err := s.read(session, remote); err != nil && !s.open.isClosed() {
+	err = s.read(session, remote, peer)
+	switch {
+	case err == nil || s.open.isClosed():
+	case errors.Is(err, errMismatch):
+		s.noteMismatch(peer, remote, err)
+	case isRefusal(err):
+		s.refuse(remote, err)
+	default:
 		s.count.sessionsFailed.Add(1)
 		s.log.Log(events.PeerSessionFailed, events.F("remote", remote), events.F("error", err))
 	}
@@ -119,7 +137,7 @@
 
 // read hands the messages of a session to the inbox. It returns nil when the
 // sender closed the link or left it idle.
-func (s *Service) read(session *yamux.Session, remote netip.AddrPort) error {
+func (s *Service) read(session *yamux.Session, remote netip.AddrPort, peer *certs.Peer) error {
 	ctx, cancel := context.WithTimeout(context.Background(), helloTimeout)
 	defer cancel()
 	stream, err := session.AcceptStreamWithContext(ctx)
@@ -133,6 +151,9 @@
 	if err != nil {
 		return err
 	}
+	if err := checkID(peer, id); err != nil {
+		return err
+	}
 	from := message.VMAddress(id, remote)
 	frames := &frameReader{r: stream}
 	for {
@@ -143,6 +164,15 @@
 		if err != nil {
 			return sessionEnd(session, err)
 		}
+		if peer != nil {
+			if err := peer.Check(); err != nil {
+				return err
+			}
+		}
+		if err := checkSender(peer, body); err != nil {
+			s.noteMismatch(peer, remote, err)
+			continue
+		}
 		s.count.received.Add(1)
 		if err := s.inbox.Put(message.Message{From: from, Body: body}); err != nil {
 			return nil
--- /dev/null
+++ b/services/peers/tls.go
@@ -0,0 +1,158 @@
+package peers
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/certs"
+	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/events"
+)
+
+// welcome is the byte that the accepting end sends once it has checked the
+// client's certificate. In TLS 1.3 the client's handshake ends before that; a
+// refused VM would otherwise take the link for open and dial without back-off.
+const welcome = 0x01
+
+// errMismatch means that a message names another VM than the certificate.
+var errMismatch = errors.New("another VM than in the certificate")
+
+// tlsConn reports an end without the closing alert as a usual end, as plain TCP
+// does: a killed VM sends none, and messages carry their length.
+type tlsConn struct {
+	*tls.Conn
+}
+
+// Read implements net.Conn.
+func (c tlsConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.ErrUnexpectedEOF) {
+		err = io.EOF
+	}
+	return n, err
+}
+
+// clientHandshake authenticates an outgoing link within the dial time-out.
+func (s *Service) clientHandshake(conn net.Conn) (net.Conn, *certs.Peer, error) {
+	ctx, cancel := context.WithTimeout(s.dialing, s.config.DialTimeout)
+	defer cancel()
+	c := tls.Client(conn, s.certs.VMClient())
+	if err := c.HandshakeContext(ctx); err != nil {
+		return nil, nil, err
+	}
+	if err := readWelcome(c, s.config.DialTimeout); err != nil {
+		return nil, nil, err
+	}
+	peer, err := s.certs.NewPeer(c.ConnectionState(), true)
+	return tlsConn{c}, peer, err
+}
+
+func readWelcome(c *tls.Conn, timeout time.Duration) error {
+	if err := c.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return fmt.Errorf("set read deadline: %w", err)
+	}
+	var answer [1]byte
+	if _, err := io.ReadFull(c, answer[:]); err != nil {
+		return fmt.Errorf("peer did not accept the link: %w", err)
+	}
+	if answer[0] != welcome {
+		return fmt.Errorf("byte %#x after the handshake: %w", answer[0], ErrHello)
+	}
+	return c.SetReadDeadline(time.Time{})
+}
+
+// serverHandshake authenticates an incoming link within the hello time-out.
+func (s *Service) serverHandshake(conn net.Conn) (net.Conn, *certs.Peer, error) {
+	ctx, cancel := context.WithTimeout(s.dialing, helloTimeout)
+	defer cancel()
+	c := tls.Server(conn, s.certs.VMServer())
+	if err := c.HandshakeContext(ctx); err != nil {
+		return nil, nil, err
+	}
+	peer, err := s.certs.NewPeer(c.ConnectionState(), false)
+	if err != nil {
+		return nil, nil, err
+	}
+	if err := c.SetWriteDeadline(time.Now().Add(s.config.WriteTimeout)); err != nil {
+		return nil, nil, fmt.Errorf("set write deadline: %w", err)
+	}
+	if _, err := c.Write([]byte{welcome}); err != nil {
+		return nil, nil, fmt.Errorf("accept link: %w", err)
+	}
+	return tlsConn{c}, peer, c.SetWriteDeadline(time.Time{})
+}
+
+// isRefusal reports whether err means that a peer's certificate is refused.
+func isRefusal(err error) bool {
+	for _, refusal := range []error{certs.ErrNoCertificate, certs.ErrUntrusted, certs.ErrExpired, certs.ErrIdentity} {
+		if errors.Is(err, refusal) {
+			return true
+		}
+	}
+	return false
+}
+
+// refuse counts and logs an incoming link whose certificate is refused.
+func (s *Service) refuse(remote netip.AddrPort, err error) {
+	if s.open.isClosed() {
+		return
+	}
+	s.count.refused.Add(1)
+	s.log.Log(events.PeerRefused, events.F("remote", remote), events.F("error", err))
+}
+
+func (s *Service) noteMismatch(peer *certs.Peer, remote netip.AddrPort, err error) {
+	s.count.mismatches.Add(1)
+	s.log.Log(events.PeerMismatch, events.F("certificate", peer.VM), events.F("remote", remote), events.F("error", err))
+}
+
+// isRefused reports whether the peer's certificate has run out or its CA is gone
+// since the link was opened.
+func (l *link) isRefused() bool {
+	return l.peer != nil && l.peer.Check() != nil
+}
+
+// checkID returns errMismatch unless id is the VM of the certificate. Without a
+// certificate every id is accepted.
+func checkID(peer *certs.Peer, id message.VMID) error {
+	if peer == nil || message.VMIDOf(peer.VM.Name) == id {
+		return nil
+	}
+	return fmt.Errorf("VM %016x: %w", uint64(id), errMismatch)
+}
+
+// checkReceiver returns errMismatch unless the VM of the certificate is the
+// receiver. The receiver of a message to a seed is not known by id.
+func checkReceiver(peer *certs.Peer, id message.VMID) error {
+	if id == 0 {
+		return nil
+	}
+	return checkID(peer, id)
+}
+
+// checkSender returns errMismatch when a message describes its sender other than
+// the certificate does. Records of third VMs in the gossip are not covered.
+func checkSender(peer *certs.Peer, body message.Body) error {
+	if peer == nil {
+		return nil
+	}
+	var self message.Member
+	switch m := body.(type) {
+	case *message.Heartbeat:
+		self = m.Self
+	case *message.HeartbeatAck:
+		self = m.Self
+	default:
+		return nil
+	}
+	if self.Name != peer.VM.Name || self.Domain != message.DomainIDOf(peer.VM.Domain) {
+		return fmt.Errorf("%T of VM %q in domain %08x: %w", body, self.Name, uint32(self.Domain), errMismatch)
+	}
+	return checkID(peer, self.ID)
+}
--- /dev/null
+++ b/services/peers/tls_test.go
@@ -0,0 +1,204 @@
+package peers
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gypsumspan/gypsumspan/certs"
+	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/events"
+	"github.com/gypsumspan/gypsumspan/services/certwatch"
+	"github.com/gypsumspan/gypsumspan/standin/ca"
+)
+
+var (
+	vmA = certs.VM{Name: "a", Domain: "north"}
+	vmB = certs.VM{Name: "b", Domain: "south"}
+	vmC = certs.VM{Name: "c", Domain: "south"}
+)
+
+func newCA(t *testing.T) *ca.CA {
+	t.Helper()
+	authority, err := ca.New(ca.For(24 * time.Hour))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return authority
+}
+
+// write issues a certificate for vm in dir.
+func write(t *testing.T, authority *ca.CA, dir string, vm certs.VM) certs.Files {
+	t.Helper()
+	pair, err := authority.VM(vm, ca.For(time.Hour))
+	if err != nil {
+		t.Fatal(err)
+	}
+	files, err := authority.Write(dir, "vm", pair)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return files
+}
+
+// watch returns the service "certs" of a VM; a nil clock is the system's.
+func watch(t *testing.T, files certs.Files, now func() time.Time) *certwatch.Service {
+	t.Helper()
+	source, err := certs.Open(certs.Config{Files: files, Now: now})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return certwatch.New(source, 0)
+}
+
+func configOf(vm certs.VM) Config {
+	// Handshakes under the race detector on a busy machine need more than 500 ms.
+	return Config{Self: message.VMIDOf(vm.Name), TLS: true, DialTimeout: testLimit}
+}
+
+func selfOf(vm certs.VM) message.Member {
+	return message.Member{ID: message.VMIDOf(vm.Name), Name: vm.Name, Domain: message.DomainIDOf(vm.Domain)}
+}
+
+func heartbeatOf(vm certs.VM) message.Body {
+	return &message.Heartbeat{Sequence: 1, Self: selfOf(vm), Updates: []message.Member{}}
+}
+
+// Guards against links that accept a VM without a certificate of its own, and
+// against right certificates that are refused.
+func TestCertificatesOfLinks(t *testing.T) {
+	authority, foreign := newCA(t), newCA(t)
+	later := func() time.Time { return time.Now().Add(2 * time.Hour) } // after the end of certificates
+	cases := []struct {
+		name       string
+		authority  *ca.CA // of the dialling VM
+		cert       certs.VM
+		serverTime func() time.Time
+		to         certs.VM
+		plain      bool
+		dialled    *events.Event // at the dialling VM
+		accepted   *events.Event // at the accepting VM
+		want       error         // in the event of the accepting VM, or else of the dialling one
+	}{
+		{name: "right", authority: authority, cert: vmA, to: vmB},
+		{name: "foreign CA", authority: foreign, cert: vmA, to: vmB, dialled: events.PeerUntrusted, want: certs.ErrUntrusted},
+		{name: "expired", authority: authority, cert: vmA, to: vmB, serverTime: later,
+			dialled: events.PeerUnreachable, accepted: events.PeerRefused, want: certs.ErrExpired},
+		{name: "swapped", authority: authority, cert: vmC, to: vmB, accepted: events.PeerMismatch, want: errMismatch},
+		{name: "another receiver", authority: authority, cert: vmA, to: vmC, dialled: events.PeerUntrusted, want: errMismatch},
+		{name: "plain TCP", authority: authority, cert: vmA, to: vmB, plain: true, accepted: events.PeerRefused},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			checkLeaks(t)
+			is := is.New(t)
+			// The server's certificate is opened by the system's clock.
+			started := false
+			clock := func() time.Time {
+				if started && c.serverTime != nil {
+					return c.serverTime()
+				}
+				return time.Now()
+			}
+			server := watch(t, write(t, authority, t.TempDir(), vmB), clock)
+			started = true
+			b := startNode(t, configOf(vmB), server)
+			config := configOf(vmA)
+			config.TLS = !c.plain
+			a, stepper := steppedNode(t, config, watch(t, write(t, c.authority, t.TempDir(), c.cert), nil))
+			to := message.VMAddress(message.VMIDOf(c.to.Name), b.Addr())
+			for range 3 {
+				a.Send(message.Message{To: to, Body: heartbeatOf(vmA)})
+				stepper.Advance(time.Millisecond)
+			}
+			if c.dialled == nil && c.accepted == nil {
+				for range 3 {
+					m := b.receive()
+					is.Equal(m.From.VM, message.VMIDOf(vmA.Name))
+					is.Equal(m.Body, heartbeatOf(vmA))
+				}
+				is.Equal(a.Stats().Links, int64(1))
+				return
+			}
+			recorder := a
+			if c.accepted != nil {
+				b.waitFor(c.accepted)
+				recorder = b
+			}
+			if c.dialled != nil {
+				a.waitFor(c.dialled)
+			}
+			found := false
+			for _, line := range recorder.recorder.Lines() {
+				err, _ := line.Fields[len(line.Fields)-1].Value.(error)
+				found = found || c.want == nil || errors.Is(err, c.want)
+			}
+			is.True(found)
+			is.Equal(len(b.inbox.messages), 0) // nothing reached the decisions
+			if c.dialled == events.PeerUnreachable {
+				is.Equal(a.Stats().DialsFailed, uint64(1)) // a refused VM is backed off
+			}
+		})
+	}
+}
+
+// Guards against a VM that sends a heartbeat in the name or domain of another
+// one on its own link, and against a link that is lost by it.
+func TestHeartbeatInAnotherName(t *testing.T) {
+	checkLeaks(t)
+	is := is.New(t)
+	authority := newCA(t)
+	a := startNode(t, configOf(vmA), watch(t, write(t, authority, t.TempDir(), vmA), nil))
+	b := startNode(t, configOf(vmB), watch(t, write(t, authority, t.TempDir(), vmB), nil))
+	wrong := []message.Member{selfOf(vmC), selfOf(certs.VM{Name: "a", Domain: "south"}), selfOf(certs.VM{Name: "c", Domain: "north"})}
+	for _, self := range wrong {
+		a.Send(message.Message{To: b.address(), Body: &message.Heartbeat{Self: self}})
+		a.Send(message.Message{To: b.address(), Body: &message.HeartbeatAck{Self: self}})
+	}
+	a.Send(message.Message{To: b.address(), Body: heartbeatOf(vmA)})
+	is.Equal(b.receive().Body, heartbeatOf(vmA)) // the first that arrives
+	is.Equal(b.Stats().Mismatches, uint64(2*len(wrong)))
+	b.waitFor(events.PeerMismatch)
+}
+
+// Guards against a rotation that needs a restart, that cuts links while the CA
+// stays, and against links of a removed CA that stay open.
+func TestRotationOfCertificates(t *testing.T) {
+	checkLeaks(t)
+	is := is.New(t)
+	oldCA, newCA := newCA(t), newCA(t)
+	dirA, dirB := t.TempDir(), t.TempDir()
+	watchA := watch(t, write(t, oldCA, dirA, vmA), nil)
+	sourceB, err := certs.Open(certs.Config{Files: write(t, oldCA, dirB, vmB)})
+	is.NoErr(err)
+	watchB := certwatch.New(sourceB, time.Millisecond)
+	a, stepper := steppedNode(t, configOf(vmA), watchA)
+	b := startNode(t, configOf(vmB), watchB)
+	send := func() {
+		t.Helper()
+		a.Send(message.Message{To: b.address(), Body: heartbeatOf(vmA)})
+		stepper.Advance(time.Millisecond)
+	}
+	send()
+	b.receive()
+	write(t, oldCA, dirA, vmA) // a new certificate of the same CA
+	stepper.Advance(certwatch.DefaultInterval)
+	send()
+	b.receive()
+	is.Equal(a.Stats().Links, int64(1))
+	is.Equal(a.Stats().LinksFailed, uint64(0))
+	write(t, newCA, dirB, vmB)
+	b.waitFor(events.CertificatesReloaded) // b no longer trusts a's CA
+	send()
+	b.waitFor(events.PeerRefused)
+	is.Equal(len(b.inbox.messages), 0)
+	write(t, newCA, dirA, vmA)
+	stepper.Advance(certwatch.DefaultInterval)
+	for i := 0; len(b.inbox.messages) == 0 && i < 50; i++ {
+		send()
+		stepper.Advance(minBackoff)
+	}
+	is.Equal(b.receive().Body, heartbeatOf(vmA))
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -34,6 +34,7 @@
 	c.checkSeeds()
 	c.checkAdvertised()
 	c.checkDuplicates()
+	c.checkTogether("tls.ca", "tls.cert", "tls.key")
 	slices.SortStableFunc(c.faults, func(a, b Fault) int { return cmp.Compare(a.Line, b.Line) })
 }
 
@@ -191,6 +192,21 @@
 	*advertised = listen
 }
 
+// checkTogether reports keys that are absent while another of them is set.
+func (c *checker) checkTogether(keys ...string) {
+	var set string
+	for _, key := range keys {
+		if _, ok := c.find(key); ok {
+			set = key
+		}
+	}
+	for _, key := range keys {
+		if _, ok := c.find(key); !ok && set != "" {
+			c.add(key, typePath+", "+pathRange+", since "+set+" is set", "")
+		}
+	}
+}
+
 // checkDuplicates reports listen addresses that overlap.
 func (c *checker) checkDuplicates() {
 	l := c.settings.Listen
--- a/settings/example.go
+++ b/settings/example.go
@@ -33,6 +33,12 @@
 # name = "vm-2"
 # control = "127.0.0.2:7400"
 
+# [tls] authenticates VMs and operators; without it the fleet is open to whoever reaches it.
+# [tls]
+# ca = "/etc/gypsumspan/ca.pem"
+# cert = "/etc/gypsumspan/vm-1.pem"
+# key = "/etc/gypsumspan/vm-1.key"
+
 [log]
 format = "text"
 level = "info"
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -24,6 +24,7 @@
 	typeDuration = "duration"
 	typeURL      = "URL"
 	typeURLs     = "list of URLs"
+	typePath     = "path"
 )
 
 // seedKeys are the keys of each [[seeds]] table.
@@ -50,7 +51,7 @@
 		Meaning: "TCP address for control links of VMs.",
 		set:     addressValue(func(s *Settings) *netip.AddrPort { return &s.Listen.Control })},
 	{Path: "listen.admin", Type: typeAddress, Range: addressRange,
-		Meaning: "TCP address for metrics and operators' questions (HTTP). It has no authentication; use an address that only operators reach.",
+		Meaning: "TCP address for metrics and operators' questions (HTTP; HTTPS with client certificates when `tls.ca` is set). Without `tls.ca` it has no authentication; use an address that only operators reach.",
 		set:     addressValue(func(s *Settings) *netip.AddrPort { return &s.Listen.Admin })},
 	{Path: "advertise.data", Type: typeAddress, Range: advertisedRange, Optional: true,
 		Meaning: "Address under which other VMs and targets reach `listen.data`; the same address when absent. Required when `listen.data` is 0.0.0.0 or [::].",
@@ -64,6 +65,15 @@
 	{Path: "vm_list.url", Type: typeURL, Range: urlRange + ", or empty", Optional: true,
 		Meaning: "The platform's VM list. Without it the VM knows only its seeds and what other VMs tell it.",
 		set:     setVMListURL},
+	{Path: "tls.ca", Type: typePath, Range: pathRange, Optional: true,
+		Meaning: "CA certificates that issue the certificates of VMs and operators, in PEM. Required when `tls.cert` or `tls.key` is set. Without it control links and the admin address are not authenticated.",
+		set:     pathValue(func(s *Settings) *string { return &s.TLS.CA })},
+	{Path: "tls.cert", Type: typePath, Range: pathRange, Optional: true,
+		Meaning: "Certificate of this VM, in PEM, with the URI name `gypsumspan://<vm.domain>/<vm.name>`; intermediate certificates follow it. Required when `tls.ca` is set.",
+		set:     pathValue(func(s *Settings) *string { return &s.TLS.Cert })},
+	{Path: "tls.key", Type: typePath, Range: pathRange, Optional: true,
+		Meaning: "Key of `tls.cert`, in PEM. Required when `tls.ca` is set. The three files are read again every 10 s.",
+		set:     pathValue(func(s *Settings) *string { return &s.TLS.Key })},
 	{Path: "log.format", Type: typeString, Default: "json", Range: "one of json, text",
 		Meaning: "Form of log lines, on the standard error.",
 		set:     setLogFormat},
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -28,6 +28,7 @@
 	Store     Store
 	VMList    VMList
 	Seeds     []Seed
+	TLS       TLS
 	Log       Log
 	Timings   Timings
 }
@@ -69,6 +70,17 @@
 	Control netip.AddrPort
 }
 
+// TLS names the PEM files that authenticate VMs and operators. All fields are
+// empty when TLS is off.
+type TLS struct {
+	CA   string
+	Cert string
+	Key  string
+}
+
+// On reports whether TLS is on.
+func (t TLS) On() bool { return t.CA != "" }
+
 // Log is the form of the log.
 type Log struct {
 	Format events.Format
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -53,13 +53,15 @@
 	is.Equal(s.Log, Log{Format: events.Text, Level: events.Info})
 	is.Equal(s.Timings.HealthTimeout, 500*time.Millisecond)
 	uncommented := strings.NewReplacer("# [", "[", "# data", "data", "# control", "control",
-		"# url", "url", "# name", "name").Replace(Example())
+		"# url", "url", "# name", "name", "# ca", "ca", "# cert", "cert", "# key", "key").Replace(Example())
 	uncommented = strings.Replace(uncommented, "[advertise] is needed", "# is needed", 1)
+	uncommented = strings.Replace(uncommented, "[tls] authenticates", "# authenticates", 1)
 	s, err = Parse("f", []byte(uncommented))
 	is.NoErr(err)
 	is.Equal(s.Seeds, []Seed{{Name: "vm-2", Control: netip.MustParseAddrPort("127.0.0.2:7400")}})
 	is.Equal(s.Advertise.Data, netip.MustParseAddrPort("192.0.2.1:7200"))
 	is.Equal(s.VMList.URL, "http://127.0.0.1:7900/vms")
+	is.Equal(s.TLS, TLS{CA: "/etc/gypsumspan/ca.pem", Cert: "/etc/gypsumspan/vm-1.pem", Key: "/etc/gypsumspan/vm-1.key"})
 }
 
 // Guards against faults that are missed, or reported at the wrong line or key.
@@ -70,7 +72,7 @@
 		key            string
 	}{
 		{"unknown key", `domain = "north"`, "domain = \"north\"\ncolour = 1", 6, "vm.colour"},
-		{"unknown table", "[log]", "[paint]\nred = 1\n[log]", 29, "paint.red"},
+		{"unknown table", "[log]", "[paint]\nred = 1\n[log]", 35, "paint.red"},
 		{"top-level key", "[vm]", "name = \"x\"\n[vm]", 3, "name"},
 		{"missing key", `name = "vm-1"`, "", 3, "vm.name"},
 		{"missing table", "[store]\nendpoints = [\"http://127.0.0.1:2379\"]", "", 1, "store.endpoints"},
@@ -85,14 +87,16 @@
 		{"advertised unspecified", "[store]", "[advertise]\ndata = \"0.0.0.0:1\"\n[store]", 19, "advertise.data"},
 		{"no endpoints", `["http://127.0.0.1:2379"]`, `[]`, 19, "store.endpoints"},
 		{"endpoint without scheme", `"http://127.0.0.1:2379"`, `"127.0.0.1:2379"`, 19, "store.endpoints"},
-		{"log level", `level = "info"`, `level = "loud"`, 30, "log.level"},
-		{"log format", `format = "text"`, `format = "xml"`, 29, "log.format"},
-		{"duration above range", `"30s"`, `"30h"`, 33, "timings.stop_grace"},
-		{"duration without unit", `"30s"`, `30`, 33, "timings.stop_grace"},
-		{"seed without control", "[log]", "[[seeds]]\nname = \"a\"\n[log]", 28, "seeds[0].control"},
-		{"seed repeated", "[log]", strings.Repeat("[[seeds]]\nname = \"a\"\ncontrol = \"127.0.0.1:1\"\n", 2) + "[log]", 32, "seeds[1].name"},
+		{"certificate without CA", "[log]", "[tls]\ncert = \"c\"\nkey = \"k\"\n[log]", 34, "tls.ca"},
+		{"empty path", "[log]", "[tls]\nca = \"\"\ncert = \"c\"\nkey = \"k\"\n[log]", 35, "tls.ca"},
+		{"log level", `level = "info"`, `level = "loud"`, 36, "log.level"},
+		{"log format", `format = "text"`, `format = "xml"`, 35, "log.format"},
+		{"duration above range", `"30s"`, `"30h"`, 39, "timings.stop_grace"},
+		{"duration without unit", `"30s"`, `30`, 39, "timings.stop_grace"},
+		{"seed without control", "[log]", "[[seeds]]\nname = \"a\"\n[log]", 34, "seeds[0].control"},
+		{"seed repeated", "[log]", strings.Repeat("[[seeds]]\nname = \"a\"\ncontrol = \"127.0.0.1:1\"\n", 2) + "[log]", 38, "seeds[1].name"},
 		{"seeds of wrong type", "# Settings", "seeds = 3\n# Settings", 1, "seeds"},
-		{"inline table", "[log]", "[x]\ny = { z = 1 }\n[log]", 29, "x.y.z"},
+		{"inline table", "[log]", "[x]\ny = { z = 1 }\n[log]", 35, "x.y.z"},
 		{"syntax", `name = "vm-1"`, `name = `, 4, ""},
 	}
 	for _, c := range cases {
--- a/settings/values.go
+++ b/settings/values.go
@@ -23,6 +23,8 @@
 
 const urlRange = "http or https URL with a host"
 
+const pathRange = "path of a file, not empty"
+
 // setter stores a raw TOML value in the settings and reports whether the value
 // is in the key's range.
 type setter func(s *Settings, raw any) bool
@@ -35,6 +37,14 @@
 	}
 }
 
+func pathValue(field func(s *Settings) *string) setter {
+	return func(s *Settings, raw any) bool {
+		text, ok := raw.(string)
+		*field(s) = text
+		return ok && text != ""
+	}
+}
+
 func addressValue(field func(s *Settings) *netip.AddrPort) setter {
 	return func(s *Settings, raw any) bool {
 		addr, ok := parseAddress(raw)
--- /dev/null
+++ b/standin/ca/ca.go
@@ -0,0 +1,151 @@
+// Package ca is the stand-in for the operators' certificate authority. It
+// issues certificates of VMs, operators and servers for tests and the demo.
+package ca
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net"
+	"net/url"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/certs"
+)
+
+// skew is the time before its issue from which a certificate is valid, for VMs
+// whose clocks are behind.
+const skew = 5 * time.Minute
+
+// CA issues certificates.
+type CA struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	// PEM is the CA certificate.
+	PEM []byte
+}
+
+// Pair is a certificate with its key, in PEM.
+type Pair struct {
+	Cert []byte
+	Key  []byte
+}
+
+// Validity is the time in which a certificate is valid.
+type Validity struct {
+	From, To time.Time
+}
+
+// For returns the validity from shortly before now for d.
+func For(d time.Duration) Validity {
+	now := time.Now()
+	return Validity{From: now.Add(-skew), To: now.Add(d)}
+}
+
+// New returns a CA with a new key.
+func New(v Validity) (*CA, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, fmt.Errorf("generate CA key: %w", err)
+	}
+	template, err := newTemplate("gypsumspan test CA", v)
+	if err != nil {
+		return nil, err
+	}
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, fmt.Errorf("create CA certificate: %w", err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, fmt.Errorf("parse CA certificate: %w", err)
+	}
+	return &CA{cert: cert, key: key, PEM: pemOf("CERTIFICATE", der)}, nil
+}
+
+// VM issues the certificate of a VM, for both ends of links.
+func (c *CA) VM(vm certs.VM, v Validity) (Pair, error) {
+	usage := []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	return c.issue(vm.Name, v, usage, []*url.URL{vm.URI()}, nil)
+}
+
+// Operator issues the certificate of an operator.
+func (c *CA) Operator(name string, v Validity) (Pair, error) {
+	usage := []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth}
+	return c.issue(name, v, usage, []*url.URL{certs.OperatorURI(name)}, nil)
+}
+
+// Server issues the certificate of a server with an IP address, such as the store.
+func (c *CA) Server(ip net.IP, v Validity) (Pair, error) {
+	usage := []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}
+	return c.issue(ip.String(), v, usage, nil, []net.IP{ip})
+}
+
+func (c *CA) issue(name string, v Validity, usage []x509.ExtKeyUsage, uris []*url.URL, ips []net.IP) (Pair, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Pair{}, fmt.Errorf("generate key of %s: %w", name, err)
+	}
+	template, err := newTemplate(name, v)
+	if err != nil {
+		return Pair{}, err
+	}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = usage
+	template.URIs = uris
+	template.IPAddresses = ips
+	der, err := x509.CreateCertificate(rand.Reader, template, c.cert, &key.PublicKey, c.key)
+	if err != nil {
+		return Pair{}, fmt.Errorf("create certificate of %s: %w", name, err)
+	}
+	keyDER, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Pair{}, fmt.Errorf("encode key of %s: %w", name, err)
+	}
+	return Pair{Cert: pemOf("CERTIFICATE", der), Key: pemOf("PRIVATE KEY", keyDER)}, nil
+}
+
+func newTemplate(name string, v Validity) (*x509.Certificate, error) {
+	const serialBits = 120
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, fmt.Errorf("choose serial number: %w", err)
+	}
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    v.From,
+		NotAfter:     v.To,
+	}, nil
+}
+
+func pemOf(kind string, der []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der})
+}
+
+// Write writes the CA certificate and the pair as ca.pem, NAME.pem and NAME.key
+// in dir and returns their paths.
+func (c *CA) Write(dir, name string, p Pair) (certs.Files, error) {
+	files := certs.Files{
+		CA:   filepath.Join(dir, "ca.pem"),
+		Cert: filepath.Join(dir, name+".pem"),
+		Key:  filepath.Join(dir, name+".key"),
+	}
+	const secret = 0o600
+	for path, data := range map[string][]byte{files.CA: c.PEM, files.Cert: p.Cert, files.Key: p.Key} {
+		if err := os.WriteFile(path, data, secret); err != nil {
+			return certs.Files{}, fmt.Errorf("write certificate file: %w", err)
+		}
+	}
+	return files, nil
+}
