--- a/services/peers/peers_test.go
+++ b/services/peers/peers_test.go
@@ -42,7 +42,7 @@
 // node is one VM with the services peers and logs.
 type node struct {
 	*Service
-	t        *testing.T
+	t        testing.TB
 	inbox    *inbox
 	recorder *events.Recorder
 	certs    *certwatch.Service // nil: plain TCP
@@ -50,7 +50,7 @@
 	done     chan error
 }
 
-func newNode(t *testing.T, k *kernel.Kernel, config Config, security ...*certwatch.Service) *node {
+func newNode(t testing.TB, k *kernel.Kernel, config Config, security ...*certwatch.Service) *node {
 	t.Helper()
 	if !config.Listen.IsValid() {
 		config.Listen = netip.MustParseAddrPort("127.0.0.1:0")
@@ -71,7 +71,7 @@
 }
 
 // startNode runs a node in a threaded kernel until the test ends.
-func startNode(t *testing.T, config Config, security ...*certwatch.Service) *node {
+func startNode(t testing.TB, config Config, security ...*certwatch.Service) *node {
 	t.Helper()
 	k := kernel.New(kernel.NewClock())
 	n := newNode(t, k, config, security...)
@@ -98,7 +98,7 @@
 }
 
 // steppedNode returns a sending node whose duties run in the returned stepper.
-func steppedNode(t *testing.T, config Config, security ...*certwatch.Service) (*node, *kernel.Stepper) {
+func steppedNode(t testing.TB, config Config, security ...*certwatch.Service) (*node, *kernel.Stepper) {
 	t.Helper()
 	stepper := kernel.NewStepper(1)
 	k := kernel.NewStepped(stepper)
@@ -135,7 +135,7 @@
 }
 
 // checkLeaks fails the test if it leaves goroutines, after all its cleanups.
-func checkLeaks(t *testing.T) {
+func checkLeaks(t testing.TB) {
 	before := goleak.IgnoreCurrent()
 	t.Cleanup(func() { goleak.VerifyNone(t, before) })
 }
@@ -356,7 +356,7 @@
 }
 
 // dialRaw starts a session on conn without a hello.
-func dialRaw(t *testing.T, conn net.Conn) *link {
+func dialRaw(t testing.TB, conn net.Conn) *link {
 	t.Helper()
 	session, err := yamux.Client(conn, yamuxConfig(time.Second))
 	if err != nil {
--- a/services/peers/tls_test.go
+++ b/services/peers/tls_test.go
@@ -20,7 +20,7 @@
 	vmC = certs.VM{Name: "c", Domain: "south"}
 )
 
-func newCA(t *testing.T) *ca.CA {
+func newCA(t testing.TB) *ca.CA {
 	t.Helper()
 	authority, err := ca.New(ca.For(24 * time.Hour))
 	if err != nil {
@@ -30,7 +30,7 @@
 }
 
 // write issues a certificate for vm in dir.
-func write(t *testing.T, authority *ca.CA, dir string, vm certs.VM) certs.Files {
+func write(t testing.TB, authority *ca.CA, dir string, vm certs.VM) certs.Files {
 	t.Helper()
 	pair, err := authority.VM(vm, ca.For(time.Hour))
 	if err != nil {
@@ -44,7 +44,7 @@
 }
 
 // watch returns the service "certs" of a VM; a nil clock is the system's.
-func watch(t *testing.T, files certs.Files, now func() time.Time) *certwatch.Service {
+func watch(t testing.TB, files certs.Files, now func() time.Time) *certwatch.Service {
 	t.Helper()
 	source, err := certs.Open(certs.Config{Files: files, Now: now})
 	if err != nil {
