Serve operators over HTTPS and read the store with certificates

Cause: the admin address answered anyone, gypsumctl wrote any name into the audit trail, and https endpoints of the store knew only the system's CAs.

Ruled out: one CA file for VMs and the store, since the platform's CA could then issue certificates of VMs; accepting VMs' certificates on the admin address, since a stolen VM key would then read the whole state of the fleet.

The store client dials https endpoints with store.ca/cert/key or the files of [tls], and asks for them at each dial, so that a rotation needs no restart.

Result: go test -race passes in settings, services, daemon, ctl, ops, store, events and certs, with fault tables for clients of the admin address and for the operator's name, and a daemon that reads an https store which demands a client certificate.

--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -53,6 +53,10 @@
     operator = "ann"                       # your name in the audit trail
     store    = ["http://10.0.0.5:2379"]    # endpoints of the platform's store
     admin    = ["10.0.1.1:7400"]           # admin addresses of the entry VMs
+    ca       = "/etc/gypsumspan/ca.pem"    # with cert and key: HTTPS to the VMs, and the
+    cert     = "/home/ann/ann.pem"         # operator is the one that the certificate names
+    key      = "/home/ann/ann.key"         # (gypsumspan-operator://ann)
+    store_ca = "/etc/gypsumspan/store.pem" # CA of https endpoints of the store (default: ca)
 
 Exit codes:
   0  done
@@ -161,7 +165,7 @@
 	flags.StringVar(&a.config, "config", "", "settings file (TOML)")
 	flags.StringSliceVar(&a.flags.Store, "store", nil, "endpoint of the platform's store, such as http://10.0.0.5:2379 (may be repeated)")
 	flags.StringSliceVar(&a.flags.Admin, "admin", nil, "admin address of an entry VM, such as 10.0.1.1:7400 (may be repeated)")
-	flags.StringVar(&a.flags.Operator, "operator", "", "your name in the audit trail (default: the user's name)")
+	flags.StringVar(&a.flags.Operator, "operator", "", "your name in the audit trail (default: the certificate's or the user's name)")
 	flags.StringVarP(&a.output, "output", "o", "", "format of lists: table or json (table export: also csv, its default)")
 	fixed := cobra.FixedCompletions([]string{outputTable, outputJSON, outputCSV}, cobra.ShellCompDirectiveNoFileComp)
 	// It fails only for a flag that does not exist.
@@ -191,6 +195,9 @@
 // operations returns the library, with a store if the command needs one.
 func (a *app) operations(needStore bool) (*ops.Operations, error) {
 	config := ops.Config{Operator: a.settings.Operator}
+	if a.settings.source != nil {
+		config.TLS = a.settings.source.VMClient()
+	}
 	if needStore {
 		if len(a.settings.Store) == 0 {
 			return nil, fmt.Errorf("no endpoint of the store (--store, or store in the settings file): %w", ErrSettings)
@@ -207,5 +214,9 @@
 	if a.env.OpenStore != nil {
 		return a.env.OpenStore(endpoints)
 	}
-	return store.NewHTTP(store.HTTPConfig{Endpoints: endpoints})
+	config := store.HTTPConfig{Endpoints: endpoints}
+	if a.settings.storeSource != nil {
+		config.TLS = a.settings.storeSource.HostClient
+	}
+	return store.NewHTTP(config)
 }
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -11,10 +11,13 @@
 	"regexp"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/gypsumspan/gypsumspan/certs"
 	"github.com/gypsumspan/gypsumspan/ops"
+	"github.com/gypsumspan/gypsumspan/standin/ca"
 	standin "github.com/gypsumspan/gypsumspan/standin/store"
 	"github.com/gypsumspan/gypsumspan/store"
 )
@@ -197,3 +200,52 @@
 	r.Equal(code, ExitOK)
 	r.True(strings.Contains(out, "gypsumctl"))
 }
+
+// Guards against an audit trail that names another operator than the certificate,
+// and against certificate settings that are ignored.
+func TestOperatorOfCertificate(t *testing.T) {
+	authority, err := ca.New(ca.For(time.Hour))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		name, settings, args string
+		code                 int
+	}{
+		{"certificate", "", "", ExitOK},
+		{"same name", `operator = "bob"`, "", ExitOK},
+		{"another name in the file", `operator = "ann"`, "", ExitUsage},
+		{"another name in a flag", "", " --operator ann", ExitUsage},
+		{"certificate of a VM", `cert = "DIR/vm.pem"` + "\n" + `key = "DIR/vm.key"`, "", ExitUsage},
+		{"no key", `key = ""`, "", ExitUsage},
+		{"no such file", `ca = "DIR/none.pem"`, "", ExitUsage},
+		{"no such CA of the store", `store_ca = "DIR/none.pem"`, "", ExitUsage},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t)
+			bob, err := authority.Operator("bob", ca.For(time.Hour))
+			r.NoErr(err)
+			_, err = authority.Write(r.dir, "bob", bob)
+			r.NoErr(err)
+			vm, err := authority.VM(certs.VM{Name: "vm", Domain: "north"}, ca.For(time.Hour))
+			r.NoErr(err)
+			_, err = authority.Write(r.dir, "vm", vm)
+			r.NoErr(err)
+			text := c.settings + "\n"
+			for key, file := range map[string]string{"ca": "ca.pem", "cert": "bob.pem", "key": "bob.key"} {
+				if !strings.Contains("\n"+c.settings, "\n"+key+" =") {
+					text += key + ` = "DIR/` + file + "\"\n"
+				}
+			}
+			r.write("c.toml", strings.ReplaceAll(text, "DIR", r.dir))
+			r.env[configVariable] = r.path("c.toml")
+			code, _, stderr := r.run(strings.Fields("table set live t1 weight 9 --yes" + c.args)...)
+			if code != c.code {
+				t.Fatalf("exit code %d, want %d: %s", code, c.code, stderr)
+			}
+			_, out, _ := r.run("audit", "--who", "bob")
+			r.Equal(strings.Contains(out, "weight"), c.code == ExitOK)
+		})
+	}
+}
--- a/ctl/settings.go
+++ b/ctl/settings.go
@@ -9,6 +9,8 @@
 	"path/filepath"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"github.com/gypsumspan/gypsumspan/certs"
 )
 
 const (
@@ -23,6 +25,13 @@
 	Operator string   `toml:"operator"`
 	Store    []string `toml:"store"`
 	Admin    []string `toml:"admin"`
+	CA       string   `toml:"ca"`
+	Cert     string   `toml:"cert"`
+	Key      string   `toml:"key"`
+	StoreCA  string   `toml:"store_ca"`
+
+	source      *certs.Source // nil: plain HTTP
+	storeSource *certs.Source // of https endpoints of the store; nil: the system's CAs
 }
 
 // loadSettings reads the settings file and puts the flags over it.
@@ -40,12 +49,46 @@
 	if len(a.flags.Admin) > 0 {
 		s.Admin = a.flags.Admin
 	}
+	if err := s.openCertificates(); err != nil {
+		return settings{}, err
+	}
 	if s.Operator == "" {
 		s.Operator = a.env.Getenv("USER")
 	}
 	return s, nil
 }
 
+// openCertificates opens the files that the settings name. The operator is then
+// the one of the certificate; another name is refused, since the audit trail must
+// not show it.
+func (s *settings) openCertificates() error {
+	if (s.CA == "") != (s.Cert == "") || (s.CA == "") != (s.Key == "") {
+		return fmt.Errorf("ca, cert and key are needed together: %w", ErrSettings)
+	}
+	if s.CA != "" {
+		source, err := certs.Open(certs.Config{Files: certs.Files{CA: s.CA, Cert: s.Cert, Key: s.Key}})
+		if err != nil {
+			return fmt.Errorf("%w: %w", ErrSettings, err)
+		}
+		name, err := certs.OperatorOf(source.Current().Leaf())
+		if err != nil {
+			return fmt.Errorf("%w: %s: %w", ErrSettings, s.Cert, err)
+		}
+		if s.Operator != "" && s.Operator != name {
+			return fmt.Errorf("operator %q, but the certificate is of %q: %w", s.Operator, name, ErrSettings)
+		}
+		s.Operator, s.source, s.storeSource = name, source, source
+	}
+	if s.StoreCA != "" {
+		source, err := certs.Open(certs.Config{Files: certs.Files{CA: s.StoreCA}})
+		if err != nil {
+			return fmt.Errorf("%w: store_ca: %w", ErrSettings, err)
+		}
+		s.storeSource = source
+	}
+	return nil
+}
+
 func (a *app) readFile() (settings, error) {
 	path, named := a.settingsPath()
 	if path == "" {
--- a/daemon/assemble.go
+++ b/daemon/assemble.go
@@ -89,6 +89,7 @@
 		Domain: s.VM.Domain,
 		Listen: s.Listen.Admin,
 		Wait:   s.Timings.AdminWait,
+		TLS:    s.TLS.On(),
 	})
 }
 
--- a/daemon/security.go
+++ b/daemon/security.go
@@ -25,6 +25,27 @@
 	return []kernel.Service{certwatch.New(source, 0)}, nil
 }
 
+// storeSource returns the certificates for https endpoints of the store, and the
+// service that reads them again, or nil when the system's CAs are used. The
+// source of [tls] is opened again for the store: a source belongs to one duty.
+func storeSource(s *settings.Settings) (*certs.Source, kernel.Service, error) {
+	files := s.Store.TLS
+	if files.CA == "" {
+		files = s.TLS
+	}
+	if files.CA == "" {
+		return nil, nil, nil
+	}
+	source, err := certs.Open(certs.Config{Files: certs.Files{CA: files.CA, Cert: files.Cert, Key: files.Key}})
+	if err != nil {
+		return nil, nil, fmt.Errorf("certificates of the store: %w", err)
+	}
+	return source, certwatch.NewNamed(storeCertsName, source, 0), nil
+}
+
+// storeCertsName is the service that reads the certificates for the store.
+const storeCertsName = "store-certs"
+
 // isOwn returns a check that a certificate names self.
 func isOwn(self certs.VM) func(*x509.Certificate) error {
 	return func(cert *x509.Certificate) error {
--- /dev/null
+++ b/daemon/security_test.go
@@ -0,0 +1,104 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gypsumspan/gypsumspan/certs"
+	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/events"
+	"github.com/gypsumspan/gypsumspan/ops"
+	"github.com/gypsumspan/gypsumspan/settings"
+	"github.com/gypsumspan/gypsumspan/standin/ca"
+	standin "github.com/gypsumspan/gypsumspan/standin/store"
+	"github.com/gypsumspan/gypsumspan/store"
+)
+
+// issue writes the certificate of a VM and returns the settings that name it.
+func issue(t *testing.T, authority *ca.CA, vm certs.VM) settings.TLS {
+	t.Helper()
+	pair, err := authority.VM(vm, ca.For(time.Hour))
+	if err != nil {
+		t.Fatal(err)
+	}
+	files, err := authority.Write(t.TempDir(), vm.Name, pair)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return settings.TLS{CA: files.CA, Cert: files.Cert, Key: files.Key}
+}
+
+// Guards against a daemon that reads an https store without the CA or without its
+// certificate, that serves the admin address in plain text or to anyone, and
+// against a warning about TLS that is missing or wrong.
+func TestDaemonWithTLS(t *testing.T) {
+	is := is.New(t)
+	authority, err := ca.New(ca.For(time.Hour))
+	is.NoErr(err)
+	serverPair, err := authority.Server(net.IPv4(127, 0, 0, 1), ca.For(time.Hour))
+	is.NoErr(err)
+	serverCert, err := tls.X509KeyPair(serverPair.Cert, serverPair.Key)
+	is.NoErr(err)
+	pool := x509.NewCertPool()
+	is.True(pool.AppendCertsFromPEM(authority.PEM))
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	listener := tls.NewListener(plain, &tls.Config{
+		Certificates: []tls.Certificate{serverCert},
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ClientCAs:    pool,
+	})
+	e := standin.NewEngine(standin.Options{})
+	_, err = e.Txn(store.Txn{Puts: []store.Put{{Key: "gypsumspan/table/a/meta", Value: []byte("v")}}})
+	is.NoErr(err)
+	stop := serveStore(t, listener, e)
+	s := testSettings(t)
+	s.TLS = issue(t, authority, certs.VM{Name: "vm-1", Domain: "north"})
+	s.Store.Endpoints = []string{"https://" + plain.Addr().String()}
+	m := &relayMachine{entries: make(chan message.TableEntry, 100)}
+	p := start(t, s, m, StoreServices)
+	is.Equal(m.next(t).Key, "gypsumspan/table/a/meta")
+	ask := func(config *tls.Config) string {
+		return ops.New(ops.Config{TLS: config}).Status(t.Context(), []string{s.Listen.Admin.String()})[0].VM
+	}
+	operatorPair, err := authority.Operator("ann", ca.For(time.Hour))
+	is.NoErr(err)
+	files, err := authority.Write(t.TempDir(), "ann", operatorPair)
+	is.NoErr(err)
+	operator, err := certs.Open(certs.Config{Files: files})
+	is.NoErr(err)
+	config := operator.VMClient()
+	is.Equal(ask(config), "vm-1")
+	is.Equal(ask(nil), "") // plain HTTP
+	is.Equal(p.recorder.Count(events.TLSOff), 0)
+	p.signals <- syscall.SIGTERM
+	is.NoErr(p.wait())
+	stop()
+}
+
+// Guards against a VM that starts with the certificate of another one.
+func TestCertificateOfAnotherVM(t *testing.T) {
+	authority, err := ca.New(ca.For(time.Hour))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, vm := range []certs.VM{{Name: "vm-2", Domain: "north"}, {Name: "vm-1", Domain: "south"}} {
+		is := is.New(t)
+		s := testSettings(t)
+		s.TLS = issue(t, authority, vm)
+		err = start(t, s, &boundMachine{}, nil).wait()
+		is.True(errors.Is(err, ErrAssemble))
+		is.True(errors.Is(err, certs.ErrIdentity))
+	}
+	p := start(t, testSettings(t), &boundMachine{}, nil)
+	p.waitFor(events.TLSOff)
+	p.signals <- syscall.SIGTERM
+	is.New(t).NoErr(p.wait())
+}
--- a/daemon/store.go
+++ b/daemon/store.go
@@ -12,7 +12,15 @@
 // StoreServices is the ServiceFactory of the load balancer: the watch of the
 // operators' table in the store that the settings name.
 func StoreServices(c MachineConfig) ([]kernel.Service, error) {
-	client, err := store.NewHTTP(store.HTTPConfig{Endpoints: c.Settings.Store.Endpoints})
+	config := store.HTTPConfig{Endpoints: c.Settings.Store.Endpoints}
+	source, security, err := storeSource(c.Settings)
+	if err != nil {
+		return nil, err
+	}
+	if source != nil {
+		config.TLS = source.HostClient
+	}
+	client, err := store.NewHTTP(config)
 	if err != nil {
 		return nil, fmt.Errorf("store: %w", err)
 	}
@@ -24,5 +32,9 @@
 		LiveKeys: view.LiveKeys,
 		OnError:  view.StoreFailed,
 	})
-	return []kernel.Service{view, watch}, nil
+	services := []kernel.Service{view, watch}
+	if security != nil {
+		services = append(services, security)
+	}
+	return services, nil
 }
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -81,19 +81,19 @@
 	// CertificatesReloaded is written when changed certificate files are in use.
 	CertificatesReloaded = declare(Event{Number: "GS2205", Level: Info, Name: "certificates_reloaded",
 		Message: "changed certificates are in use",
-		Fields:  []string{"expires"}})
+		Fields:  []string{"service", "expires"}})
 	// CertificatesUnusable is written when certificate files can't be used.
 	CertificatesUnusable = declare(Event{Number: "GS2206", Level: Error, Name: "certificates_unusable", Limited: true,
 		Message: "certificate files can't be used, the former ones stay in use",
-		Fields:  []string{"error"}})
+		Fields:  []string{"service", "error"}})
 	// CertificateExpires is written when the own certificate runs out soon.
 	CertificateExpires = declare(Event{Number: "GS2207", Level: Warn, Name: "certificate_expires",
 		Message: "own certificate runs out soon",
-		Fields:  []string{"expires", "left"}})
+		Fields:  []string{"service", "expires", "left"}})
 	// CertificateExpired is written when the own certificate has run out.
 	CertificateExpired = declare(Event{Number: "GS2208", Level: Error, Name: "certificate_expired",
 		Message: "own certificate has run out",
-		Fields:  []string{"expires"}})
+		Fields:  []string{"service", "expires"}})
 )
 
 // Events of polling, GS3000 to GS3199.
@@ -207,6 +207,10 @@
 	AdminAnswerFailed = declare(Event{Number: "GS4001", Level: Warn, Name: "admin_answer_failed", Limited: true,
 		Message: "question on the admin address was not answered",
 		Fields:  []string{"path", "error"}})
+	// AdminRefused is written when a client of the admin address has no operator's certificate.
+	AdminRefused = declare(Event{Number: "GS4002", Level: Warn, Name: "admin_refused", Limited: true,
+		Message: "client of the admin address was refused because of its certificate",
+		Fields:  []string{"remote", "error"}})
 )
 
 // Events of the store and the table, GS5000 to GS5999.
--- a/ops/admin.go
+++ b/ops/admin.go
@@ -89,7 +89,11 @@
 func (o *Operations) ask(ctx context.Context, admin, path string) ([]byte, error) {
 	base := admin
 	if !strings.Contains(base, "://") {
-		base = "http://" + base
+		scheme := "http://"
+		if o.config.TLS != nil {
+			scheme = "https://"
+		}
+		base = scheme + base
 	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, base+path, nil)
 	if err != nil {
--- a/ops/ops.go
+++ b/ops/ops.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/hex"
 	"errors"
 	"fmt"
@@ -47,6 +48,9 @@
 	Jitter func() float64
 	// HTTP asks the VMs' admin endpoints.
 	HTTP *http.Client
+	// TLS is for HTTPS to the admin endpoints; nil means plain HTTP to addresses
+	// without a scheme. It is not used with HTTP set.
+	TLS *tls.Config
 }
 
 // Operations works on one store for one operator. It is safe for concurrent use.
@@ -76,6 +80,9 @@
 	}
 	if config.HTTP == nil {
 		config.HTTP = &http.Client{Timeout: adminTimeout}
+		if config.TLS != nil {
+			config.HTTP.Transport = &http.Transport{TLSClientConfig: config.TLS}
+		}
 	}
 	return &Operations{config: config}
 }
--- a/services/admin/admin.go
+++ b/services/admin/admin.go
@@ -12,14 +12,17 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/events"
 	"github.com/gypsumspan/gypsumspan/kernel"
 	"github.com/gypsumspan/gypsumspan/services/certwatch"
 	"github.com/gypsumspan/gypsumspan/services/core"
@@ -86,6 +89,8 @@
 	Domain string // name of the failure domain
 	Listen netip.AddrPort
 	Wait   time.Duration // longest wait for the core duty
+	// TLS serves HTTPS to operators with the certificates of the service "certs".
+	TLS bool
 }
 
 // Service is the service "admin".
@@ -100,6 +105,7 @@
 	certs    certwatch.Certificates                // nil when TLS is off
 	listener net.Listener
 	server   *http.Server
+	refused  atomic.Uint64 // clients without an operator's certificate
 }
 
 // New returns the service.
@@ -112,7 +118,12 @@
 
 // Needs implements kernel.Service. Core is not among them, so that the admin
 // address can answer during the planned leave when it is registered before core.
-func (s *Service) Needs() []string { return []string{logs.Name} }
+func (s *Service) Needs() []string {
+	if s.config.TLS {
+		return []string{logs.Name, certwatch.Name}
+	}
+	return []string{logs.Name}
+}
 
 // Setup opens the listening socket.
 func (s *Service) Setup(k *kernel.Kernel) error {
@@ -138,7 +149,13 @@
 	s.udp, _ = kernel.Lookup[interface{ Stats() udp.Stats }](k, core.UDPName)
 	s.peers, _ = kernel.Lookup[interface{ Stats() peers.Stats }](k, core.PeersName)
 	s.store, _ = kernel.Lookup[interface{ Stats() storewatch.Stats }](k, storewatch.Name)
-	s.certs, _ = kernel.Lookup[certwatch.Certificates](k, certwatch.Name)
+	s.certs, err = kernel.Lookup[certwatch.Certificates](k, certwatch.Name)
+	if s.config.TLS {
+		if err != nil {
+			return err
+		}
+		s.listener = tls.NewListener(s.listener, s.certs.Source().OperatorServer(s.refuse))
+	}
 	s.server = &http.Server{
 		Handler:        s.handler(),
 		ReadTimeout:    readTimeout,
@@ -159,6 +176,12 @@
 	return fmt.Errorf("serve %s: %w", s.config.Listen, err)
 }
 
+// refuse counts and logs a client without an operator's certificate.
+func (s *Service) refuse(remote net.Addr, err error) {
+	s.refused.Add(1)
+	s.log.Log(events.AdminRefused, events.F("remote", remote), events.F("error", err))
+}
+
 // Addr returns the address of the listening socket, after Setup.
 func (s *Service) Addr() netip.AddrPort {
 	return s.listener.Addr().(*net.TCPAddr).AddrPort()
--- a/services/admin/admin_test.go
+++ b/services/admin/admin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"net"
@@ -84,18 +85,28 @@
 func (storeStub) Connect(*kernel.Kernel) error { return nil }
 func (storeStub) Stats() storewatch.Stats      { return storewatch.Stats{Reads: 3} }
 
-// newSource returns the certificates of a VM.
-func newSource(t *testing.T) *certs.Source {
+func newCA(t *testing.T) *ca.CA {
 	t.Helper()
 	authority, err := ca.New(ca.For(time.Hour))
 	if err != nil {
 		t.Fatal(err)
 	}
+	return authority
+}
+
+// newSource returns the certificates of a VM.
+func newSource(t *testing.T, authority *ca.CA) *certs.Source {
+	t.Helper()
 	pair, err := authority.VM(certs.VM{Name: "vm-1", Domain: "north"}, ca.For(time.Hour))
+	return openSource(t, authority, pair, err)
+}
+
+func openSource(t *testing.T, authority *ca.CA, pair ca.Pair, err error) *certs.Source {
+	t.Helper()
 	if err != nil {
 		t.Fatal(err)
 	}
-	files, err := authority.Write(t.TempDir(), "vm", pair)
+	files, err := authority.Write(t.TempDir(), "pair", pair)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -107,16 +118,21 @@
 }
 
 func start(t *testing.T, c kernel.Service, wait time.Duration) (*Service, *events.Recorder) {
+	t.Helper()
+	return startWith(t, c, wait, newSource(t, newCA(t)), false)
+}
+
+func startWith(t *testing.T, c kernel.Service, wait time.Duration, source *certs.Source, secure bool) (*Service, *events.Recorder) {
 	t.Helper()
 	before := goleak.IgnoreCurrent()
 	t.Cleanup(func() { goleak.VerifyNone(t, before) })
 	loopback := netip.MustParseAddrPort("127.0.0.1:0")
 	recorder, logger := events.NewRecorder(nil)
-	s := New(Config{VM: "vm-1", Domain: "north", Listen: loopback, Wait: wait})
+	s := New(Config{VM: "vm-1", Domain: "north", Listen: loopback, Wait: wait, TLS: secure})
 	k := kernel.New(kernel.NewClock())
 	for _, service := range []kernel.Service{
 		logs.New(logger), udp.New(udp.Config{Callers: loopback, Data: loopback}, nil),
-		peers.New(peers.Config{Listen: loopback}), storeStub{}, certwatch.New(newSource(t), 0), s, c,
+		peers.New(peers.Config{Listen: loopback}), storeStub{}, certwatch.New(source, 0), s, c,
 	} {
 		if err := k.Register(service); err != nil {
 			t.Fatal(err)
@@ -298,3 +314,42 @@
 	_, err = l.Accept()
 	is.True(err != nil)
 }
+
+// Guards against answers to clients without an operator's certificate, and
+// against operators who are refused.
+func TestOnlyOperatorsAreAnswered(t *testing.T) {
+	authority, foreign := newCA(t), newCA(t)
+	ann, err := authority.Operator("ann", ca.For(time.Hour))
+	operator := openSource(t, authority, ann, err).VMClient()
+	stranger, err := foreign.Operator("ann", ca.For(time.Hour))
+	strangerTLS := openSource(t, foreign, stranger, err).VMClient()
+	strangerTLS.VerifyConnection = nil // it trusts the VM; the VM must refuse it
+	cases := []struct {
+		name   string
+		config *tls.Config
+		ok     bool
+	}{
+		{"operator", operator, true},
+		{"foreign CA", strangerTLS, false},
+		{"VM", newSource(t, authority).VMClient(), false},
+		{"no certificate", &tls.Config{InsecureSkipVerify: true}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s, recorder := startWith(t, core.New(&machine{}), testLimit, newSource(t, authority), true)
+			client := &http.Client{Transport: &http.Transport{TLSClientConfig: c.config, DisableKeepAlives: true}, Timeout: testLimit}
+			response, err := client.Get("https://" + s.Addr().String() + "/v1/status")
+			is.Equal(err == nil, c.ok)
+			if c.ok {
+				is.NoErr(response.Body.Close())
+				is.Equal(response.StatusCode, http.StatusOK)
+				return
+			}
+			done := make(chan struct{})
+			defer time.AfterFunc(testLimit, func() { close(done) }).Stop()
+			is.True(recorder.Wait(events.AdminRefused, done))
+			is.Equal(s.refused.Load(), uint64(1))
+		})
+	}
+}
--- a/services/admin/metrics.go
+++ b/services/admin/metrics.go
@@ -128,6 +128,7 @@
 	count(scope, map[string]uint64{
 		"certificate_reloads_total":  stats.Reloads,
 		"certificate_failures_total": stats.Failures,
+		"admin_refused_total":        s.refused.Load(),
 	})
 }
 
--- a/services/certwatch/certwatch.go
+++ b/services/certwatch/certwatch.go
@@ -41,6 +41,7 @@
 
 // Service is the service "certs".
 type Service struct {
+	name     string
 	source   *certs.Source
 	interval time.Duration
 	log      logs.Log
@@ -53,14 +54,19 @@
 
 // New returns the service for a source. An interval of 0 is DefaultInterval.
 func New(source *certs.Source, interval time.Duration) *Service {
+	return NewNamed(Name, source, interval)
+}
+
+// NewNamed returns a service under another name than Name, for further files.
+func NewNamed(name string, source *certs.Source, interval time.Duration) *Service {
 	if interval == 0 {
 		interval = DefaultInterval
 	}
-	return &Service{source: source, interval: interval}
+	return &Service{name: name, source: source, interval: interval}
 }
 
 // Name implements kernel.Service.
-func (s *Service) Name() string { return Name }
+func (s *Service) Name() string { return s.name }
 
 // Needs implements kernel.Service.
 func (s *Service) Needs() []string { return []string{logs.Name} }
@@ -77,7 +83,7 @@
 	if s.log, err = kernel.Lookup[logs.Log](k, logs.Name); err != nil {
 		return err
 	}
-	k.AddDuty(kernel.Duty{Name: "certs", Gate: s.gate, Step: s.step})
+	k.AddDuty(kernel.Duty{Name: s.name, Gate: s.gate, Step: s.step})
 	return nil
 }
 
@@ -91,11 +97,11 @@
 	switch {
 	case err != nil:
 		s.failures.Add(1)
-		s.log.Log(events.CertificatesUnusable, events.F("error", err))
+		s.log.Log(events.CertificatesUnusable, events.F("service", s.name), events.F("error", err))
 	case changed:
 		s.reloads.Add(1)
 		s.warnAt = now
-		s.log.Log(events.CertificatesReloaded, events.F("expires", s.source.Current().Expires()))
+		s.log.Log(events.CertificatesReloaded, events.F("service", s.name), events.F("expires", s.source.Current().Expires()))
 	}
 	s.warn(now)
 	return s.next
@@ -110,10 +116,10 @@
 	}
 	s.warnAt = now + warnInterval
 	if left <= 0 {
-		s.log.Log(events.CertificateExpired, events.F("expires", expires))
+		s.log.Log(events.CertificateExpired, events.F("service", s.name), events.F("expires", expires))
 		return
 	}
-	s.log.Log(events.CertificateExpires, events.F("expires", expires), events.F("left", left.Round(time.Second)))
+	s.log.Log(events.CertificateExpires, events.F("service", s.name), events.F("expires", expires), events.F("left", left.Round(time.Second)))
 }
 
 // Source implements Certificates.
--- a/settings/check.go
+++ b/settings/check.go
@@ -35,6 +35,9 @@
 	c.checkAdvertised()
 	c.checkDuplicates()
 	c.checkTogether("tls.ca", "tls.cert", "tls.key")
+	if c.settings.Store.TLS.Cert != "" || c.settings.Store.TLS.Key != "" {
+		c.checkTogether("store.ca", "store.cert", "store.key")
+	}
 	slices.SortStableFunc(c.faults, func(a, b Fault) int { return cmp.Compare(a.Line, b.Line) })
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -57,6 +57,9 @@
 // Store is the platform's key-value store.
 type Store struct {
 	Endpoints []string // URLs
+	// TLS names the files for https endpoints. Cert and Key may be empty; without
+	// CA those of the settings' TLS are used.
+	TLS TLS
 }
 
 // VMList is the platform's list of VMs.
--- a/store/http.go
+++ b/store/http.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -36,6 +37,9 @@
 	Endpoints []string
 	// Timeout bounds one call other than a watch; 0 is DefaultTimeout.
 	Timeout time.Duration
+	// TLS returns the configuration for one connection to an https endpoint with
+	// the given host; nil trusts the system's CAs.
+	TLS func(host string) *tls.Config
 }
 
 // HTTP is a Store over the JSON form of the etcd v3 API. It stays with one
@@ -62,11 +66,11 @@
 		}
 		h.endpoints = append(h.endpoints, strings.TrimRight(endpoint, "/"))
 	}
-	h.client = &http.Client{Transport: newTransport(h.timeout)}
+	h.client = &http.Client{Transport: newTransport(h.timeout, config.TLS)}
 	return h, nil
 }
 
-func newTransport(timeout time.Duration) *http.Transport {
+func newTransport(timeout time.Duration, config func(host string) *tls.Config) *http.Transport {
 	dialer := &net.Dialer{
 		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -76,12 +80,39 @@
 			Count:    probeCount,
 		},
 	}
-	return &http.Transport{
+	transport := &http.Transport{
 		DialContext:         dialer.DialContext,
 		TLSHandshakeTimeout: timeout,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     time.Minute,
 	}
+	if config != nil {
+		transport.DialTLSContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			return dialTLS(ctx, dialer, network, addr, config)
+		}
+	}
+	return transport
+}
+
+// dialTLS asks for the configuration at each dial, so that changed certificates
+// take effect without a restart.
+func dialTLS(ctx context.Context, dialer *net.Dialer, network, addr string, config func(host string) *tls.Config) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialer.Timeout)
+	defer cancel()
+	conn, err := dialer.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	c := tls.Client(conn, config(host))
+	if err := c.HandshakeContext(ctx); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return c, nil
 }
 
 // Close closes idle connections.
