--- a/lab/await.go
+++ b/lab/await.go
@@ -75,7 +75,7 @@
 	var group errgroup.Group
 	for i, admin := range admins {
 		group.Go(func() error {
-			data, err := Request(ctx, "GET", "http://"+admin+"/v1/status", "")
+			data, err := requestVM(ctx, admin, "/v1/status")
 			if err != nil {
 				return err
 			}
--- a/lab/command.go
+++ b/lab/command.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -24,10 +25,17 @@
 		Short:         "Stand-ins, callers and load for trials on one machine",
 		SilenceUsage:  true,
 		SilenceErrors: true,
+		PersistentPreRunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, err := withCerts(cmd.Context(), os.Getenv(certsVariable))
+			if err == nil {
+				cmd.SetContext(ctx)
+			}
+			return err
+		},
 	}
 	root.AddCommand(targetCommand(), vmListCommand(), storeCommand(), tableCommand())
 	root.AddCommand(callCommand(), loadCommand(), httpCommand(), awaitCommand(), ownerCommand())
-	root.AddCommand(measureCommand(), capacityCommand())
+	root.AddCommand(measureCommand(), capacityCommand(), certsCommand())
 	return root
 }
 
--- a/lab/http.go
+++ b/lab/http.go
@@ -21,6 +21,10 @@
 // Request makes an HTTP request and returns the body of the answer. It returns
 // ErrHTTP for an answer other than 200.
 func Request(ctx context.Context, method, url, body string) ([]byte, error) {
+	return request(ctx, clientFor(ctx, url), method, url, body)
+}
+
+func request(ctx context.Context, client *http.Client, method, url, body string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, httpTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
@@ -28,7 +32,7 @@
 		return nil, fmt.Errorf("%w: %w", ErrHTTP, err)
 	}
 	request.Close = true
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrHTTP, err)
 	}
--- a/lab/store.go
+++ b/lab/store.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
 	"fmt"
 	"io/fs"
@@ -20,6 +22,9 @@
 	Control store.Control // faults in force from the start
 	// File keeps the contents across a stop; "" keeps nothing.
 	File string
+	// Certs is a directory of CreateCerts: the store then takes only HTTPS with a
+	// client certificate. "" is plain HTTP.
+	Certs string
 }
 
 // ServeStore runs the store stand-in until ctx ends. It reads the contents from
@@ -36,9 +41,36 @@
 	if err != nil {
 		return fmt.Errorf("store: %w", err)
 	}
+	if o.Certs != "" {
+		config, err := storeTLS(o.Certs)
+		if err != nil {
+			return errors.Join(err, listener.Close())
+		}
+		listener = tls.NewListener(listener, config)
+	}
 	return errors.Join(store.ServeEngine(ctx, listener, e), saveStore(e, o.File))
 }
 
+func storeTLS(dir string) (*tls.Config, error) {
+	files := filesIn(dir, "store")
+	pair, err := tls.LoadX509KeyPair(files.Cert, files.Key)
+	if err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	data, err := os.ReadFile(files.CA)
+	if err != nil {
+		return nil, fmt.Errorf("store: %w", err)
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(data)
+	return &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{pair},
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+		ClientCAs:    pool,
+	}, nil
+}
+
 func loadStore(e *store.Engine, path string) error {
 	if path == "" {
 		return nil
@@ -99,6 +131,7 @@
 	flags.StringVar(&o.File, "file", "", "file that keeps the contents when the stand-in is stopped and started again")
 	flags.Float64Var(&o.WritesPerSecond, "writes", store.DefaultWritesPerSecond, "writes per second; below 0: no limit")
 	flags.Float64Var(&o.ReadsPerSecond, "reads", store.DefaultReadsPerSecond, "reads per second, watches included; below 0: no limit")
+	flags.StringVar(&o.Certs, "certs", "", "directory of gypsumlab certs; serve HTTPS to clients with a certificate only")
 	flags.BoolVar(&outage, "outage", false, "refuse all calls from the start")
 	flags.DurationVar(&delay, "delay", 0, "wait before each call is made")
 	flags.IntVar(&o.Control.LoseAnswers, "lose-answers", 0, "number of first writes that are made without an answer")
