Authenticate datagrams between VMs by a MAC

Cause: whoever reached listen.data could send a Forward or a KindClosed.

Ruled out: DTLS or a session for each pair of VMs (no library, and a mesh of sessions); the source address; a field of the message, since it would be encoded twice and seen by the decisions.

--- a/daemon/assemble.go
+++ b/daemon/assemble.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
 
@@ -14,6 +15,7 @@
 	"github.com/gypsumspan/gypsumspan/services/udp"
 	"github.com/gypsumspan/gypsumspan/services/vmlist"
 	"github.com/gypsumspan/gypsumspan/settings"
+	"github.com/gypsumspan/gypsumspan/wire/seal"
 )
 
 // assemble returns a kernel whose sockets are open and whose duties wait for Run.
@@ -27,12 +29,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrAssemble, err)
 	}
+	keys, err := openKeys(s)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrAssemble, err)
+	}
 	// The order matters where services do not need each other: admin and signals
 	// stop after core, so that they answer during the planned leave.
 	list := []kernel.Service{
 		log,
 		signals,
-		newUDP(s, log),
+		newUDP(s, log, keys),
 		newPeers(s, config),
 		newAdmin(s),
 		core.New(machine),
@@ -65,13 +71,30 @@
 	return k, nil
 }
 
-func newUDP(s *settings.Settings, log *logs.Service) *udp.Service {
-	config := udp.Config{Callers: s.Listen.Callers, Data: s.Listen.Data}
+func newUDP(s *settings.Settings, log *logs.Service, keys *seal.Source) *udp.Service {
+	config := udp.Config{
+		Callers: s.Listen.Callers,
+		Data:    s.Listen.Data,
+		Keys:    keys,
+		OnKeys:  func(keys *seal.Keys, err error) { logKeys(log, keys, err) },
+	}
 	return udp.New(config, func(from netip.AddrPort, err error) {
-		log.Log(events.DatagramRejected, events.F("from", from), events.F("error", err))
+		event := events.DatagramRejected
+		if errors.Is(err, seal.ErrUnauthenticated) {
+			event = events.DatagramUnauthenticated
+		}
+		log.Log(event, events.F("from", from), events.F("error", err))
 	})
 }
 
+func logKeys(log *logs.Service, keys *seal.Keys, err error) {
+	if err != nil {
+		log.Log(events.DatagramKeysUnusable, events.F("error", err))
+		return
+	}
+	log.Log(events.DatagramKeysReloaded, events.F("keys", keys.Len()), events.F("signs", keys.Signs()))
+}
+
 func newPeers(s *settings.Settings, config MachineConfig) *peers.Service {
 	return peers.New(peers.Config{
 		Self:         config.Self.ID,
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -145,6 +145,9 @@
 	if !s.TLS.On() {
 		logger.Log(events.TLSOff, events.F("vm", s.VM.Name))
 	}
+	if s.Datagrams.Keys == "" {
+		logger.Log(events.DatagramKeysOff, events.F("vm", s.VM.Name))
+	}
 }
 
 func logEnd(logger *events.Logger, s *settings.Settings, err error) {
--- a/daemon/security.go
+++ b/daemon/security.go
@@ -8,6 +8,7 @@
 	"github.com/gypsumspan/gypsumspan/kernel"
 	"github.com/gypsumspan/gypsumspan/services/certwatch"
 	"github.com/gypsumspan/gypsumspan/settings"
+	"github.com/gypsumspan/gypsumspan/wire/seal"
 )
 
 // openSecurity returns the service "certs", or none when TLS is off.
@@ -25,6 +26,18 @@
 	return []kernel.Service{certwatch.New(source, 0)}, nil
 }
 
+// openKeys returns the keys of the datagrams between VMs, or nil without them.
+func openKeys(s *settings.Settings) (*seal.Source, error) {
+	if s.Datagrams.Keys == "" {
+		return nil, nil
+	}
+	source, err := seal.Open(s.Datagrams.Keys)
+	if err != nil {
+		return nil, fmt.Errorf("datagrams: %w", err)
+	}
+	return source, nil
+}
+
 // storeSource returns the certificates for https endpoints of the store, and the
 // service that reads them again, or nil when the system's CAs are used. The
 // source of [tls] is opened again for the store: a source belongs to one duty.
--- a/daemon/security_test.go
+++ b/daemon/security_test.go
@@ -19,6 +19,7 @@
 	"github.com/gypsumspan/gypsumspan/standin/ca"
 	standin "github.com/gypsumspan/gypsumspan/standin/store"
 	"github.com/gypsumspan/gypsumspan/store"
+	"github.com/gypsumspan/gypsumspan/wire/seal"
 )
 
 // issue writes the certificate of a VM and returns the settings that name it.
@@ -99,6 +100,17 @@
 	}
 	p := start(t, testSettings(t), &boundMachine{}, nil)
 	p.waitFor(events.TLSOff)
+	p.waitFor(events.DatagramKeysOff)
 	p.signals <- syscall.SIGTERM
 	is.New(t).NoErr(p.wait())
 }
+
+// Guards against a VM that starts without the keys that its settings name.
+func TestKeyFileMustBeUsable(t *testing.T) {
+	is := is.New(t)
+	s := testSettings(t)
+	s.Datagrams.Keys = t.TempDir()
+	err := start(t, s, &boundMachine{}, nil).wait()
+	is.True(errors.Is(err, ErrAssemble))
+	is.True(errors.Is(err, seal.ErrKeys))
+}
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -38,6 +38,22 @@
 	DatagramRejected = declare(Event{Number: "GS2001", Level: Warn, Name: "datagram_rejected", Limited: true,
 		Message: "datagram was dropped",
 		Fields:  []string{"from", "error"}})
+	// DatagramUnauthenticated is written when the MAC of a datagram between VMs is wrong or missing.
+	DatagramUnauthenticated = declare(Event{Number: "GS2002", Level: Warn, Name: "datagram_unauthenticated", Limited: true,
+		Message: "datagram was dropped because it is not authenticated",
+		Fields:  []string{"from", "error"}})
+	// DatagramKeysReloaded is written when changed datagram keys are in use.
+	DatagramKeysReloaded = declare(Event{Number: "GS2003", Level: Info, Name: "datagram_keys_reloaded",
+		Message: "changed datagram keys are in use",
+		Fields:  []string{"keys", "signs"}})
+	// DatagramKeysUnusable is written when the key file can't be used.
+	DatagramKeysUnusable = declare(Event{Number: "GS2004", Level: Error, Name: "datagram_keys_unusable", Limited: true,
+		Message: "datagram keys can't be used, the former ones stay in use",
+		Fields:  []string{"error"}})
+	// DatagramKeysOff is written once at the start when the settings name no key file.
+	DatagramKeysOff = declare(Event{Number: "GS2005", Level: Warn, Name: "datagram_keys_off",
+		Message: "datagrams between VMs are not authenticated",
+		Fields:  []string{"vm"}})
 	// PeerUnreachable is written when a control link can't be opened.
 	PeerUnreachable = declare(Event{Number: "GS2101", Level: Warn, Name: "peer_unreachable", Limited: true,
 		Message: "control link can't be opened",
--- a/lab/certs.go
+++ b/lab/certs.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"crypto/tls"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"net"
@@ -17,6 +19,7 @@
 
 	"github.com/gypsumspan/gypsumspan/certs"
 	"github.com/gypsumspan/gypsumspan/standin/ca"
+	"github.com/gypsumspan/gypsumspan/wire/seal"
 )
 
 // certsVariable names the directory with the operator's certificate for requests
@@ -85,7 +88,8 @@
 }
 
 // CreateCerts creates a test CA and certificates in dir: ca.pem, and NAME.pem and
-// NAME.key of each VM, "operator" and "store". The key of the CA is not kept.
+// NAME.key of each VM, "operator" and "store", and datagrams.keys. The key of the CA
+// is not kept.
 func CreateCerts(dir string, o CertsOptions) error {
 	validity := ca.For(o.Validity)
 	authority, err := ca.New(validity)
@@ -113,17 +117,35 @@
 	if ip == nil {
 		return fmt.Errorf("store %q is not an IP address: %w", o.Store, ErrOption)
 	}
+	if err := writeKeys(filepath.Join(dir, keysFile)); err != nil {
+		return err
+	}
 	operator, operatorErr := authority.Operator(o.Operator, validity)
 	server, serverErr := authority.Server(ip, validity)
 	return errors.Join(write(operatorFile, operator, operatorErr), write("store", server, serverErr))
 }
 
+// keysFile is the name of the file with the keys of datagrams between VMs.
+const keysFile = "datagrams.keys"
+
+// writeKeys writes a file with one random key.
+func writeKeys(path string) error {
+	key := make([]byte, seal.KeySize)
+	// crypto/rand.Read never fails.
+	_, _ = rand.Read(key)
+	const secret = 0o600
+	if err := os.WriteFile(path, []byte("1 "+hex.EncodeToString(key)+"\n"), secret); err != nil {
+		return fmt.Errorf("write datagram keys: %w", err)
+	}
+	return nil
+}
+
 func certsCommand() *cobra.Command {
-	const defaultValidity = 24 * time.Hour
+	const defaultValidity = 30 * 24 * time.Hour // above the time from which VMs warn
 	var o CertsOptions
 	cmd := &cobra.Command{
 		Use:     "certs DIR",
-		Short:   "Create a test CA with certificates of VMs, an operator and the store",
+		Short:   "Create a test CA with certificates of VMs, an operator and the store, and datagram keys",
 		Example: `  gypsumlab certs certs --vm vm-1@north --vm vm-2@south --operator ann`,
 		Args:    cobra.ExactArgs(1),
 		RunE: func(_ *cobra.Command, args []string) error {
--- a/lab/certs_test.go
+++ b/lab/certs_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -12,6 +13,7 @@
 
 	"github.com/gypsumspan/gypsumspan/certs"
 	standin "github.com/gypsumspan/gypsumspan/standin/store"
+	"github.com/gypsumspan/gypsumspan/wire/seal"
 )
 
 // Guards against certificates of the demo that VMs or the store refuse, and a
@@ -26,6 +28,9 @@
 	named, err := certs.VMOf(vm.Current().Leaf())
 	is.NoErr(err)
 	is.Equal(named, certs.VM{Name: "vm-1", Domain: "north"})
+	keys, err := seal.Open(filepath.Join(dir, keysFile))
+	is.NoErr(err)
+	is.Equal(keys.Current().Len(), 1)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	addr := listener.Addr().String()
--- a/services/admin/metrics.go
+++ b/services/admin/metrics.go
@@ -76,6 +76,8 @@
 		"udp_rejected_total": stats.Rejected,
 		"udp_sent_total":     stats.Sent,
 		"udp_failed_total":   stats.Failed,
+
+		"udp_unauthenticated_total": stats.Unauthenticated,
 	})
 }
 
--- a/services/udp/udp.go
+++ b/services/udp/udp.go
@@ -16,6 +16,7 @@
 	"github.com/gypsumspan/gypsumspan/kernel"
 	"github.com/gypsumspan/gypsumspan/services/core"
 	"github.com/gypsumspan/gypsumspan/wire"
+	"github.com/gypsumspan/gypsumspan/wire/seal"
 )
 
 const (
@@ -26,6 +27,8 @@
 	// socketBuffer is the kernel buffer of each socket, in bytes. It holds the
 	// datagrams that arrive while the reader is not scheduled.
 	socketBuffer = 4 << 20
+	// keysInterval is the time between two looks at the key file.
+	keysInterval = 10 * time.Second
 )
 
 // ErrForeignMessage means that a datagram of this type is not accepted on this socket.
@@ -40,6 +43,11 @@
 type Config struct {
 	Callers netip.AddrPort // datagrams from callers
 	Data    netip.AddrPort // datagrams from VMs and targets
+	// Keys authenticate the datagrams between VMs; nil: they are plain.
+	Keys *seal.Source
+	// OnKeys is called from a duty when the key file has changed or can't be used;
+	// it may be nil.
+	OnKeys func(keys *seal.Keys, err error)
 }
 
 // Stats counts datagrams since start.
@@ -48,6 +56,8 @@
 	Rejected uint64 // malformed, foreign version, or a type not accepted
 	Sent     uint64
 	Failed   uint64 // not sent because of an error
+	// Unauthenticated are those of Rejected whose MAC was wrong or missing.
+	Unauthenticated uint64
 }
 
 // Service is the service "udp".
@@ -59,6 +69,9 @@
 	gate     *kernel.Gate
 	out      *kernel.Ring[message.Message]
 	buf      []byte
+	sealer   *seal.Sealer // of the sending duty; nil without keys
+	keysGate *kernel.Gate
+	nextKeys time.Duration // of the next look at the key file
 
 	flush   chan struct{} // closed by Stop
 	flushed chan struct{} // closed by the sending duty
@@ -68,8 +81,13 @@
 	rejected atomic.Uint64
 	sent     atomic.Uint64
 	failed   atomic.Uint64
+
+	unauthenticated atomic.Uint64
 }
 
+// ErrNoKeys means that a datagram is sealed, but this VM has no keys.
+var ErrNoKeys = errors.New("datagram is sealed, but no keys are set")
+
 // New returns the service. onReject is called from the reading duties for each
 // rejected datagram and must bound its own log rate; it may be nil.
 func New(config Config, onReject func(from netip.AddrPort, err error)) *Service {
@@ -122,15 +140,45 @@
 		return err
 	}
 	s.addReader(k, "udp.callers", s.callers, inbox, acceptFromCaller)
-	s.addReader(k, "udp.data", s.data, inbox, acceptFromFleet)
+	s.addReader(k, "udp.data", s.data, inbox, s.acceptFromFleet())
+	if s.config.Keys != nil {
+		s.sealer = seal.NewSealer(s.config.Keys)
+		s.keysGate = kernel.NewGate()
+		k.AddDuty(kernel.Duty{Name: "udp.keys", Gate: s.keysGate, Step: s.keysStep})
+	}
 	k.AddDuty(kernel.Duty{Name: "udp.send", Gate: s.gate, Step: s.sendStep})
 	return nil
 }
 
-// accept returns the sender's address for an accepted message.
-type accept func(from netip.AddrPort, body message.Body) (message.Address, bool)
+// accept is what one socket accepts. One duty uses it.
+type accept struct {
+	// sender returns the sender's address for an accepted message.
+	sender func(from netip.AddrPort, body message.Body) (message.Address, bool)
+	sealer *seal.Sealer // opens the datagrams of VMs; nil without keys
+	fleet  bool         // VMs send to this socket
+}
+
+var acceptFromCaller = accept{sender: senderOfCaller}
+
+func (s *Service) acceptFromFleet() accept {
+	a := accept{sender: senderOfFleet, fleet: true}
+	if s.config.Keys != nil {
+		a.sealer = seal.NewSealer(s.config.Keys)
+	}
+	return a
+}
+
+// isBetweenVMs reports whether only VMs send this type, so that it is sealed.
+func isBetweenVMs(body message.Body) bool {
+	switch body.(type) {
+	case *message.Forward, *message.KindClosed:
+		return true
+	default:
+		return false
+	}
+}
 
-func acceptFromCaller(from netip.AddrPort, body message.Body) (message.Address, bool) {
+func senderOfCaller(from netip.AddrPort, body message.Body) (message.Address, bool) {
 	switch body.(type) {
 	case *message.Open, *message.Request, *message.Cancel, *message.Close:
 		return message.CallerAddress(from), true
@@ -139,7 +187,7 @@
 	}
 }
 
-func acceptFromFleet(from netip.AddrPort, body message.Body) (message.Address, bool) {
+func senderOfFleet(from netip.AddrPort, body message.Body) (message.Address, bool) {
 	switch m := body.(type) {
 	case *message.Forward:
 		return message.VMAddress(m.Ingress, from), true
@@ -164,7 +212,7 @@
 
 // read hands every accepted datagram to the inbox until the socket is closed.
 func (s *Service) read(ctx context.Context, conn *net.UDPConn, inbox Inbox, accept accept) error {
-	buf := make([]byte, wire.MaxDatagram+1)
+	buf := make([]byte, wire.MaxDatagram+seal.Size+1)
 	for {
 		n, from, err := conn.ReadFromUDPAddrPort(buf)
 		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
@@ -179,6 +227,9 @@
 		m, err := decode(buf[:n], from, accept)
 		if err != nil {
 			s.rejected.Add(1)
+			if errors.Is(err, seal.ErrUnauthenticated) {
+				s.unauthenticated.Add(1)
+			}
 			s.onReject(from, err)
 			continue
 		}
@@ -189,6 +240,16 @@
 }
 
 func decode(data []byte, from netip.AddrPort, accept accept) (message.Message, error) {
+	sealed := accept.fleet && seal.IsSealed(data)
+	if sealed && accept.sealer == nil {
+		return message.Message{}, ErrNoKeys
+	}
+	if sealed {
+		var err error
+		if data, err = accept.sealer.Open(data); err != nil {
+			return message.Message{}, err
+		}
+	}
 	if len(data) > wire.MaxDatagram {
 		return message.Message{}, fmt.Errorf("datagram above %d bytes: %w", wire.MaxDatagram, wire.ErrOutOfRange)
 	}
@@ -196,13 +257,29 @@
 	if err != nil {
 		return message.Message{}, err
 	}
-	sender, ok := accept(from, body)
+	if accept.sealer != nil && isBetweenVMs(body) != sealed {
+		return message.Message{}, fmt.Errorf("%T, sealed: %t: %w", body, sealed, seal.ErrUnauthenticated)
+	}
+	sender, ok := accept.sender(from, body)
 	if !ok {
 		return message.Message{}, fmt.Errorf("%T: %w", body, ErrForeignMessage)
 	}
 	return message.Message{From: sender, Body: body}, nil
 }
 
+// keysStep looks at the key file once in each interval.
+func (s *Service) keysStep(now time.Duration) time.Duration {
+	if now < s.nextKeys {
+		return s.nextKeys
+	}
+	s.nextKeys = now + keysInterval
+	changed, err := s.config.Keys.Reload()
+	if (changed || err != nil) && s.config.OnKeys != nil {
+		s.config.OnKeys(s.config.Keys.Current(), err)
+	}
+	return s.nextKeys
+}
+
 // Send implements core.Output.
 func (s *Service) Send(m message.Message) {
 	// The ring drops the newest datagram when it is full and counts it.
@@ -243,9 +320,18 @@
 }
 
 func (s *Service) write(m message.Message) {
-	data, err := wire.Append(s.buf[:0], m.Body)
+	sealed := s.sealer != nil && isBetweenVMs(m.Body)
+	var head [seal.Size]byte
+	data := s.buf[:0]
+	if sealed {
+		data = append(data, head[:]...) // room for the seal
+	}
+	data, err := wire.Append(data, m.Body)
 	s.buf = data
 	if err == nil {
+		if sealed {
+			s.sealer.Seal(data)
+		}
 		conn := s.data
 		if m.To.Kind == message.PeerCaller {
 			conn = s.callers
@@ -266,5 +352,7 @@
 		Rejected: s.rejected.Load(),
 		Sent:     s.sent.Load(),
 		Failed:   s.failed.Load(),
+
+		Unauthenticated: s.unauthenticated.Load(),
 	}
 }
--- a/services/udp/udp_test.go
+++ b/services/udp/udp_test.go
@@ -26,7 +26,8 @@
 
 // inbox is a fake of the service "core" that reports markers.
 type inbox struct {
-	markers chan message.Message
+	markers  chan message.Message
+	forwards bool // report markers in Forwards too
 }
 
 func (i *inbox) Name() string                   { return core.Name }
@@ -34,7 +35,11 @@
 func (i *inbox) Setup(k *kernel.Kernel) error   { return nil }
 func (i *inbox) Connect(k *kernel.Kernel) error { return nil }
 func (i *inbox) Put(m message.Message) error {
-	if open, ok := m.Body.(*message.Open); ok && open.Flow == marker {
+	body := m.Body
+	if f, ok := body.(*message.Forward); ok && i.forwards {
+		body = f.Inner
+	}
+	if open, ok := body.(*message.Open); ok && open.Flow == marker {
 		i.markers <- m
 	}
 	return nil
@@ -44,7 +49,12 @@
 func assemble(t *testing.T, onReject func(netip.AddrPort, error)) (*Service, *kernel.Kernel, *inbox) {
 	t.Helper()
 	loopback := netip.MustParseAddrPort("127.0.0.1:0")
-	s := New(Config{Callers: loopback, Data: loopback}, onReject)
+	return assembleWith(t, Config{Callers: loopback, Data: loopback}, onReject)
+}
+
+func assembleWith(t *testing.T, config Config, onReject func(netip.AddrPort, error)) (*Service, *kernel.Kernel, *inbox) {
+	t.Helper()
+	s := New(config, onReject)
 	in := &inbox{markers: make(chan message.Message, 1)}
 	k := kernel.New(kernel.NewClock())
 	for _, service := range []kernel.Service{s, in} {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -29,6 +29,7 @@
 	VMList    VMList
 	Seeds     []Seed
 	TLS       TLS
+	Datagrams Datagrams
 	Log       Log
 	Timings   Timings
 }
@@ -84,6 +85,11 @@
 // On reports whether TLS is on.
 func (t TLS) On() bool { return t.CA != "" }
 
+// Datagrams says how datagrams between VMs are authenticated.
+type Datagrams struct {
+	Keys string // path of the key file; empty: they are not
+}
+
 // Log is the form of the log.
 type Log struct {
 	Format events.Format
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -89,6 +89,7 @@
 		{"endpoint without scheme", `"http://127.0.0.1:2379"`, `"127.0.0.1:2379"`, 19, "store.endpoints"},
 		{"certificate without CA", "[log]", "[tls]\ncert = \"c\"\nkey = \"k\"\n[log]", 34, "tls.ca"},
 		{"store key without certificate", "# [vm_list]", "ca = \"a\"\nkey = \"k\"\n# [vm_list]", 18, "store.cert"},
+		{"empty key file", "[log]", "[datagrams]\nkeys = \"\"\n[log]", 35, "datagrams.keys"},
 		{"empty path", "[log]", "[tls]\nca = \"\"\ncert = \"c\"\nkey = \"k\"\n[log]", 35, "tls.ca"},
 		{"log level", `level = "info"`, `level = "loud"`, 36, "log.level"},
 		{"log format", `format = "text"`, `format = "xml"`, 35, "log.format"},
