Open links anew when the own certificate was replaced

Cause: an outgoing link kept the certificate of its handshake. When that ran out, after a rotation in time, the receiver refused the link and the messages under way were lost. Change: the sender ends such a link as an idle one, which waits for the receiver, and dials again for the next message. Result: go test -race -count 5 ./services/peers ./certs passes; no link fails and no message is lost over a rotation.

--- a/certs/tls.go
+++ b/certs/tls.go
@@ -113,6 +113,7 @@
 	list   []*x509.Certificate
 	usage  x509.ExtKeyUsage
 	seen   *Material // that the certificate was last checked against
+	own    *x509.Certificate
 }
 
 // NewPeer returns the peer of a connection whose handshake has ended. It returns
@@ -129,7 +130,14 @@
 	if isServer {
 		usage = x509.ExtKeyUsageServerAuth
 	}
-	return &Peer{VM: vm, source: s, list: state.PeerCertificates, usage: usage, seen: s.Current()}, nil
+	return &Peer{VM: vm, source: s, list: state.PeerCertificates, usage: usage, seen: s.Current(), own: s.Current().Leaf()}, nil
+}
+
+// IsOutdated reports whether this end has another certificate than when the
+// connection was opened. The peer would refuse the former one when it runs out.
+func (p *Peer) IsOutdated() bool {
+	leaf := p.source.Current().Leaf()
+	return leaf != nil && !leaf.Equal(p.own)
 }
 
 // Check returns an error when the peer's certificate has run out, or is not
--- a/services/peers/sender.go
+++ b/services/peers/sender.go
@@ -172,7 +172,10 @@
 // fails at once, as after a restart of the peer, is replaced by a new one. It
 // returns the event to log with an error.
 func (d *sender) deliver(p *peer, to message.Address, data []byte) (*events.Event, error) {
-	if p.link != nil && (p.link.isClosed() || p.link.isRefused()) {
+	if p.link != nil && !p.link.isClosed() && p.link.mustEnd() {
+		d.finish([]*peer{p})
+	}
+	if p.link != nil && p.link.isClosed() {
 		p.closeLink()
 	}
 	reused := p.link != nil
--- a/services/peers/tls.go
+++ b/services/peers/tls.go
@@ -144,10 +144,11 @@
 	s.log.Log(events.PeerMismatch, events.F("certificate", peer.VM), events.F("remote", remote), events.F("error", err))
 }
 
-// isRefused reports whether the peer's certificate has run out or its CA is gone
-// since the link was opened.
-func (l *link) isRefused() bool {
-	return l.peer != nil && l.peer.Check() != nil
+// mustEnd reports whether a new link has to take the place of this one: a
+// certificate of either end was replaced or has run out, or its CA is gone. The
+// receiver then has what was sent before, since the link ends as an idle one does.
+func (l *link) mustEnd() bool {
+	return l.peer != nil && (l.peer.IsOutdated() || l.peer.Check() != nil)
 }
 
 // checkID returns errMismatch unless id is the VM of the certificate. Without a
--- a/services/peers/tls_test.go
+++ b/services/peers/tls_test.go
@@ -168,7 +168,7 @@
 	b.waitFor(events.PeerMismatch)
 }
 
-// Guards against a rotation that needs a restart, that cuts links while the CA
+// Guards against a rotation that needs a restart, that loses messages while the CA
 // stays, and against links of a removed CA that stay open.
 func TestRotationOfCertificates(t *testing.T) {
 	checkLeaks(t)
@@ -194,6 +194,7 @@
 	b.receive()
 	is.Equal(a.Stats().Links, int64(1))
 	is.Equal(a.Stats().LinksFailed, uint64(0))
+	is.Equal(b.Stats().Refused+b.Stats().SessionsFailed, uint64(0))
 	write(t, newCA, dirB, vmB)
 	b.waitFor(events.CertificatesReloaded) // b no longer trusts a's CA
 	send()
@@ -207,3 +208,33 @@
 	}
 	is.Equal(b.receive().Body, heartbeatOf(vmA))
 }
+
+// Guards against an outgoing link that keeps the former certificate until others
+// refuse it.
+func TestLinkTakesTheNewCertificate(t *testing.T) {
+	checkLeaks(t)
+	is := is.New(t)
+	authority := newCA(t)
+	dir := t.TempDir()
+	a, stepper := steppedNode(t, configOf(vmA), watch(t, write(t, authority, dir, vmA), nil))
+	b := startNode(t, configOf(vmB), watch(t, write(t, authority, t.TempDir(), vmB), nil))
+	send := func() *link {
+		t.Helper()
+		a.Send(message.Message{To: b.address(), Body: heartbeatOf(vmA)})
+		stepper.Advance(time.Millisecond)
+		b.receive()
+		for _, d := range a.senders {
+			if p, ok := d.peers[b.Addr()]; ok {
+				return p.link
+			}
+		}
+		return nil
+	}
+	first := send()
+	is.True(first != nil && send() == first)
+	write(t, authority, dir, vmA)
+	stepper.Advance(certwatch.DefaultInterval)
+	second := send()
+	is.True(second != first && send() == second)
+	is.Equal(a.Stats().LinksFailed, uint64(0))
+}
