Report an abandoned handshake as a failed session, not as a refusal

Change: an end, a reset or a time-out in the handshake is GS2103 and counted as a failed session. Handshake and acceptance share one time-out, as long as that of the dial; the limit of Stop covers both.

--- a/services/peers/peers.go
+++ b/services/peers/peers.go
@@ -25,8 +25,9 @@
 	// ringCapacity is the number of messages that may wait for one sending duty.
 	ringCapacity = 1024
 	// flushLimit bounds the time that Stop waits for waiting messages. A duty
-	// can be in a dial, a write and a second dial of 500 ms each.
-	flushLimit = 2 * time.Second
+	// can be in a dial, a handshake, a write, a second dial and a second handshake
+	// of 500 ms each.
+	flushLimit = 2500 * time.Millisecond
 )
 
 // keepAlive ends the sessions of a VM that is gone after 11 s. Each new link of
--- a/services/peers/session.go
+++ b/services/peers/session.go
@@ -103,7 +103,7 @@
 		counted, peer, err = s.serverHandshake(counted)
 		if err != nil {
 			conn.Close()
-			s.refuse(remote, err)
+			s.noteHandshake(remote, err)
 			return
 		}
 	}
--- a/services/peers/tls.go
+++ b/services/peers/tls.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/certs"
@@ -70,23 +71,24 @@
 	return len(p), nil
 }
 
-// clientHandshake authenticates an outgoing link within the dial time-out.
+// clientHandshake authenticates an outgoing link within a second dial time-out.
 func (s *Service) clientHandshake(conn net.Conn) (net.Conn, *certs.Peer, error) {
-	ctx, cancel := context.WithTimeout(s.dialing, s.config.DialTimeout)
+	deadline := time.Now().Add(s.config.DialTimeout)
+	ctx, cancel := context.WithDeadline(s.dialing, deadline)
 	defer cancel()
 	c := tls.Client(conn, s.certs.VMClient())
 	if err := c.HandshakeContext(ctx); err != nil {
 		return nil, nil, err
 	}
-	if err := readWelcome(c, s.config.DialTimeout); err != nil {
+	if err := readWelcome(c, deadline); err != nil {
 		return nil, nil, err
 	}
 	peer, err := s.certs.NewPeer(c.ConnectionState(), true)
 	return &tlsConn{Conn: c}, peer, err
 }
 
-func readWelcome(c *tls.Conn, timeout time.Duration) error {
-	if err := c.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+func readWelcome(c *tls.Conn, deadline time.Time) error {
+	if err := c.SetReadDeadline(deadline); err != nil {
 		return fmt.Errorf("set read deadline: %w", err)
 	}
 	var answer [1]byte
@@ -130,6 +132,20 @@
 	return false
 }
 
+// noteHandshake counts and logs a failed handshake. A dialler that gave up or a
+// slow machine says nothing about certificates.
+func (s *Service) noteHandshake(remote netip.AddrPort, err error) {
+	gaveUp := errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE) || isTimeout(err)
+	if !gaveUp || isRefusal(err) {
+		s.refuse(remote, err)
+		return
+	}
+	if !s.open.isClosed() {
+		s.count.sessionsFailed.Add(1)
+		s.log.Log(events.PeerSessionFailed, events.F("remote", remote), events.F("error", err))
+	}
+}
+
 // refuse counts and logs an incoming link whose certificate is refused.
 func (s *Service) refuse(remote netip.AddrPort, err error) {
 	if s.open.isClosed() {
--- a/services/peers/tls_test.go
+++ b/services/peers/tls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"testing"
 	"time"
 
@@ -238,3 +239,17 @@
 	is.True(second != first && send() == second)
 	is.Equal(a.Stats().LinksFailed, uint64(0))
 }
+
+// Guards against a dialler that gives up in the handshake, as on a busy machine,
+// and is reported as one with a wrong certificate.
+func TestAbandonedHandshake(t *testing.T) {
+	checkLeaks(t)
+	is := is.New(t)
+	b := startNode(t, configOf(vmB), watch(t, write(t, newCA(t), t.TempDir(), vmB), nil))
+	conn, err := net.Dial("tcp", b.Addr().String())
+	is.NoErr(err)
+	is.NoErr(conn.Close())
+	b.waitFor(events.PeerSessionFailed)
+	is.Equal(b.Stats().Refused, uint64(0))
+	is.Equal(b.recorder.Count(events.PeerRefused), 0)
+}
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -108,7 +108,7 @@
 		"Time-out of one poll of a target's health endpoint.",
 		func(t *Timings) *time.Duration { return &t.HealthTimeout }),
 	timing("timings.peer_dial_timeout", 500*time.Millisecond, 10*time.Millisecond, 5*time.Second,
-		"Time-out for opening a control link.",
+		"Time-out for opening a control link; with `tls.ca` the handshake has the same time again.",
 		func(t *Timings) *time.Duration { return &t.PeerDialTimeout }),
 	timing("timings.peer_write_timeout", 500*time.Millisecond, 10*time.Millisecond, 5*time.Second,
 		"Time-out for writing one message on a control link.",
