--- a/certs/certs_test.go
+++ b/certs/certs_test.go
@@ -98,18 +98,7 @@
 	return clientErr, <-done
 }
 
-func open(t *testing.T, authority *ca.CA, pair ca.Pair, name string) *certs.Source {
-	t.Helper()
-	files, err := authority.Write(t.TempDir(), name, pair)
-	if err != nil {
-		t.Fatal(err)
-	}
-	source, err := certs.Open(certs.Config{Files: files})
-	if err != nil {
-		t.Fatal(err)
-	}
-	return source
-}
+var vm1 = certs.VM{Name: "vm-1", Domain: "north"}
 
 // Guards against a server that takes a VM for an operator or the other way
 // round, and a client that takes any certificate of the CA for the store's.
@@ -117,13 +106,14 @@
 	is := is.New(t)
 	authority, err := ca.New(ca.For(time.Hour))
 	is.NoErr(err)
-	vmPair, err := authority.VM(certs.VM{Name: "vm-1", Domain: "north"}, ca.For(time.Hour))
+	vm, err := ca.Open(authority.NewVM(t.TempDir(), vm1))
 	is.NoErr(err)
-	operatorPair, err := authority.Operator("ann", ca.For(time.Hour))
+	operator, err := ca.Open(authority.NewOperator(t.TempDir(), "ann"))
 	is.NoErr(err)
 	storePair, err := authority.Server(net.IPv4(127, 0, 0, 1), ca.For(time.Hour))
 	is.NoErr(err)
-	vm, operator, store := open(t, authority, vmPair, "vm"), open(t, authority, operatorPair, "op"), open(t, authority, storePair, "store")
+	store, err := ca.Open(authority.Write(t.TempDir(), "store", storePair))
+	is.NoErr(err)
 	plainClient := &tls.Config{InsecureSkipVerify: true}
 	old := vm.VMClient()
 	old.MinVersion, old.MaxVersion = tls.VersionTLS12, tls.VersionTLS12
@@ -171,7 +161,7 @@
 	authority, err := ca.New(ca.For(2 * time.Hour))
 	is.NoErr(err)
 	pair := func(d time.Duration) ca.Pair {
-		p, err := authority.VM(certs.VM{Name: "vm-1", Domain: "north"}, ca.For(d))
+		p, err := authority.VM(vm1, ca.For(d))
 		is.NoErr(err)
 		return p
 	}
@@ -234,15 +224,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	pair, err := authority.VM(certs.VM{Name: "vm-1", Domain: "north"}, ca.For(time.Hour))
-	if err != nil {
-		b.Fatal(err)
-	}
-	files, err := authority.Write(b.TempDir(), "vm-1", pair)
-	if err != nil {
-		b.Fatal(err)
-	}
-	source, err := certs.Open(certs.Config{Files: files})
+	source, err := ca.Open(authority.NewVM(b.TempDir(), vm1))
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/ctl/ctl_test.go
+++ b/ctl/ctl_test.go
@@ -224,13 +224,9 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			r := newRig(t)
-			bob, err := authority.Operator("bob", ca.For(time.Hour))
+			_, err := authority.NewOperator(r.dir, "bob")
 			r.NoErr(err)
-			_, err = authority.Write(r.dir, "bob", bob)
-			r.NoErr(err)
-			vm, err := authority.VM(certs.VM{Name: "vm", Domain: "north"}, ca.For(time.Hour))
-			r.NoErr(err)
-			_, err = authority.Write(r.dir, "vm", vm)
+			_, err = authority.NewVM(r.dir, certs.VM{Name: "vm", Domain: "north"})
 			r.NoErr(err)
 			text := c.settings + "\n"
 			for key, file := range map[string]string{"ca": "ca.pem", "cert": "bob.pem", "key": "bob.key"} {
--- a/daemon/security_test.go
+++ b/daemon/security_test.go
@@ -25,11 +25,7 @@
 // issue writes the certificate of a VM and returns the settings that name it.
 func issue(t *testing.T, authority *ca.CA, vm certs.VM) settings.TLS {
 	t.Helper()
-	pair, err := authority.VM(vm, ca.For(time.Hour))
-	if err != nil {
-		t.Fatal(err)
-	}
-	files, err := authority.Write(t.TempDir(), vm.Name, pair)
+	files, err := authority.NewVM(t.TempDir(), vm)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -69,11 +65,7 @@
 	ask := func(config *tls.Config) string {
 		return ops.New(ops.Config{TLS: config}).Status(t.Context(), []string{s.Listen.Admin.String()})[0].VM
 	}
-	operatorPair, err := authority.Operator("ann", ca.For(time.Hour))
-	is.NoErr(err)
-	files, err := authority.Write(t.TempDir(), "ann", operatorPair)
-	is.NoErr(err)
-	operator, err := certs.Open(certs.Config{Files: files})
+	operator, err := ca.Open(authority.NewOperator(t.TempDir(), "ann"))
 	is.NoErr(err)
 	config := operator.VMClient()
 	is.Equal(ask(config), "vm-1")
--- a/services/admin/admin_test.go
+++ b/services/admin/admin_test.go
@@ -97,20 +97,7 @@
 // newSource returns the certificates of a VM.
 func newSource(t *testing.T, authority *ca.CA) *certs.Source {
 	t.Helper()
-	pair, err := authority.VM(certs.VM{Name: "vm-1", Domain: "north"}, ca.For(time.Hour))
-	return openSource(t, authority, pair, err)
-}
-
-func openSource(t *testing.T, authority *ca.CA, pair ca.Pair, err error) *certs.Source {
-	t.Helper()
-	if err != nil {
-		t.Fatal(err)
-	}
-	files, err := authority.Write(t.TempDir(), "pair", pair)
-	if err != nil {
-		t.Fatal(err)
-	}
-	source, err := certs.Open(certs.Config{Files: files})
+	source, err := ca.Open(authority.NewVM(t.TempDir(), certs.VM{Name: "vm-1", Domain: "north"}))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -319,17 +306,22 @@
 // against operators who are refused.
 func TestOnlyOperatorsAreAnswered(t *testing.T) {
 	authority, foreign := newCA(t), newCA(t)
-	ann, err := authority.Operator("ann", ca.For(time.Hour))
-	operator := openSource(t, authority, ann, err).VMClient()
-	stranger, err := foreign.Operator("ann", ca.For(time.Hour))
-	strangerTLS := openSource(t, foreign, stranger, err).VMClient()
+	ann, err := ca.Open(authority.NewOperator(t.TempDir(), "ann"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	stranger, err := ca.Open(foreign.NewOperator(t.TempDir(), "ann"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	strangerTLS := stranger.VMClient()
 	strangerTLS.VerifyConnection = nil // it trusts the VM; the VM must refuse it
 	cases := []struct {
 		name   string
 		config *tls.Config
 		ok     bool
 	}{
-		{"operator", operator, true},
+		{"operator", ann.VMClient(), true},
 		{"foreign CA", strangerTLS, false},
 		{"VM", newSource(t, authority).VMClient(), false},
 		{"no certificate", &tls.Config{InsecureSkipVerify: true}, false},
--- a/services/peers/tls_test.go
+++ b/services/peers/tls_test.go
@@ -33,11 +33,7 @@
 // write issues a certificate for vm in dir.
 func write(t testing.TB, authority *ca.CA, dir string, vm certs.VM) certs.Files {
 	t.Helper()
-	pair, err := authority.VM(vm, ca.For(time.Hour))
-	if err != nil {
-		t.Fatal(err)
-	}
-	files, err := authority.Write(dir, "vm", pair)
+	files, err := authority.NewVM(dir, vm)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/services/udp/seal_test.go
+++ b/services/udp/seal_test.go
@@ -118,3 +118,26 @@
 	_, err = wire.Decode(buf[:n])
 	is.NoErr(err)
 }
+
+// Guards against a key file that is not read again, that is read at each step, or
+// whose faults are not reported.
+func TestKeyFileIsReadAgain(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "keys")
+	one := "1 " + strings.Repeat("11", 32) + "\n"
+	is.NoErr(os.WriteFile(path, []byte(one), 0o600))
+	keys, err := seal.Open(path)
+	is.NoErr(err)
+	var seen []int
+	s := New(Config{Keys: keys, OnKeys: func(k *seal.Keys, err error) {
+		is.Equal(err != nil, len(seen) == 1)
+		seen = append(seen, k.Len())
+	}}, nil)
+	is.Equal(s.keysStep(0), keysInterval)
+	is.NoErr(os.WriteFile(path, []byte(one+"2 "+strings.Repeat("22", 32)), 0o600))
+	is.Equal(s.keysStep(keysInterval-1), keysInterval)
+	is.Equal(s.keysStep(keysInterval), 2*keysInterval)
+	is.NoErr(os.Remove(path))
+	s.keysStep(2 * keysInterval)
+	is.Equal(seen, []int{2, 2}) // the former keys stay
+}
--- a/standin/ca/ca.go
+++ b/standin/ca/ca.go
@@ -149,3 +149,33 @@
 	}
 	return files, nil
 }
+
+// hour is the validity of the certificates that NewVM and NewOperator issue.
+const hour = time.Hour
+
+// NewVM issues a certificate of a VM for an hour and writes it in dir as VM.Name.
+func (c *CA) NewVM(dir string, vm certs.VM) (certs.Files, error) {
+	pair, err := c.VM(vm, For(hour))
+	if err != nil {
+		return certs.Files{}, err
+	}
+	return c.Write(dir, vm.Name, pair)
+}
+
+// NewOperator issues a certificate of an operator for an hour and writes it in
+// dir as name.
+func (c *CA) NewOperator(dir, name string) (certs.Files, error) {
+	pair, err := c.Operator(name, For(hour))
+	if err != nil {
+		return certs.Files{}, err
+	}
+	return c.Write(dir, name, pair)
+}
+
+// Open opens files that were just written; err is the error of writing them.
+func Open(files certs.Files, err error) (*certs.Source, error) {
+	if err != nil {
+		return nil, err
+	}
+	return certs.Open(certs.Config{Files: files})
+}
