--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -38,6 +38,22 @@
 	DatagramRejected = declare(Event{Number: "GS2001", Level: Warn, Name: "datagram_rejected", Limited: true,
 		Message: "datagram was dropped",
 		Fields:  []string{"from", "error"}})
+	// DatagramUnauthenticated is written when the MAC of a datagram between VMs is wrong or missing.
+	DatagramUnauthenticated = declare(Event{Number: "GS2002", Level: Warn, Name: "datagram_unauthenticated", Limited: true,
+		Message: "datagram was dropped because it is not authenticated",
+		Fields:  []string{"from", "error"}})
+	// DatagramKeysReloaded is written when changed datagram keys are in use.
+	DatagramKeysReloaded = declare(Event{Number: "GS2003", Level: Info, Name: "datagram_keys_reloaded",
+		Message: "changed datagram keys are in use",
+		Fields:  []string{"keys", "signs"}})
+	// DatagramKeysUnusable is written when the key file can't be used.
+	DatagramKeysUnusable = declare(Event{Number: "GS2004", Level: Error, Name: "datagram_keys_unusable", Limited: true,
+		Message: "datagram keys can't be used, the former ones stay in use",
+		Fields:  []string{"error"}})
+	// DatagramKeysOff is written once at the start when the settings name no key file.
+	DatagramKeysOff = declare(Event{Number: "GS2005", Level: Warn, Name: "datagram_keys_off",
+		Message: "datagrams between VMs are not authenticated",
+		Fields:  []string{"vm"}})
 	// PeerUnreachable is written when a control link can't be opened.
 	PeerUnreachable = declare(Event{Number: "GS2101", Level: Warn, Name: "peer_unreachable", Limited: true,
 		Message: "control link can't be opened",
@@ -60,6 +76,42 @@
 		Fields:  []string{"peer", "error"}})
 )
 
+// Events of certificates, GS2200 to GS2299.
+var (
+	// TLSOff is written once at the start when the settings have no [tls] section.
+	TLSOff = declare(Event{Number: "GS2201", Level: Warn, Name: "tls_off",
+		Message: "control links and the admin address are not authenticated",
+		Fields:  []string{"vm"}})
+	// PeerRefused is written when the handshake of an incoming control link fails.
+	PeerRefused = declare(Event{Number: "GS2202", Level: Warn, Name: "peer_refused", Limited: true,
+		Message: "incoming control link was refused because of its certificate",
+		Fields:  []string{"remote", "error"}})
+	// PeerUntrusted is written when the VM at a control address is not the expected one.
+	PeerUntrusted = declare(Event{Number: "GS2203", Level: Warn, Name: "peer_untrusted", Limited: true,
+		Message: "control link was given up because of the peer's certificate",
+		Fields:  []string{"peer", "control", "error"}})
+	// PeerMismatch is written when a control message names another VM than its sender's certificate.
+	PeerMismatch = declare(Event{Number: "GS2204", Level: Warn, Name: "peer_mismatch", Limited: true,
+		Message: "control message was dropped because it names another VM than the certificate",
+		Fields:  []string{"certificate", "remote", "error"}})
+	// CertificatesReloaded is written when changed certificate files are in use.
+	CertificatesReloaded = declare(Event{Number: "GS2205", Level: Info, Name: "certificates_reloaded",
+		Message: "changed certificates are in use",
+		Fields:  []string{"service", "expires"}})
+	// CertificatesUnusable is written when certificate files can't be used.
+	CertificatesUnusable = declare(Event{Number: "GS2206", Level: Error, Name: "certificates_unusable", Limited: true,
+		Message: "certificate files can't be used, the former ones stay in use",
+		Fields:  []string{"service", "error"}})
+	// CertificateExpires is written when the own certificate runs out soon.
+	CertificateExpires = declare(Event{Number: "GS2207", Level: Warn, Name: "certificate_expires",
+		Message: "own certificate runs out soon",
+		Fields:  []string{"service", "expires", "left"}})
+	// CertificateExpired is written when the own certificate has run out.
+	CertificateExpired = declare(Event{Number: "GS2208", Level: Error, Name: "certificate_expired",
+		Message: "own certificate has run out",
+		Fields:  []string{"service", "expires"}})
+)
+
 // Events of polling, GS3000 to GS3199.
 var (
 	// VMListFailed is written when the platform's VM list can't be read.
@@ -171,6 +223,10 @@
 	AdminAnswerFailed = declare(Event{Number: "GS4001", Level: Warn, Name: "admin_answer_failed", Limited: true,
 		Message: "question on the admin address was not answered",
 		Fields:  []string{"path", "error"}})
+	// AdminRefused is written when a client of the admin address has no operator's certificate.
+	AdminRefused = declare(Event{Number: "GS4002", Level: Warn, Name: "admin_refused", Limited: true,
+		Message: "client of the admin address was refused because of its certificate",
+		Fields:  []string{"remote", "error"}})
 )
 
 // Events of the store and the table, GS5000 to GS5999.
--- a/services/admin/admin_test.go
+++ b/services/admin/admin_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"io"
 	"net"
@@ -17,14 +18,17 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
+	"github.com/gypsumspan/gypsumspan/certs"
 	"github.com/gypsumspan/gypsumspan/decide/message"
 	"github.com/gypsumspan/gypsumspan/events"
 	"github.com/gypsumspan/gypsumspan/kernel"
+	"github.com/gypsumspan/gypsumspan/services/certwatch"
 	"github.com/gypsumspan/gypsumspan/services/core"
 	"github.com/gypsumspan/gypsumspan/services/logs"
 	"github.com/gypsumspan/gypsumspan/services/peers"
 	"github.com/gypsumspan/gypsumspan/services/storewatch"
 	"github.com/gypsumspan/gypsumspan/services/udp"
+	"github.com/gypsumspan/gypsumspan/standin/ca"
 )
 
 const testLimit = 20 * time.Second
@@ -81,17 +85,41 @@
 func (storeStub) Connect(*kernel.Kernel) error { return nil }
 func (storeStub) Stats() storewatch.Stats      { return storewatch.Stats{Reads: 3} }
 
+func newCA(t *testing.T) *ca.CA {
+	t.Helper()
+	authority, err := ca.New(ca.For(time.Hour))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return authority
+}
+
+// newSource returns the certificates of a VM.
+func newSource(t *testing.T, authority *ca.CA) *certs.Source {
+	t.Helper()
+	source, err := ca.Open(authority.NewVM(t.TempDir(), certs.VM{Name: "vm-1", Domain: "north"}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return source
+}
+
 func start(t *testing.T, c kernel.Service, wait time.Duration) (*Service, *events.Recorder) {
+	t.Helper()
+	return startWith(t, c, wait, newSource(t, newCA(t)), false)
+}
+
+func startWith(t *testing.T, c kernel.Service, wait time.Duration, source *certs.Source, secure bool) (*Service, *events.Recorder) {
 	t.Helper()
 	before := goleak.IgnoreCurrent()
 	t.Cleanup(func() { goleak.VerifyNone(t, before) })
 	loopback := netip.MustParseAddrPort("127.0.0.1:0")
 	recorder, logger := events.NewRecorder(nil)
-	s := New(Config{VM: "vm-1", Domain: "north", Listen: loopback, Wait: wait})
+	s := New(Config{VM: "vm-1", Domain: "north", Listen: loopback, Wait: wait, TLS: secure})
 	k := kernel.New(kernel.NewClock())
 	for _, service := range []kernel.Service{
 		logs.New(logger), udp.New(udp.Config{Callers: loopback, Data: loopback}, nil),
-		peers.New(peers.Config{Listen: loopback}), storeStub{}, s, c,
+		peers.New(peers.Config{Listen: loopback}), storeStub{}, certwatch.New(source, 0), s, c,
 	} {
 		if err := k.Register(service); err != nil {
 			t.Fatal(err)
@@ -273,3 +301,47 @@
 	_, err = l.Accept()
 	is.True(err != nil)
 }
+
+// Guards against answers to clients without an operator's certificate, and
+// against operators who are refused.
+func TestOnlyOperatorsAreAnswered(t *testing.T) {
+	authority, foreign := newCA(t), newCA(t)
+	ann, err := ca.Open(authority.NewOperator(t.TempDir(), "ann"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	stranger, err := ca.Open(foreign.NewOperator(t.TempDir(), "ann"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	strangerTLS := stranger.VMClient()
+	strangerTLS.VerifyConnection = nil // it trusts the VM; the VM must refuse it
+	cases := []struct {
+		name   string
+		config *tls.Config
+		ok     bool
+	}{
+		{"operator", ann.VMClient(), true},
+		{"foreign CA", strangerTLS, false},
+		{"VM", newSource(t, authority).VMClient(), false},
+		{"no certificate", &tls.Config{InsecureSkipVerify: true}, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s, recorder := startWith(t, core.New(&machine{}), testLimit, newSource(t, authority), true)
+			client := &http.Client{Transport: &http.Transport{TLSClientConfig: c.config, DisableKeepAlives: true}, Timeout: testLimit}
+			response, err := client.Get("https://" + s.Addr().String() + "/v1/status")
+			is.Equal(err == nil, c.ok)
+			if c.ok {
+				is.NoErr(response.Body.Close())
+				is.Equal(response.StatusCode, http.StatusOK)
+				return
+			}
+			done := make(chan struct{})
+			defer time.AfterFunc(testLimit, func() { close(done) }).Stop()
+			is.True(recorder.Wait(events.AdminRefused, done))
+			is.Equal(s.refused.Load(), uint64(1))
+		})
+	}
+}
--- a/settings/keys.go
+++ b/settings/keys.go
@@ -25,6 +25,7 @@
 	typeDuration = "duration"
 	typeURL      = "URL"
 	typeURLs     = "list of URLs"
+	typePath     = "path"
 )
 
 // seedKeys are the keys of each [[seeds]] table.
@@ -51,7 +52,7 @@
 		Meaning: "TCP address for control links of VMs.",
 		set:     addressValue(func(s *Settings) *netip.AddrPort { return &s.Listen.Control })},
 	{Path: "listen.admin", Type: typeAddress, Range: addressRange,
-		Meaning: "TCP address for metrics and operators' questions (HTTP). It has no authentication; use an address that only operators reach.",
+		Meaning: "TCP address for metrics and operators' questions (HTTP; HTTPS with client certificates when `tls.ca` is set). Without `tls.ca` it has no authentication; use an address that only operators reach.",
 		set:     addressValue(func(s *Settings) *netip.AddrPort { return &s.Listen.Admin })},
 	{Path: "advertise.data", Type: typeAddress, Range: advertisedRange, Optional: true,
 		Meaning: "Address under which other VMs and targets reach `listen.data`; the same address when absent. Required when `listen.data` is 0.0.0.0 or [::].",
@@ -65,9 +66,30 @@
 	{Path: "store.endpoints", Type: typeURLs, Range: "at least one " + urlRange,
 		Meaning: "Endpoints of the platform's store.",
 		set:     setEndpoints},
+	{Path: "store.ca", Type: typePath, Range: pathRange, Optional: true,
+		Meaning: "CA certificates of https endpoints, in PEM. When absent the three files of `[tls]` are used for https endpoints, or the system's CAs without `[tls]`.",
+		set:     pathValue(func(s *Settings) *string { return &s.Store.TLS.CA })},
+	{Path: "store.cert", Type: typePath, Range: pathRange, Optional: true,
+		Meaning: "Certificate that the VM presents to the store, in PEM, issued by `store.ca`. Needs `store.ca` and `store.key`.",
+		set:     pathValue(func(s *Settings) *string { return &s.Store.TLS.Cert })},
+	{Path: "store.key", Type: typePath, Range: pathRange, Optional: true,
+		Meaning: "Key of `store.cert`, in PEM. Needs `store.ca` and `store.cert`.",
+		set:     pathValue(func(s *Settings) *string { return &s.Store.TLS.Key })},
 	{Path: "vm_list.url", Type: typeURL, Range: urlRange + ", or empty", Optional: true,
 		Meaning: "The platform's VM list. Without it the VM knows only its seeds and what other VMs tell it.",
 		set:     setVMListURL},
+	{Path: "tls.ca", Type: typePath, Range: pathRange, Optional: true,
+		Meaning: "CA certificates that issue the certificates of VMs and operators, in PEM. Required when `tls.cert` or `tls.key` is set. Without it control links and the admin address are not authenticated.",
+		set:     pathValue(func(s *Settings) *string { return &s.TLS.CA })},
+	{Path: "tls.cert", Type: typePath, Range: pathRange, Optional: true,
+		Meaning: "Certificate of this VM, in PEM, with the URI name `gypsumspan://<vm.domain>/<vm.name>`; intermediate certificates follow it. Required when `tls.ca` is set.",
+		set:     pathValue(func(s *Settings) *string { return &s.TLS.Cert })},
+	{Path: "tls.key", Type: typePath, Range: pathRange, Optional: true,
+		Meaning: "Key of `tls.cert`, in PEM. Required when `tls.ca` is set. The three files are read again every 10 s.",
+		set:     pathValue(func(s *Settings) *string { return &s.TLS.Key })},
+	{Path: "datagrams.keys", Type: typePath, Range: pathRange, Optional: true,
+		Meaning: "Keys of the datagrams between VMs: lines `ID KEY` with an id of 1 to 255 and 64 hexadecimal digits. The first key signs, all verify. The same on all VMs; read again every 10 s. Without it these datagrams are not authenticated.",
+		set:     pathValue(func(s *Settings) *string { return &s.Datagrams.Keys })},
 	{Path: "log.format", Type: typeString, Default: "json", Range: "one of json, text",
 		Meaning: "Form of log lines, on the standard error.",
 		set:     setLogFormat},
@@ -90,7 +112,7 @@
 		"Time-out of one poll of a target's health endpoint.",
 		func(t *Timings) *time.Duration { return &t.HealthTimeout }),
 	timing("timings.peer_dial_timeout", 500*time.Millisecond, 10*time.Millisecond, 5*time.Second,
-		"Time-out for opening a control link.",
+		"Time-out for opening a control link; with `tls.ca` the handshake has the same time again.",
 		func(t *Timings) *time.Duration { return &t.PeerDialTimeout }),
 	timing("timings.peer_write_timeout", 500*time.Millisecond, 10*time.Millisecond, 5*time.Second,
 		"Time-out for writing one message on a control link.",
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -29,6 +29,8 @@
 	Store     Store
 	VMList    VMList
 	Seeds     []Seed
+	TLS       TLS
+	Datagrams Datagrams
 	Log       Log
 	Timings   Timings
 }
@@ -62,6 +64,9 @@
 // Store is the platform's key-value store.
 type Store struct {
 	Endpoints []string // URLs
+	// TLS names the files for https endpoints. Cert and Key may be empty; without
+	// CA those of the settings' TLS are used.
+	TLS TLS
 }
 
 // VMList is the platform's list of VMs.
@@ -75,6 +80,22 @@
 	Control netip.AddrPort
 }
 
+// TLS names the PEM files that authenticate VMs and operators. All fields are
+// empty when TLS is off.
+type TLS struct {
+	CA   string
+	Cert string
+	Key  string
+}
+
+// On reports whether TLS is on.
+func (t TLS) On() bool { return t.CA != "" }
+
+// Datagrams says how datagrams between VMs are authenticated.
+type Datagrams struct {
+	Keys string // path of the key file; empty: they are not
+}
+
 // Log is the form of the log.
 type Log struct {
 	Format events.Format
--- a/store/http.go
+++ b/store/http.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -40,6 +41,9 @@
 	// Outgoing is the local address of connections; if it is invalid, the system
 	// chooses.
 	Outgoing netip.Addr
+	// TLS returns the configuration for one connection to an https endpoint with
+	// the given host; nil trusts the system's CAs.
+	TLS func(host string) *tls.Config
 }
 
 // HTTP is a Store over the JSON form of the etcd v3 API. It stays with one
@@ -66,11 +70,11 @@
 		}
 		h.endpoints = append(h.endpoints, strings.TrimRight(endpoint, "/"))
 	}
-	h.client = &http.Client{Transport: newTransport(h.timeout, config.Outgoing)}
+	h.client = &http.Client{Transport: newTransport(h.timeout, config)}
 	return h, nil
 }
 
-func newTransport(timeout time.Duration, local netip.Addr) *http.Transport {
+func newTransport(timeout time.Duration, config HTTPConfig) *http.Transport {
 	dialer := &net.Dialer{
 		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -80,15 +84,42 @@
 			Count:    probeCount,
 		},
 	}
-	if local.IsValid() {
-		dialer.LocalAddr = &net.TCPAddr{IP: local.AsSlice()}
+	if config.Outgoing.IsValid() {
+		dialer.LocalAddr = &net.TCPAddr{IP: config.Outgoing.AsSlice()}
 	}
-	return &http.Transport{
+	transport := &http.Transport{
 		DialContext:         dialer.DialContext,
 		TLSHandshakeTimeout: timeout,
 		MaxIdleConnsPerHost: 4,
 		IdleConnTimeout:     time.Minute,
 	}
+	if config.TLS != nil {
+		transport.DialTLSContext = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			return dialTLS(ctx, dialer, network, addr, config.TLS)
+		}
+	}
+	return transport
+}
+
+// dialTLS asks for the configuration at each dial, so that changed certificates
+// take effect without a restart.
+func dialTLS(ctx context.Context, dialer *net.Dialer, network, addr string, config func(host string) *tls.Config) (net.Conn, error) {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialer.Timeout)
+	defer cancel()
+	conn, err := dialer.DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	c := tls.Client(conn, config(host))
+	if err := c.HandshakeContext(ctx); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return c, nil
 }
 
 // Close closes idle connections.
