Say to operators and designers what a share means

A share is sure only when kinds compete, and in the first minutes of a flood the usual use of the kinds counts as well.

Tests: go test ./decide/... ./lab/... passes.

--- a/decide/admission/schedule.go
+++ b/decide/admission/schedule.go
@@ -30,12 +30,11 @@
 // classify compares the offered work of each kind with its configured and its
 // effective share of the slots among the kinds with recent demand.
 //
-// Kinds within their configured share are served first, whatever the baselines
-// say, then those within their effective share, see setWeights, then the others.
-// The first two offer less than all slots unless demand within the configured
-// shares has grown, so a kind above its share still gets its effective one. By
-// start tags alone, a kind of long items waits after each item until the flood
-// has caught up in virtual time, even while its own demand is low.
+// Kinds within both shares are served first, then those above one of them, then
+// the others. The first two offer less than all slots unless kinds have grown
+// within their configured shares, so a kind above its share still gets its
+// effective one. By start tags alone, a kind of long items waits after each item
+// until the flood has caught up in virtual time, even while its own demand is low.
 //
 // A kind that floods may also hold no more slots than its effective share,
 // rounded up, and must leave at least one slot to the others. Without this, an
