Bring a healed cut to agreement when VMs died during it

All VMs sent the same background record at once, so that all asked the same member for its domain; dead members kept their domain in the state of a cut, which kept fast probing on and blocked digests; an answer cut short doubled the time to the next question. Change: the background starts at a random record; only a member that is held dead by a cut starts fast probing; a whole answer that restores half the domain ends the cut; an answer that is not whole is asked for again after 2 s.

--- a/decide/membership/badday_test.go
+++ b/decide/membership/badday_test.go
@@ -89,9 +89,14 @@
 	s.watch(60*time.Second, day)
 }
 
+// healCut cuts the regions for a minute in which one VM in 60 dies.
 func (s *sim) healCut(day *badDay) {
 	s.cut = func(from, to int) bool { return sideOf(from) != sideOf(to) }
-	s.run(s.now+60*time.Second, nil)
+	s.run(s.now+30*time.Second, nil)
+	for i := 7; i < len(s.views); i += 59 {
+		s.down[i] = true
+	}
+	s.run(s.now+30*time.Second, nil)
 	s.cut = nil
 	s.watch(60*time.Second, day)
 }
--- a/decide/membership/digest.go
+++ b/decide/membership/digest.go
@@ -93,7 +93,7 @@
 // pullDomain asks a member of a domain that was cut off who is live there.
 func (v *View) pullDomain(now time.Duration, r *record) {
 	d := v.domain(r.member.Domain)
-	if d.pullGap > 0 && now-d.pulled < d.pullGap || !v.allows(0, false) {
+	if d.pulled > 0 && now-d.pulled < max(d.pullGap, pullGap) || !v.allows(0, false) {
 		return
 	}
 	d.pullGap = min(max(2*d.pullGap, pullGap), maxPullGap)
@@ -182,6 +182,27 @@
 			v.merge(now, &m.Members[i], false)
 		}
 	}
+	v.endCut(m)
+}
+
+// endCut holds the members of a domain that was cut off and is back, of which the
+// whole answer does not tell, dead like any other. An answer with less than half
+// of the domain may come from a VM that is starting. The rest of an answer that
+// is not whole is asked for soon.
+func (v *View) endCut(m *message.DomainMembers) {
+	d := v.domains[m.Domain]
+	if int(m.Listed) < len(m.Differing) {
+		d.pullGap = 0
+		return
+	}
+	if d.cut == 0 || d.live < d.cut {
+		return
+	}
+	for _, r := range v.order {
+		if r.member.Domain == m.Domain {
+			v.setCut(r, false)
+		}
+	}
 }
 
 // compareMember compares one record with an answer, in which its bucket is equal
--- a/decide/membership/silence.go
+++ b/decide/membership/silence.go
@@ -161,11 +161,13 @@
 	d := v.domain(r.member.Domain)
 	d.heard = now
 	v.settleDoubt(r)
+	if r.cut {
+		v.probeFast(now)
+	}
 	if r.cut && self.Incarnation == r.member.Incarnation {
 		v.restore(now, r, self.State)
 	}
 	if d.cut > 0 {
-		v.probeFast(now)
 		v.pullDomain(now, r)
 	}
 }
--- a/decide/membership/view.go
+++ b/decide/membership/view.go
@@ -119,6 +119,8 @@
 		hotUntil:      now + hotTime,
 	}
 	v.budget = budget{level: float64(cfg.GossipBurst), at: now}
+	// VMs that start together would send the same records in the background.
+	v.background = int(v.random() % (1 << 30))
 	v.nextRound = now + time.Duration(v.random()%uint64(cfg.Interval))
 	v.self = v.add(now, cfg.Self)
 	v.change(now, v.self, cfg.Self)
