Keep refreshes out of the test of early load reports

TestChangedLoadsAreReportedEarly looked for a report at a time when the refresh was due, so that it passed for a restarted owner without the check for it.

--- a/decide/vm/loads_test.go
+++ b/decide/vm/loads_test.go
@@ -25,7 +25,7 @@
 	for _, tg := range v.order {
 		b.open(tg, flows)
 	}
-	b.run(5 * time.Second)
+	b.run(reportRefresh + time.Second) // the next refresh is 4 s away
 	if len(v.order) == 0 {
 		t.Fatal("the VM owns no target")
 	}
@@ -104,6 +104,9 @@
 	}
 	for _, c := range cases {
 		b := newLoadBench(t, 4, 8, 1000)
+		if n := b.run(2 * ownerCheck); n > 0 {
+			t.Errorf("%s: %d reports before the change", c.name, n)
+		}
 		c.change(b, b.order[0])
 		if b.run(c.within) == 0 {
 			t.Errorf("%s: not reported within %v", c.name, c.within)
