Send the digest of each domain to each neighbour in turn

Cause: the neighbour that gets the background record and the digest was chosen by the sequence, which rises by the number of neighbours in a round, so that it stayed the same and some VMs never got a digest. With another draw at the start TestBadDays showed it: 2 of 1,000 VMs, which had heard of too few suspects to hold a domain cut, kept 2 dead members for 60 s after the heal. Change: a count of rounds with a start of its own for each VM chooses the neighbour, and the domain once every neighbour had a turn.

--- a/decide/membership/digest.go
+++ b/decide/membership/digest.go
@@ -57,10 +57,11 @@
 	return uint32(rendezvous.Mix(bucketSalt, uint64(id)) % uint64(buckets))
 }
 
-// addDigest puts the digest of one domain, in turn, into a heartbeat.
+// addDigest puts the digest of one domain into a heartbeat. Each neighbour gets
+// the domains in turn.
 func (v *View) addDigest(h *message.Heartbeat) {
-	v.digestTurn = (v.digestTurn + 1) % len(v.domainOrder)
-	h.DigestDomain = v.domainOrder[v.digestTurn]
+	turn := v.rounds / len(v.neighbours) % len(v.domainOrder)
+	h.DigestDomain = v.domainOrder[turn]
 	h.Digest = v.domains[h.DigestDomain].digest
 }
 
--- a/decide/membership/gossip.go
+++ b/decide/membership/gossip.go
@@ -78,7 +78,9 @@
 	if len(v.neighbours) == 0 || len(v.order) < 2 {
 		return
 	}
-	i := int(v.sequence) % len(v.neighbours)
+	// The sequence would choose the same neighbour in each round.
+	v.rounds++
+	i := v.rounds % len(v.neighbours)
 	h := v.out[len(v.out)-len(v.neighbours)+i].Body.(*message.Heartbeat)
 	v.addDigest(h)
 	v.background = (v.background + 1) % len(v.order)
--- a/decide/membership/view.go
+++ b/decide/membership/view.go
@@ -68,7 +68,7 @@
 	otherQueue []*record // news of other failure domains
 	batch      []message.Member
 	budget     budget
-	digestTurn int
+	rounds     int // rounds of heartbeats, from a start of its own
 	doubts     []doubt
 	verdicts   []verdict
 	deaths     []death
@@ -119,8 +119,9 @@
 		hotUntil:      now + hotTime,
 	}
 	v.budget = budget{level: float64(cfg.GossipBurst), at: now}
-	// VMs that start together would send the same records in the background.
-	v.background = int(v.random() % (1 << 30))
+	// VMs that start together would send the same records and digests.
+	v.background = int(v.seed % (1 << 30))
+	v.rounds = v.background
 	v.nextRound = now + time.Duration(v.random()%uint64(cfg.Interval))
 	v.self = v.add(now, cfg.Self)
 	v.change(now, v.self, cfg.Self)
