Share the check of all flows in tests; sort map keys with the standard library

Cause: three tests of table edits ended with the same ten lines, and three loops sorted the keys of a map by hand. No behaviour and no assertion changes.

--- a/decide/admission/baseline.go
+++ b/decide/admission/baseline.go
@@ -67,9 +67,9 @@
 }
 
 // updateBaselines learns from the time since the last update, or fades during
-// contention. The history of a kind
-// starts with its first item, since the time between a takeover or cold start
-// and its first load says nothing about its usual use.
+// contention. The history of a kind starts with its first item, since the time
+// between a takeover or cold start and its first load says nothing about its
+// usual use.
 func (q *Queue) updateBaselines(now time.Duration) {
 	if !q.learning {
 		// The time before the first decision says nothing about use.
--- a/decide/vm/handover.go
+++ b/decide/vm/handover.go
@@ -1,6 +1,7 @@
 package vm
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"time"
@@ -91,7 +92,7 @@
 			})
 		}
 	}
-	for _, id := range sortedMoved(t.moved) {
+	for _, id := range slices.SortedFunc(maps.Keys(t.moved), compareFlows) {
 		m := t.moved[id]
 		b.addMoved(message.MovedRecord{Flow: id, To: m.to, EndsIn: m.until - v.now})
 	}
--- a/decide/vm/moves.go
+++ b/decide/vm/moves.go
@@ -1,6 +1,7 @@
 package vm
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -75,7 +76,7 @@
 			n++
 		}
 	}
-	for _, to := range sortedTargets(groups) {
+	for _, to := range slices.Sorted(maps.Keys(groups)) {
 		v.startMove(t, to, groups[to], waiting)
 	}
 }
@@ -95,24 +96,6 @@
 	return waiting, busy
 }
 
-func sortedMoved(moved map[message.FlowID]movedFlow) []message.FlowID {
-	ids := make([]message.FlowID, 0, len(moved))
-	for id := range moved {
-		ids = append(ids, id)
-	}
-	slices.SortFunc(ids, compareFlows)
-	return ids
-}
-
-func sortedTargets(groups map[message.TargetID][]*flowtable.Flow) []message.TargetID {
-	ids := make([]message.TargetID, 0, len(groups))
-	for id := range groups {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
-
 // moveTarget returns the target that a flow of a leaving target goes to: the
 // first of its ranking that takes new flows and has a known owner.
 func (v *VM) moveTarget(t *target, s *table.Service, flow message.FlowID) (message.TargetID, bool) {
@@ -238,7 +221,7 @@
 // tickMoves sends unconfirmed moves again. A move whose receiver is gone may have
 // been accepted, so its flows are given up: no stamp may be accepted twice.
 func (v *VM) tickMoves() {
-	for _, transfer := range v.sortedMoves() {
+	for _, transfer := range slices.Sorted(maps.Keys(v.moves)) {
 		m := v.moves[transfer]
 		member, ok := v.members.Member(m.receiver)
 		dead := !ok || member.State == message.MemberDead
@@ -252,18 +235,6 @@
 	}
 }
 
-func (v *VM) sortedMoves() []uint64 {
-	if len(v.moves) == 0 {
-		return nil
-	}
-	transfers := make([]uint64, 0, len(v.moves))
-	for transfer := range v.moves {
-		transfers = append(transfers, transfer)
-	}
-	slices.Sort(transfers)
-	return transfers
-}
-
 // abandonMove sends the packets of the flows to the new target's owner, which
 // knows them or adopts none of their old stamps.
 func (v *VM) abandonMove(m *move) {
--- a/lab/fleet/edit_test.go
+++ b/lab/fleet/edit_test.go
@@ -5,9 +5,26 @@
 	"testing"
 	"time"
 
+	"github.com/gypsumspan/gypsumspan/decide/message"
 	"github.com/gypsumspan/gypsumspan/decide/table"
 )
 
+// callEachFlow sends one request of a kind on each flow and fails the test unless
+// all are answered and no flow has broken.
+func callEachFlow(t *testing.T, f *Fleet, l *Load, kind message.KindID, gap time.Duration) {
+	t.Helper()
+	for range l.Flows {
+		l.Send(kind)
+		f.Advance(gap)
+	}
+	f.Drain(10 * time.Second)
+	check(t, f)
+	ok, failed := failures(f)
+	if ok != len(l.Flows) || f.Broken() > 0 {
+		t.Errorf("%d of %d calls answered, failed: %v, broken flows: %d", ok, len(l.Flows), failed, f.Broken())
+	}
+}
+
 // Guards against a flow that is lost because its targets were replaced one after
 // the other while it was idle, so that its binding names a target of long ago.
 func TestIdleFlowIsFoundAfterAllTargetsWereReplaced(t *testing.T) {
@@ -31,16 +48,7 @@
 		f.RemoveRow(spec.Name, old)
 		f.Advance(time.Second)
 	}
-	for range l.Flows {
-		l.Send(1)
-		f.Advance(5 * time.Millisecond)
-	}
-	f.Drain(10 * time.Second)
-	check(t, f)
-	ok, failed := failures(f)
-	if ok != len(l.Flows) || f.Broken() > 0 {
-		t.Errorf("%d of %d calls answered, failed: %v, broken flows: %d", ok, len(l.Flows), failed, f.Broken())
-	}
+	callEachFlow(t, f, l, 1, 5*time.Millisecond)
 }
 
 // Guards against a flow that is lost when its target's owner leaves after the
@@ -62,16 +70,7 @@
 	f.Reap()
 	_, second := f.busiestOwner(spec.Name)
 	f.RemoveRow(spec.Name, second)
-	for range l.Flows {
-		l.Send(1)
-		f.Advance(100 * time.Microsecond)
-	}
-	f.Drain(10 * time.Second)
-	check(t, f)
-	ok, failed := failures(f)
-	if ok != len(l.Flows) || f.Broken() > 0 {
-		t.Errorf("%d of %d calls answered, failed: %v, broken flows: %d", ok, len(l.Flows), failed, f.Broken())
-	}
+	callEachFlow(t, f, l, 1, 100*time.Microsecond)
 }
 
 // Guards against requests that get only busy until their deadline, because every
@@ -97,14 +96,5 @@
 	}
 	f.Advance(1500 * time.Millisecond)
 	f.Reap()
-	for range l.Flows {
-		l.Send(0)
-		f.Advance(time.Millisecond)
-	}
-	f.Drain(10 * time.Second)
-	check(t, f)
-	ok, failed := failures(f)
-	if ok != len(l.Flows) || f.Broken() > 0 {
-		t.Errorf("%d of %d calls answered, failed: %v, broken flows: %d", ok, len(l.Flows), failed, f.Broken())
-	}
+	callEachFlow(t, f, l, 0, time.Millisecond)
 }
