Forward packets of opaque flows on the users' platform: the thin path

gypsumflowd reads routes and targets from the platform's store, places new flows on the least loaded target of the own failure domain and continues open flows by the cookie in their packets. Settings checks move to settings/document, so that both daemons use one checker.

--- /dev/null
+++ b/cmd/gypsumflowd/main.go
@@ -0,0 +1,13 @@
+// Command gypsumflowd forwards packets of opaque flows: one VM of the load
+// balancer on the users' platform.
+package main
+
+import (
+	"os"
+
+	"github.com/gypsumspan/gypsumspan/flowd"
+)
+
+func main() {
+	os.Exit(flowd.Main(os.Args[1:], flowd.Options{}))
+}
--- /dev/null
+++ b/decide/forward/table.go
@@ -0,0 +1,73 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/decide/catalog"
+	"github.com/gypsumspan/gypsumspan/decide/flow"
+)
+
+// maxTried is the number of targets that one opening may have been sent to: the
+// first packet of a flow has two copies.
+const maxTried = 3
+
+// phase is how far a flow has come, as this VM sees it.
+type phase uint8
+
+const (
+	opening phase = iota // only first packets were seen
+	open
+	closing // the caller has sent its last byte
+)
+
+// record is what a VM remembers of one flow. It is a hint: a VM without it
+// forwards by the cookie.
+type record struct {
+	phase   phase
+	target  *catalog.Target // of an opening, the one that was asked last
+	tried   [maxTried]*catalog.Target
+	tries   int
+	sentAt  time.Duration // of the last first packet
+	seen    time.Duration // last packet
+	unknown time.Duration // first packet with a cookie that no target has; 0: none
+
+	sent  bool   // data was seen
+	seqTo uint32 // end of the data seen so far
+	ack   uint32 // highest acknowledgement seen
+	busy  bool   // a request is in progress
+
+	repeats  int           // repeated packets since the caller's last progress
+	repeated time.Duration // first of them
+}
+
+// newer reports whether sequence number a is after b, modulo 2^32.
+func newer(a, b uint32) bool { return int32(a-b) > 0 }
+
+// flowTable holds the records of a VM, at most capacity of them.
+type flowTable struct {
+	capacity int
+	records  map[flow.Key]*record
+}
+
+func newFlowTable(capacity int) *flowTable {
+	return &flowTable{capacity: capacity, records: make(map[flow.Key]*record)}
+}
+
+func (t *flowTable) get(k flow.Key) *record { return t.records[k] }
+
+// add inserts a record for k. On a full table it returns an older record that
+// had to make room, else nil.
+func (t *flowTable) add(k flow.Key, now time.Duration) (added, evicted *record) {
+	if len(t.records) >= t.capacity {
+		for key, r := range t.records {
+			evicted = r
+			delete(t.records, key)
+			break
+		}
+	}
+	added = &record{seen: now}
+	t.records[k] = added
+	return added, evicted
+}
+
+func (t *flowTable) remove(k flow.Key) { delete(t.records, k) }
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -237,6 +237,62 @@
 		Fields:  []string{"error"}})
 )
 
+// Events of opaque flows on the users' platform, GS6000 to GS6999.
+var (
+	// FlowDaemonStarted is written once after all services were assembled.
+	FlowDaemonStarted = declare(Event{Number: "GS6001", Level: Info, Name: "flow_daemon_started",
+		Message: "VM is starting",
+		Fields:  []string{"vm", "domain", "packets", "store", "version"}})
+	// SettingsReloaded is written when the settings file was read again.
+	SettingsReloaded = declare(Event{Number: "GS6002", Level: Info, Name: "settings_reloaded",
+		Message: "settings file was read again",
+		Fields:  []string{"file", "level", "restart_needed"}})
+	// SettingsRejected is written when the changed settings file has faults.
+	SettingsRejected = declare(Event{Number: "GS6003", Level: Error, Name: "settings_rejected",
+		Message: "changed settings file has faults, the former settings stay in force",
+		Fields:  []string{"file", "error"}})
+	// CatalogInForce is written when the VM has routes and targets for the first time.
+	CatalogInForce = declare(Event{Number: "GS6101", Level: Info, Name: "catalog_in_force",
+		Message: "routes and targets are in force, the VM is ready",
+		Fields:  []string{"version", "revision"}})
+	// ConfigurationApplied is written when a configuration is in force at this VM.
+	ConfigurationApplied = declare(Event{Number: "GS6102", Level: Info, Name: "configuration_applied", Limited: true, Rate: changeRate, Burst: decisionBurst,
+		Message: "configuration is in force",
+		Fields:  []string{"version", "revision", "routes"}})
+	// TargetChanged is written when the entry of a target is new or has changed.
+	TargetChanged = declare(Event{Number: "GS6103", Level: Info, Name: "target_changed", Limited: true, Rate: changeRate, Burst: decisionBurst,
+		Message: "entry of a target is in force",
+		Fields:  []string{"target", "service", "address", "domain", "state", "revision"}})
+	// TargetEntryRemoved is written when the entry of a target is gone.
+	TargetEntryRemoved = declare(Event{Number: "GS6104", Level: Info, Name: "target_entry_removed", Limited: true, Rate: changeRate, Burst: decisionBurst,
+		Message: "entry of a target is gone",
+		Fields:  []string{"target", "revision"}})
+	// CatalogValueInvalid is written for a value in the store that can't be decoded.
+	CatalogValueInvalid = declare(Event{Number: "GS6105", Level: Warn, Name: "catalog_value_invalid", Limited: true,
+		Message: "value in the store can't be used",
+		Fields:  []string{"key", "revision", "error"}})
+	// StoreLost is written when the store stops answering for a part of the catalog.
+	StoreLost = declare(Event{Number: "GS6106", Level: Warn, Name: "store_lost", Limited: true,
+		Message: "store does not answer, the catalog in memory stays in force",
+		Fields:  []string{"part", "error"}})
+	// StoreRegained is written when the store answers again.
+	StoreRegained = declare(Event{Number: "GS6107", Level: Info, Name: "store_regained", Limited: true,
+		Message: "store answers again",
+		Fields:  []string{"part"}})
+	// FlowDecided is written for the first decision of its kind on a flow.
+	FlowDecided = declare(Event{Number: "GS6201", Level: Info, Name: "flow_decided", Limited: true, Rate: flowRate, Burst: flowBurst,
+		Message: "flow was placed or ended",
+		Fields:  []string{"caller", "address", "action", "reason", "target", "target_domain", "version", "revision"}})
+	// PacketMalformed is written when a datagram is no packet.
+	PacketMalformed = declare(Event{Number: "GS6202", Level: Warn, Name: "packet_malformed", Limited: true,
+		Message: "datagram is no packet and was dropped",
+		Fields:  []string{"error"}})
+	// PacketSendFailed is written when a datagram can't be sent.
+	PacketSendFailed = declare(Event{Number: "GS6203", Level: Warn, Name: "packet_send_failed", Limited: true,
+		Message: "datagram can't be sent",
+		Fields:  []string{"to", "error"}})
+)
+
 // all lists the events in order of declaration.
 var all []*Event
 
--- a/events/event.go
+++ b/events/event.go
@@ -55,6 +55,13 @@
 	// decisionBurst is the burst of events of decisions: one change concerns all
 	// targets that a VM owns, or all VMs of a failure domain of today's size.
 	decisionBurst = 50
+	// changeRate and flowRate are sustained rates, in lines per second, of events of
+	// the catalog and of single flows. A VM that places more than flowRate flows a
+	// second is flooded; the counters tell the rest.
+	changeRate = rate.Limit(20)
+	flowRate   = rate.Limit(50)
+	// flowBurst is the number of lines on flows that a VM may write at once.
+	flowBurst = 200
 )
 
 // Event is the declaration of one kind of log line.
@@ -65,9 +72,10 @@
 	Message string
 	Fields  []string
 	// Limited events can be caused by callers, targets or other VMs. They are
-	// written at most once per second after a burst.
+	// written at a bounded rate after a burst.
 	Limited bool
-	Burst   int // lines; 0 means 5
+	Rate    rate.Limit // lines per second; 0 means 1
+	Burst   int        // lines; 0 means 5
 }
 
 // Field is one named value of a log line.
--- a/events/logger.go
+++ b/events/logger.go
@@ -44,7 +44,7 @@
 
 // Logger writes events. Its methods are safe for concurrent use.
 type Logger struct {
-	level  Level
+	level  atomic.Uint32 // a Level
 	write  func(Line)
 	now    func() time.Time
 	limits map[*Event]*limit
@@ -73,15 +73,19 @@
 }
 
 func newLogger(level Level, write func(Line), now func() time.Time) *Logger {
-	l := &Logger{level: level, write: write, now: now, limits: make(map[*Event]*limit)}
+	l := &Logger{write: write, now: now, limits: make(map[*Event]*limit)}
+	l.SetLevel(level)
 	for _, e := range All() {
 		if e.Limited {
-			l.limits[e] = &limit{limiter: rate.NewLimiter(limitRate, cmp.Or(e.Burst, limitBurst))}
+			l.limits[e] = &limit{limiter: rate.NewLimiter(cmp.Or(e.Rate, limitRate), cmp.Or(e.Burst, limitBurst))}
 		}
 	}
 	return l
 }
 
+// SetLevel changes the lowest level that is written.
+func (l *Logger) SetLevel(level Level) { l.level.Store(uint32(level)) }
+
 // Log writes a line of event e, unless its level or its rate limit forbids it.
 // The fields must be those that the event declares, in the declared order.
 func (l *Logger) Log(e *Event, fields ...Field) {
@@ -94,7 +98,7 @@
 // Admit applies level and rate limit. It returns the line to pass to Write, or
 // false when there is none. Callers that write on another duty use it.
 func (l *Logger) Admit(e *Event, fields []Field) (Line, bool) {
-	if e.Level < l.level {
+	if e.Level < Level(l.level.Load()) {
 		return Line{}, false
 	}
 	now := l.now()
--- /dev/null
+++ b/flowd/flowd.go
@@ -0,0 +1,155 @@
+// Package flowd assembles one VM that forwards packets of opaque flows on the
+// users' platform: kernel, services and the platform's formats. cmd/gypsumflowd
+// is a thin main package over it.
+package flowd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/decide/forward"
+	"github.com/gypsumspan/gypsumspan/events"
+	"github.com/gypsumspan/gypsumspan/kernel"
+	"github.com/gypsumspan/gypsumspan/platform"
+	"github.com/gypsumspan/gypsumspan/services/catalogwatch"
+	"github.com/gypsumspan/gypsumspan/services/logs"
+	"github.com/gypsumspan/gypsumspan/services/packets"
+	"github.com/gypsumspan/gypsumspan/services/readiness"
+	"github.com/gypsumspan/gypsumspan/settings/flowset"
+)
+
+// ErrAssemble means that a part of the daemon could not be created.
+var ErrAssemble = errors.New("daemon can't be assembled")
+
+const (
+	// graceMargin is the part of the stop grace that is left for ending the process.
+	graceMargin = 1500 * time.Millisecond
+	// collectorPercent is the growth of the heap, in percent, at which the collector
+	// runs. The heap is small and memory is dear, so it runs early.
+	collectorPercent = 30
+	// signalCapacity holds the signals that arrive before the service starts.
+	signalCapacity = 4
+)
+
+// Options are the parts of the daemon that its caller chooses.
+type Options struct {
+	// Version appears in logs and in the output of the command "version".
+	Version string
+	// Signals delivers signals. nil means those of the process.
+	Signals <-chan os.Signal
+	// Logger replaces the logger that the settings describe; it may be nil.
+	Logger *events.Logger
+	// Stdout and Stderr default to those of the process.
+	Stdout io.Writer
+	Stderr io.Writer
+}
+
+func (o *Options) setDefaults() {
+	if o.Version == "" {
+		o.Version = buildVersion()
+	}
+	if o.Stdout == nil {
+		o.Stdout = os.Stdout
+	}
+	if o.Stderr == nil {
+		o.Stderr = os.Stderr
+	}
+}
+
+func buildVersion() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok || info.Main.Version == "" {
+		return "unknown"
+	}
+	return info.Main.Version
+}
+
+// Run runs one VM with the settings of file until a stop signal or the end of
+// ctx. It returns nil after a planned stop, ErrAssemble, or the error of the
+// service that failed.
+func Run(ctx context.Context, file string, s *flowset.Settings, o Options) error {
+	o.setDefaults()
+	debug.SetGCPercent(collectorPercent)
+	logger := o.Logger
+	if logger == nil {
+		logger = events.New(o.Stdout, s.Log.Format, s.Log.Level)
+	}
+	signals, stopSignals := o.signals()
+	defer stopSignals()
+	ctx, leave := context.WithCancel(ctx)
+	defer leave()
+	log := logs.New(logger)
+	k, err := assemble(s, log, newSignalService(file, s, signals, leave, logger))
+	if err == nil {
+		logger.Log(events.FlowDaemonStarted,
+			events.F("vm", s.VM.Name),
+			events.F("domain", s.VM.Domain),
+			events.F("packets", s.Listen.Packets),
+			events.F("store", s.Store.Address),
+			events.F("version", o.Version))
+		err = k.Run(ctx, s.Timings.StopGrace-graceMargin)
+	}
+	log.Drain()
+	if err != nil {
+		logger.Log(events.DaemonFailed, events.F("vm", s.VM.Name), events.F("error", err))
+		return err
+	}
+	logger.Log(events.DaemonStopped, events.F("vm", s.VM.Name))
+	return nil
+}
+
+// signals returns the channel of signals and a function that releases it.
+func (o *Options) signals() (<-chan os.Signal, func()) {
+	if o.Signals != nil {
+		return o.Signals, func() {}
+	}
+	ch := make(chan os.Signal, signalCapacity)
+	signal.Notify(ch, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	return ch, func() { signal.Stop(ch) }
+}
+
+// assemble returns a kernel whose sockets are open and whose duties wait for Run.
+func assemble(s *flowset.Settings, log *logs.Service, signals kernel.Service) (*kernel.Kernel, error) {
+	seed := rand.Uint64()
+	list := []kernel.Service{
+		log,
+		signals,
+		readiness.New(readiness.Config{Listen: s.Listen.Readiness, Path: s.Readiness.Path}),
+		packets.New(packets.Config{
+			Listen:    s.Listen.Packets,
+			Codec:     platform.Packets{},
+			Prefix:    platform.TargetPrefix,
+			MaxPacket: platform.MaxPacket,
+			Forward:   forward.Config{Domain: s.VM.Domain, Seed: seed},
+		}),
+		catalogwatch.New(catalogwatch.Config{
+			Store: platform.NewStore(platform.StoreConfig{
+				Address:   s.Store.Address.String(),
+				Timeout:   s.Store.Timeout,
+				WatchWait: s.Store.WatchWait,
+			}),
+			Decoder:          platform.Documents{},
+			ConfigurationKey: platform.ConfigurationKey,
+			TargetPrefix:     platform.TargetPrefixKey,
+			Seed:             seed,
+		}),
+	}
+	k := kernel.New(kernel.NewClock())
+	for _, service := range list {
+		if err := k.Register(service); err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrAssemble, err)
+		}
+	}
+	if err := k.Assemble(); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrAssemble, err)
+	}
+	return k, nil
+}
--- /dev/null
+++ b/flowd/signals.go
@@ -0,0 +1,105 @@
+package flowd
+
+import (
+	"context"
+	"os"
+	"syscall"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/events"
+	"github.com/gypsumspan/gypsumspan/kernel"
+	"github.com/gypsumspan/gypsumspan/services/logs"
+	"github.com/gypsumspan/gypsumspan/settings/flowset"
+)
+
+// reloadInterval is the time between two looks at the settings file, which may
+// change without a signal.
+const reloadInterval = 5 * time.Second
+
+// signalService is the service "signals": it starts the planned stop and reads
+// the settings file again.
+type signalService struct {
+	file     string
+	settings *flowset.Settings // in force
+	signals  <-chan os.Signal
+	leave    func()
+	logger   *events.Logger
+	log      logs.Log
+	modTime  time.Time
+}
+
+func newSignalService(file string, s *flowset.Settings, signals <-chan os.Signal, leave func(), logger *events.Logger) *signalService {
+	return &signalService{file: file, settings: s, signals: signals, leave: leave, logger: logger}
+}
+
+// Name implements kernel.Service.
+func (s *signalService) Name() string { return "signals" }
+
+// Needs implements kernel.Service.
+func (s *signalService) Needs() []string { return []string{logs.Name} }
+
+// Setup implements kernel.Service.
+func (s *signalService) Setup(*kernel.Kernel) error { return nil }
+
+// Connect implements kernel.Service.
+func (s *signalService) Connect(k *kernel.Kernel) error {
+	var err error
+	if s.log, err = kernel.Lookup[logs.Log](k, logs.Name); err != nil {
+		return err
+	}
+	s.modTime = modTime(s.file)
+	k.AddBlocker(kernel.Blocker{Name: "signals", Run: s.run})
+	return nil
+}
+
+func (s *signalService) run(ctx context.Context) error {
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case sig := <-s.signals:
+			if sig == syscall.SIGHUP {
+				s.reload()
+				continue
+			}
+			s.log.Log(events.LeaveStarted,
+				events.F("vm", s.settings.VM.Name),
+				events.F("signal", sig),
+				events.F("grace", s.settings.Timings.StopGrace))
+			s.leave()
+		case <-ticker.C:
+			if modTime(s.file) != s.modTime {
+				s.reload()
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// modTime returns the time of the file's last change; zero if it can't be read.
+func modTime(file string) time.Time {
+	info, err := os.Stat(file)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// reload reads the settings file again. A file with faults changes nothing. Only
+// the log level can change without a restart; other changes are logged.
+func (s *signalService) reload() {
+	s.modTime = modTime(s.file)
+	next, err := flowset.Load(s.file)
+	if err != nil {
+		s.log.Log(events.SettingsRejected, events.F("file", s.file), events.F("error", err))
+		return
+	}
+	s.logger.SetLevel(next.Log.Level)
+	restart := *next
+	restart.Log.Level = s.settings.Log.Level
+	s.log.Log(events.SettingsReloaded,
+		events.F("file", s.file),
+		events.F("level", next.Log.Level),
+		events.F("restart_needed", restart != *s.settings))
+}
--- /dev/null
+++ b/services/packets/packets.go
@@ -0,0 +1,331 @@
+// Package packets is the service "packets": it reads the datagrams of callers
+// from a socket into a ring, decides on each, and sends it on or answers with a
+// reset. It owns the catalog and all that the VM knows of flows and targets.
+package packets
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/decide/catalog"
+	"github.com/gypsumspan/gypsumspan/decide/flow"
+	"github.com/gypsumspan/gypsumspan/decide/forward"
+	"github.com/gypsumspan/gypsumspan/kernel"
+	"github.com/gypsumspan/gypsumspan/services/logs"
+	"github.com/gypsumspan/gypsumspan/services/readiness"
+)
+
+// Name is the service's name.
+const Name = "packets"
+
+const (
+	// buffers is the number of datagrams that may wait between the receiving and the
+	// forwarding duty. The socket's own buffer holds further ones.
+	buffers = 128
+	// batchSize is the number of datagrams decided in one step.
+	batchSize = 32
+	// changes is the number of catalog changes that may wait.
+	changes = 256
+	// changesPerStep bounds the catalog changes applied in one step, so that a large
+	// configuration does not delay packets.
+	changesPerStep = 64
+	// socketBuffer is the size of the socket's buffers in bytes. It holds the
+	// datagrams that arrive while the process is not scheduled.
+	socketBuffer = 1 << 20
+	// quietTime is how long no datagram may arrive before a leaving VM ends.
+	quietTime = time.Second
+	// routersNotice is the time in which routers notice that a VM is not ready: two
+	// checks, half a second apart, and their answers.
+	routersNotice = 1500 * time.Millisecond
+)
+
+// Codec is the form of datagrams.
+type Codec interface {
+	// Decode reads a caller's datagram.
+	Decode(data []byte) (flow.Packet, error)
+	// Address prepares a datagram for a target. buf holds Prefix free bytes before
+	// the datagram as it was received.
+	Address(buf []byte, target uint64, cookie flow.Cookie)
+	// AppendReset appends the datagram that resets p's flow.
+	AppendReset(dst []byte, p flow.Packet) []byte
+}
+
+// Config configures the service.
+type Config struct {
+	Listen netip.AddrPort
+	Codec  Codec
+	// Prefix is the number of bytes that stand before a packet to a target, and
+	// MaxPacket the size of the largest packet, in bytes.
+	Prefix    int
+	MaxPacket int
+	Forward   forward.Config
+}
+
+// Stats counts since start.
+type Stats struct {
+	Received  uint64
+	Malformed uint64
+	Forwarded uint64
+	Resets    uint64
+	Dropped   uint64
+	Failed    uint64 // not sent because of an error
+	Flows     uint64 // remembered now
+}
+
+// buffer is one datagram with room for the prefix.
+type buffer struct {
+	bytes []byte
+	n     int // bytes of the datagram
+}
+
+// Input is what other services tell the forwarding duty. One field is set.
+type Input struct {
+	Change catalog.Change
+	Store  StoreState
+}
+
+// StoreState says whether the store can be reached.
+type StoreState uint8
+
+// The states of the store.
+const (
+	StoreUnchanged StoreState = iota
+	StoreLost
+	StoreRegained
+)
+
+// Service is the service "packets".
+type Service struct {
+	config Config
+	kernel *kernel.Kernel
+	conn   *net.UDPConn
+	log    logs.Log
+	ready  readiness.Switch
+
+	gate     *kernel.Gate
+	in       *kernel.Ring[*buffer]
+	input    *kernel.Ring[Input]
+	freeGate *kernel.Gate
+	free     *kernel.Ring[*buffer]
+
+	forwarder *forward.Forwarder
+	inForce   bool
+	reset     []byte
+
+	received  atomic.Uint64
+	malformed atomic.Uint64
+	forwarded atomic.Uint64
+	resets    atomic.Uint64
+	dropped   atomic.Uint64
+	failed    atomic.Uint64
+	flows     atomic.Uint64
+	lastSeen  atomic.Int64 // time of the last datagram, in ns since start
+}
+
+// New returns the service.
+func New(config Config) *Service {
+	return &Service{config: config, forwarder: forward.New(config.Forward)}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return Name }
+
+// Needs implements kernel.Service. Readiness outlives packets, so that routers
+// learn of a planned stop while datagrams are still forwarded.
+func (s *Service) Needs() []string { return []string{logs.Name, readiness.Name} }
+
+// Setup opens the socket.
+func (s *Service) Setup(k *kernel.Kernel) error {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.config.Listen))
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", s.config.Listen, err)
+	}
+	// The system may grant less than socketBuffer; that is not an error.
+	_ = conn.SetReadBuffer(socketBuffer)
+	_ = conn.SetWriteBuffer(socketBuffer)
+	s.kernel = k
+	s.conn = conn
+	s.gate = kernel.NewGate()
+	s.in = kernel.NewRing[*buffer](k, "packets.in", buffers, kernel.Block, s.gate)
+	s.input = kernel.NewRing[Input](k, "packets.input", changes, kernel.Block, s.gate)
+	s.freeGate = kernel.NewGate()
+	s.free = kernel.NewRing[*buffer](k, "packets.free", buffers, kernel.Block, s.freeGate)
+	size := s.config.Prefix + s.config.MaxPacket + 1
+	memory := make([]byte, buffers*size)
+	for i := range buffers {
+		if err := s.free.Put(&buffer{bytes: memory[i*size : (i+1)*size]}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Connect implements kernel.Service.
+func (s *Service) Connect(k *kernel.Kernel) error {
+	var err error
+	if s.log, err = kernel.Lookup[logs.Log](k, logs.Name); err != nil {
+		return err
+	}
+	if s.ready, err = kernel.Lookup[readiness.Switch](k, readiness.Name); err != nil {
+		return err
+	}
+	k.AddBlocker(kernel.Blocker{
+		Name:      "packets.receive",
+		Run:       s.receive,
+		Interrupt: func() { s.conn.Close() },
+	})
+	k.AddDuty(kernel.Duty{Name: "packets.forward", Gate: s.gate, Step: s.step})
+	return nil
+}
+
+// Put hands an input to the forwarding duty. It waits while the ring is full and
+// returns kernel.ErrRingClosed after the service has ended.
+func (s *Service) Put(in Input) error { return s.input.Put(in) }
+
+// receive reads datagrams into free buffers until the socket is closed.
+func (s *Service) receive(ctx context.Context) error {
+	for {
+		b, ok := s.takeFree(ctx)
+		if !ok {
+			return nil
+		}
+		n, _, err := s.conn.ReadFromUDPAddrPort(b.bytes[s.config.Prefix:])
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			// An ICMP error of an earlier datagram is reported here; the socket stays usable.
+			n = 0
+		}
+		b.n = n
+		if err := s.in.Put(b); err != nil {
+			return nil
+		}
+	}
+}
+
+// takeFree waits for a free buffer until ctx ends.
+func (s *Service) takeFree(ctx context.Context) (*buffer, bool) {
+	for {
+		if b, ok := s.free.Take(); ok {
+			return b, true
+		}
+		select {
+		case <-s.freeGate.C():
+		case <-ctx.Done():
+			return nil, false
+		}
+	}
+}
+
+// step applies changes of the catalog, then decides on waiting datagrams.
+func (s *Service) step(now time.Duration) time.Duration {
+	more := s.applyInputs(now)
+	for range batchSize {
+		b, ok := s.in.Take()
+		if !ok {
+			wake := s.forwarder.Tick(now)
+			s.flows.Store(uint64(s.forwarder.Flows()))
+			if more {
+				return now
+			}
+			return wake
+		}
+		s.decide(now, b)
+		// The ring has room for every buffer that exists.
+		_ = s.free.Put(b)
+	}
+	return now
+}
+
+// applyInputs reports whether inputs are left.
+func (s *Service) applyInputs(now time.Duration) bool {
+	for range changesPerStep {
+		in, ok := s.input.Take()
+		if !ok {
+			return false
+		}
+		s.apply(now, in)
+	}
+	return true
+}
+
+func (s *Service) decide(now time.Duration, b *buffer) {
+	if b.n == 0 {
+		return
+	}
+	s.received.Add(1)
+	s.lastSeen.Store(int64(now))
+	prefix := s.config.Prefix
+	p, err := s.config.Codec.Decode(b.bytes[prefix : prefix+b.n])
+	if err != nil {
+		s.malformed.Add(1)
+		s.logMalformed(err)
+		return
+	}
+	v := s.forwarder.Receive(now, p)
+	if v.Decided {
+		s.logDecision(p, v)
+	}
+	switch v.Action {
+	case forward.Forward:
+		s.config.Codec.Address(b.bytes, v.Target.Number, v.Cookie)
+		s.send(b.bytes[:prefix+b.n], v.Target.Address.AddrPort(), &s.forwarded)
+	case forward.Reset:
+		s.reset = s.config.Codec.AppendReset(s.reset[:0], p)
+		to := flow.Endpoint{IP: p.Flow.Caller.IP, Port: s.config.Listen.Port()}
+		s.send(s.reset, to.AddrPort(), &s.resets)
+	default:
+		s.dropped.Add(1)
+	}
+}
+
+func (s *Service) send(data []byte, to netip.AddrPort, sent *atomic.Uint64) {
+	if _, err := s.conn.WriteToUDPAddrPort(data, to); err != nil {
+		s.failed.Add(1)
+		s.logSendFailed(to, err)
+		return
+	}
+	sent.Add(1)
+}
+
+// Stop implements kernel.Stopper: the VM is no longer ready, and datagrams are
+// forwarded until routers have noticed and none has arrived for a while.
+func (s *Service) Stop(ctx context.Context) error {
+	s.ready.Leave()
+	started := s.kernel.Now()
+	for {
+		now := s.kernel.Now()
+		until := max(started+routersNotice, time.Duration(s.lastSeen.Load())+quietTime)
+		if now >= until {
+			return nil
+		}
+		timer := time.NewTimer(until - now)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			// Routers that still send here lose nothing but time: other VMs forward
+			// what is repeated.
+			return nil
+		}
+	}
+}
+
+// Stats returns the counters.
+func (s *Service) Stats() Stats {
+	return Stats{
+		Received:  s.received.Load(),
+		Malformed: s.malformed.Load(),
+		Forwarded: s.forwarded.Load(),
+		Resets:    s.resets.Load(),
+		Dropped:   s.dropped.Load(),
+		Failed:    s.failed.Load(),
+		Flows:     s.flows.Load(),
+	}
+}
--- /dev/null
+++ b/services/readiness/readiness.go
@@ -0,0 +1,113 @@
+// Package readiness is the service "readiness": it tells the platform's routers
+// over HTTP whether this VM shall get packets.
+package readiness
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/kernel"
+)
+
+// Name is the service's name.
+const Name = "readiness"
+
+const (
+	// readTimeout bounds the time in which a client sends a request.
+	readTimeout = 2 * time.Second
+	// idleTimeout closes a connection without requests.
+	idleTimeout = 10 * time.Second
+	// maxHeader is the largest request header, in bytes.
+	maxHeader = 4 << 10
+)
+
+// Switch sets the answer. All methods are safe for concurrent use.
+type Switch interface {
+	// Set says whether the VM has what it needs.
+	Set(ready bool)
+	// Leave makes the VM not ready for good.
+	Leave()
+}
+
+// Config configures the service.
+type Config struct {
+	Listen netip.AddrPort
+	Path   string // of the question
+}
+
+// Service is the service "readiness".
+type Service struct {
+	config   Config
+	listener net.Listener
+	server   *http.Server
+	ready    atomic.Bool
+	leaving  atomic.Bool
+}
+
+// New returns the service.
+func New(config Config) *Service { return &Service{config: config} }
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return Name }
+
+// Needs implements kernel.Service.
+func (s *Service) Needs() []string { return nil }
+
+// Setup opens the listening socket.
+func (s *Service) Setup(*kernel.Kernel) error {
+	listener, err := net.Listen("tcp4", s.config.Listen.String())
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", s.config.Listen, err)
+	}
+	s.listener = listener
+	return nil
+}
+
+// Connect implements kernel.Service.
+func (s *Service) Connect(k *kernel.Kernel) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+s.config.Path, s.answer)
+	s.server = &http.Server{
+		Handler:        mux,
+		ReadTimeout:    readTimeout,
+		IdleTimeout:    idleTimeout,
+		MaxHeaderBytes: maxHeader,
+	}
+	k.AddBlocker(kernel.Blocker{
+		Name:      "readiness",
+		Run:       s.serve,
+		Interrupt: func() { s.server.Close() },
+	})
+	return nil
+}
+
+func (s *Service) serve(context.Context) error {
+	err := s.server.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fmt.Errorf("serve readiness: %w", err)
+}
+
+func (s *Service) answer(w http.ResponseWriter, _ *http.Request) {
+	if s.Ready() {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// Ready reports whether the VM shall get packets.
+func (s *Service) Ready() bool { return s.ready.Load() && !s.leaving.Load() }
+
+// Set implements Switch.
+func (s *Service) Set(ready bool) { s.ready.Store(ready) }
+
+// Leave implements Switch.
+func (s *Service) Leave() { s.leaving.Store(true) }
--- a/settings/fault.go
+++ b/settings/document/fault.go
@@ -1,10 +1,15 @@
-package settings
+package document
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 )
 
+// ErrInvalid means that a document has faults. Errors that wrap it are of type
+// Faults.
+var ErrInvalid = errors.New("settings are invalid")
+
 // Fault is one fault in a settings file.
 type Fault struct {
 	File     string
--- a/settings/positions.go
+++ b/settings/document/positions.go
@@ -1,4 +1,4 @@
-package settings
+package document
 
 import (
 	"strconv"
--- /dev/null
+++ b/settings/document/values.go
@@ -0,0 +1,132 @@
+package document
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"regexp"
+	"strings"
+	"time"
+)
+
+// The types of keys as the reference names them.
+const (
+	TypeString   = "string"
+	TypeAddress  = "address"
+	TypeIP       = "IP address"
+	TypeDuration = "duration"
+	TypeURL      = "URL"
+	TypeURLs     = "list of URLs"
+	TypePath     = "path"
+)
+
+// The ranges of keys as the reference names them.
+const (
+	NameRange       = "1 to 63 of a-z, 0-9, '.', '_' and '-', starting with a letter or digit"
+	AddressRange    = "ip:port with a port of 1 to 65535"
+	AdvertisedRange = AddressRange + ", not 0.0.0.0 or [::]"
+	URLRange        = "http or https URL with a host"
+	PathRange       = "path of a file, not empty"
+)
+
+// nameForm is the form of names of VMs and failure domains.
+var nameForm = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
+
+// IsName reports whether text has the form of a name.
+func IsName(text string) bool { return nameForm.MatchString(text) }
+
+// Name sets a name.
+func Name[S any](field func(s *S) *string) func(*S, any) bool {
+	return func(s *S, raw any) bool {
+		text, ok := raw.(string)
+		*field(s) = text
+		return ok && IsName(text)
+	}
+}
+
+// Path sets a path that is not empty.
+func Path[S any](field func(s *S) *string) func(*S, any) bool {
+	return func(s *S, raw any) bool {
+		text, ok := raw.(string)
+		*field(s) = text
+		return ok && text != ""
+	}
+}
+
+// Address sets an address with a port.
+func Address[S any](field func(s *S) *netip.AddrPort) func(*S, any) bool {
+	return func(s *S, raw any) bool {
+		addr, ok := ParseAddress(raw)
+		*field(s) = addr
+		return ok
+	}
+}
+
+// Advertised sets an address that others can reach.
+func Advertised[S any](field func(s *S) *netip.AddrPort) func(*S, any) bool {
+	return func(s *S, raw any) bool {
+		addr, ok := ParseAddress(raw)
+		*field(s) = addr
+		return ok && !addr.Addr().IsUnspecified()
+	}
+}
+
+// ParseAddress reads an address with a port above 0.
+func ParseAddress(raw any) (netip.AddrPort, bool) {
+	text, ok := raw.(string)
+	if !ok {
+		return netip.AddrPort{}, false
+	}
+	addr, err := netip.ParseAddrPort(text)
+	if err != nil || addr.Port() == 0 {
+		return netip.AddrPort{}, false
+	}
+	return netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port()), true
+}
+
+// Duration sets a duration from low to high.
+func Duration[S any](low, high time.Duration, field func(s *S) *time.Duration) func(*S, any) bool {
+	return func(s *S, raw any) bool {
+		text, ok := raw.(string)
+		if !ok {
+			return false
+		}
+		d, err := time.ParseDuration(text)
+		if err != nil || d < low || d > high {
+			return false
+		}
+		*field(s) = d
+		return true
+	}
+}
+
+// DurationRange returns the range of a duration as the reference shows it.
+func DurationRange(low, high time.Duration) string {
+	return fmt.Sprintf("%s to %s", Short(low), Short(high))
+}
+
+// Short returns d without trailing zero units: "5m", not "5m0s".
+func Short(d time.Duration) string {
+	text := d.String()
+	if strings.HasSuffix(text, "m0s") {
+		text = strings.TrimSuffix(text, "0s")
+	}
+	if strings.HasSuffix(text, "h0m") {
+		text = strings.TrimSuffix(text, "0m")
+	}
+	return text
+}
+
+// IsURL reports whether text is an http or https URL with a host.
+func IsURL(text string) bool {
+	u, err := url.Parse(text)
+	return err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+}
+
+// Overlap reports whether two sockets can't listen on a and b together.
+func Overlap(a, b netip.AddrPort) bool {
+	if !a.IsValid() || !b.IsValid() || a.Port() != b.Port() {
+		return false
+	}
+	return a.Addr() == b.Addr() || a.Addr().IsUnspecified() || b.Addr().IsUnspecified()
+}
--- /dev/null
+++ b/settings/flowset/example.go
@@ -0,0 +1,32 @@
+package flowset
+
+// Example returns the text of a valid settings file for a VM on the loopback
+// address.
+func Example() string { return example }
+
+const example = `# Settings of gypsumflowd on one VM. docs/flow-settings.md lists every key.
+
+[vm]
+name = "vm-1"
+domain = "north"
+
+[listen]
+packets = "127.0.0.1:8172"
+readiness = "127.0.0.1:8167"
+neighbours = "127.0.0.1:7720"
+metrics = "127.0.0.1:7721"
+
+[readiness]
+path = "/readyz"
+
+[store]
+address = "127.0.0.1:8169"
+watch_wait = "2s"
+
+[log]
+format = "json"
+level = "info"
+
+[timings]
+stop_grace = "6s"
+`
--- /dev/null
+++ b/settings/flowset/flowset.go
@@ -0,0 +1,93 @@
+// Package flowset reads the settings file of gypsumflowd, the daemon that
+// forwards packets of opaque flows. docs/flow-settings.md lists every key.
+package flowset
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/events"
+	"github.com/gypsumspan/gypsumspan/settings"
+	"github.com/gypsumspan/gypsumspan/settings/document"
+)
+
+// page lists the keys.
+const page = "docs/flow-settings.md"
+
+// Settings are the checked settings of one VM.
+type Settings struct {
+	VM        VM
+	Listen    Listen
+	Readiness Readiness
+	Store     Store
+	Log       Log
+	Timings   Timings
+}
+
+// VM is the identity of the VM.
+type VM struct {
+	Name   string // unique in the fleet
+	Domain string // failure domain
+}
+
+// Listen are the addresses that the VM listens on.
+type Listen struct {
+	Packets    netip.AddrPort // UDP, packets of callers
+	Readiness  netip.AddrPort // TCP, questions of the routers
+	Neighbours netip.AddrPort // UDP, other VMs; invalid: none
+	Metrics    netip.AddrPort // TCP, metrics; invalid: none
+}
+
+// Readiness is the question of the routers.
+type Readiness struct {
+	Path string // of the HTTP request
+}
+
+// Store is the platform's store.
+type Store struct {
+	Address   netip.AddrPort
+	Timeout   time.Duration // of one call
+	WatchWait time.Duration // how long the store may hold a watch without events
+}
+
+// Log is the form of the log.
+type Log struct {
+	Format events.Format
+	Level  events.Level
+}
+
+// Timings are intervals and time-outs.
+type Timings struct {
+	StopGrace time.Duration // from the first stop signal to the end at the latest
+}
+
+// Load reads and checks the file. It returns settings.ErrFile or document.Faults.
+func Load(file string) (*Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", settings.ErrFile, err)
+	}
+	return Parse(file, data)
+}
+
+// Parse checks data; file is its name in faults. It returns document.Faults.
+func Parse(file string, data []byte) (*Settings, error) {
+	c := document.NewChecker[Settings](file, page)
+	if c.Check(data, keys, keys) {
+		checkDuplicates(c)
+	}
+	return c.Result()
+}
+
+// checkDuplicates reports listen addresses of the same protocol that overlap.
+func checkDuplicates(c *document.Checker[Settings]) {
+	l := c.Settings.Listen
+	if document.Overlap(l.Packets, l.Neighbours) {
+		c.Add("listen.neighbours", "an address that listen.packets does not use", document.Show(l.Neighbours.String()))
+	}
+	if document.Overlap(l.Readiness, l.Metrics) {
+		c.Add("listen.metrics", "an address that listen.readiness does not use", document.Show(l.Metrics.String()))
+	}
+}
--- /dev/null
+++ b/settings/flowset/keys.go
@@ -0,0 +1,112 @@
+package flowset
+
+import (
+	"net/netip"
+	"strings"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/events"
+	"github.com/gypsumspan/gypsumspan/settings/document"
+)
+
+// Key describes one key of the settings file.
+type Key = document.Key[Settings]
+
+// Defaults of timings.
+const (
+	// defaultWatchWait and defaultTimeout show a silent connection within three
+	// seconds, the time in which a change must be in force.
+	defaultWatchWait = 2 * time.Second
+	defaultTimeout   = 700 * time.Millisecond
+	// defaultStopGrace is the platform's usual time between the stop signal and the
+	// end of the process.
+	defaultStopGrace = 6 * time.Second
+)
+
+// Keys returns every key in the order of the reference.
+func Keys() []Key { return keys }
+
+var keys = []Key{
+	{Path: "vm.name", Type: document.TypeString, Range: textRange,
+		Meaning: "Name of this VM, unique in the fleet.",
+		Set:     text(func(s *Settings) *string { return &s.VM.Name })},
+	{Path: "vm.domain", Type: document.TypeString, Range: textRange,
+		Meaning: "Failure domain of this VM, as the entries of targets spell it.",
+		Set:     text(func(s *Settings) *string { return &s.VM.Domain })},
+	{Path: "listen.packets", Type: document.TypeAddress, Range: document.AddressRange,
+		Meaning: "UDP address for packets of callers. Resets go to the same port at the caller.",
+		Set:     document.Address(func(s *Settings) *netip.AddrPort { return &s.Listen.Packets })},
+	{Path: "listen.readiness", Type: document.TypeAddress, Range: document.AddressRange,
+		Meaning: "TCP address for the routers' question whether the VM shall get packets (HTTP).",
+		Set:     document.Address(func(s *Settings) *netip.AddrPort { return &s.Listen.Readiness })},
+	{Path: "listen.neighbours", Type: document.TypeAddress, Range: document.AddressRange, Optional: true,
+		Meaning: "UDP address for other VMs. Without it the VM learns changes from the store only.",
+		Set:     document.Address(func(s *Settings) *netip.AddrPort { return &s.Listen.Neighbours })},
+	{Path: "listen.metrics", Type: document.TypeAddress, Range: document.AddressRange, Optional: true,
+		Meaning: "TCP address for metrics and operators' questions (HTTP). Without it there are none.",
+		Set:     document.Address(func(s *Settings) *netip.AddrPort { return &s.Listen.Metrics })},
+	{Path: "readiness.path", Type: document.TypeString, Default: "/readyz", Range: "path that starts with /",
+		Meaning: "Path of the routers' question.",
+		Set:     setPath},
+	{Path: "store.address", Type: document.TypeAddress, Range: document.AddressRange,
+		Meaning: "Address of the platform's store.",
+		Set:     document.Address(func(s *Settings) *netip.AddrPort { return &s.Store.Address })},
+	duration("store.timeout", defaultTimeout, 50*time.Millisecond, 10*time.Second,
+		"Time-out of one call to the store. A watch that is held has `store.watch_wait` besides.",
+		func(s *Settings) *time.Duration { return &s.Store.Timeout }),
+	duration("store.watch_wait", defaultWatchWait, 100*time.Millisecond, 30*time.Second,
+		"How long the store may hold a watch without events. With `store.timeout` it bounds the time until a silent connection shows.",
+		func(s *Settings) *time.Duration { return &s.Store.WatchWait }),
+	{Path: "log.format", Type: document.TypeString, Default: "json", Range: "one of json, text",
+		Meaning: "Form of log lines, on the standard output.",
+		Set:     setLogFormat},
+	{Path: "log.level", Type: document.TypeString, Default: "info", Range: "one of " + strings.Join(events.Levels(), ", "),
+		Meaning: "Lowest level that is written. A change takes effect without a restart.",
+		Set:     setLogLevel},
+	duration("timings.stop_grace", defaultStopGrace, time.Second, 10*time.Minute,
+		"Time from the stop signal to the end of the process at the latest.",
+		func(s *Settings) *time.Duration { return &s.Timings.StopGrace }),
+}
+
+func duration(path string, def, low, high time.Duration, meaning string, field func(s *Settings) *time.Duration) Key {
+	return Key{
+		Path:    path,
+		Type:    document.TypeDuration,
+		Default: document.Short(def),
+		Range:   document.DurationRange(low, high),
+		Meaning: meaning,
+		Set:     document.Duration(low, high, field),
+	}
+}
+
+const textRange = "1 to 128 characters"
+
+// text sets a name of the platform, whose form is not the project's to choose.
+func text(field func(s *Settings) *string) func(*Settings, any) bool {
+	const most = 128
+	return func(s *Settings, raw any) bool {
+		value, ok := raw.(string)
+		*field(s) = value
+		return ok && value != "" && len(value) <= most
+	}
+}
+
+func setPath(s *Settings, raw any) bool {
+	value, ok := raw.(string)
+	s.Readiness.Path = value
+	return ok && strings.HasPrefix(value, "/") && !strings.ContainsAny(value, " {}?#")
+}
+
+func setLogFormat(s *Settings, raw any) bool {
+	value, _ := raw.(string)
+	format, err := events.ParseFormat(value)
+	s.Log.Format = format
+	return err == nil
+}
+
+func setLogLevel(s *Settings, raw any) bool {
+	value, _ := raw.(string)
+	level, err := events.ParseLevel(value)
+	s.Log.Level = level
+	return err == nil
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/events"
+	"github.com/gypsumspan/gypsumspan/settings/document"
 )
 
 // ErrFile means that the settings file can't be read.
@@ -18,7 +19,13 @@
 
 // ErrInvalid means that the settings have faults. Errors of Load and Parse that
 // wrap it are of type Faults.
-var ErrInvalid = errors.New("settings are invalid")
+var ErrInvalid = document.ErrInvalid
+
+// Fault is one fault in a settings file, Faults are all faults of one file.
+type (
+	Fault  = document.Fault
+	Faults = document.Faults
+)
 
 // Settings are the checked settings of one entry VM.
 type Settings struct {
@@ -126,10 +133,5 @@
 
 // Parse checks data; file is its name in faults. It returns Faults.
 func Parse(file string, data []byte) (*Settings, error) {
-	c := &checker{file: file, settings: &Settings{}}
-	c.run(data)
-	if len(c.faults) > 0 {
-		return nil, c.faults
-	}
-	return c.settings, nil
+	return parse(file, data)
 }
