--- a/decide/catalog/catalog.go
+++ b/decide/catalog/catalog.go
@@ -96,27 +96,5 @@
 	// Gone is the id of a target whose entry was removed or can't be used.
 	Gone string
 	// Synced means that everything up to Revision was handed over.
-	Synced Part
-}
-
-// Part names a part of the catalog that is read as a whole.
-type Part uint8
-
-// The parts.
-const (
-	NoPart Part = iota
-	ConfigurationPart
-	TargetsPart
-)
-
-// String returns the part as it appears in logs.
-func (p Part) String() string {
-	switch p {
-	case ConfigurationPart:
-		return "configuration"
-	case TargetsPart:
-		return "targets"
-	default:
-		return "none"
-	}
+	Synced bool
 }
--- a/decide/catalog/view.go
+++ b/decide/catalog/view.go
@@ -59,7 +59,7 @@
 	free     []int                // slots that can be used again
 	slots    int
 	revision int64 // of the targets: everything up to it was applied
-	synced   map[Part]bool
+	synced   bool
 
 	storeLost   bool
 	regainedAt  time.Duration
@@ -75,7 +75,6 @@
 		targets:  make(map[string]*Target),
 		byCookie: make(map[flow.Cookie]*Target),
 		services: make(map[string][]*Target),
-		synced:   make(map[Part]bool),
 	}
 }
 
@@ -90,7 +89,7 @@
 	TargetAdded
 	TargetChanged
 	TargetRemoved
-	PartSynced
+	Synced
 )
 
 // Apply merges a change. It ignores what is older than what it has.
@@ -102,12 +101,10 @@
 		return v.put(now, c.Revision, c.Target)
 	case c.Gone != "":
 		return v.remove(now, c.Revision, c.Gone)
-	case c.Synced != NoPart:
-		v.synced[c.Synced] = true
-		if c.Synced == TargetsPart {
-			v.revision = max(v.revision, c.Revision)
-		}
-		return PartSynced
+	case c.Synced:
+		v.synced = true
+		v.revision = max(v.revision, c.Revision)
+		return Synced
 	default:
 		return Nothing
 	}
@@ -277,7 +274,7 @@
 
 // Ready reports whether a configuration and the targets are in force.
 func (v *View) Ready() bool {
-	return v.config != nil && v.synced[TargetsPart]
+	return v.config != nil && v.synced
 }
 
 // Version returns the version of the configuration; 0 without one.
--- a/decide/forward/forward.go
+++ b/decide/forward/forward.go
@@ -12,6 +12,7 @@
 	"github.com/gypsumspan/gypsumspan/decide/catalog"
 	"github.com/gypsumspan/gypsumspan/decide/evidence"
 	"github.com/gypsumspan/gypsumspan/decide/flow"
+	"github.com/gypsumspan/gypsumspan/decide/relay"
 	"github.com/gypsumspan/gypsumspan/decide/rendezvous"
 )
 
@@ -114,9 +115,12 @@
 	loads    []balance.Load     // by slot of the target
 	evidence []evidence.Tracker // by slot of the target
 
-	choices   []balance.Candidate // reused
-	chosen    []*catalog.Target   // parallel to choices
-	nextSweep time.Duration
+	choices []balance.Candidate // reused
+	chosen  []*catalog.Target   // parallel to choices
+
+	domainLoads   []relay.Load
+	domainLoadsAt time.Duration
+	nextSweep     time.Duration
 }
 
 // New returns a forwarder with an empty catalog.
--- /dev/null
+++ b/decide/relay/relay.go
@@ -0,0 +1,468 @@
+// Package relay decides how a VM keeps its copy of the catalog new with few calls
+// to the platform's store.
+//
+// One VM of each failure domain, the relay, watches the store. The others ask the
+// relay for beats, and pull what they miss from it. A beat says up to which
+// revision its sender knows the store and how old that knowledge is. A VM whose
+// knowledge is older than a bound watches the store itself, whatever the reason:
+// a relay that is dead, paused, cut off or refused by the store.
+//
+// The relay of a domain is the first live VM by rendezvous hashing (D. Thaler,
+// C. Ravishankar, 1998). VMs know each other from one entry each in the store,
+// written once at the start.
+package relay
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+const (
+	// askInterval is the time between two questions to a relay.
+	askInterval = 500 * time.Millisecond
+	// deadAfter is how long a relay may leave questions unanswered: two questions
+	// and the answer to the second may be lost.
+	deadAfter = 1200 * time.Millisecond
+	// deadAskInterval is the time between two questions to a dead VM that would be
+	// relay if it lived.
+	deadAskInterval = 3 * time.Second
+	// subscriberFor is how long after its last question a VM is told of news.
+	subscriberFor = 1600 * time.Millisecond
+	// directFor is how long a VM that had to watch the store itself goes on.
+	directFor = 4 * time.Second
+	// pullTimeout is the time after which a pull without an answer is given up.
+	pullTimeout = time.Second
+	// forgetAfter is how long a relay must have been asked by the others before it
+	// removes the entry of a VM that never asked.
+	forgetAfter = time.Minute
+	// maxLoads bounds the loads in one beat, so that it fits one datagram.
+	maxLoads = 16
+	// loadFor is how long a reported load counts.
+	loadFor = 3 * time.Second
+)
+
+// Load is the work of one service whose callers are in one failure domain.
+type Load struct {
+	Domain  string
+	Service string
+	Flows   uint32 // open flows
+	Busy    uint32 // requests in progress
+}
+
+// Confirmation says that Revision was the newest in the store Age ago.
+type Confirmation struct {
+	Revision int64 // 0: nothing is known
+	Age      time.Duration
+	// Regained, if HasRegained, is how long ago the store came back after an outage.
+	// Entries that lapsed meanwhile may still be missing.
+	Regained    time.Duration
+	HasRegained bool
+}
+
+// Beat is one datagram between VMs.
+type Beat struct {
+	Name      string
+	Domain    string
+	Reply     bool  // the sender was asked, or tells news
+	Revision  int64 // everything up to it is in the sender's copy
+	Confirmed Confirmation
+	Loads     []Load
+}
+
+// News is a part of another copy: the answer of the store or of a pull.
+type News struct {
+	Revision  int64
+	Confirmed Confirmation
+	Items     []Item
+	Complete  bool // Items hold every key
+}
+
+// Outgoing is a beat to send.
+type Outgoing struct {
+	To   netip.AddrPort
+	Beat Beat
+}
+
+// Pull asks for what was written after a revision.
+type Pull struct {
+	From  netip.AddrPort
+	Name  string // of the VM
+	After int64
+}
+
+// Output is what a machine wants done.
+type Output struct {
+	Beats []Outgoing
+	Pull  *Pull
+	News  []Item // changes of the copy, in order
+	// Lost and Regained say that knowledge of the store became too old or new again.
+	Lost     bool
+	Regained bool
+	// Forget is the entry of a VM that is long dead; its revision is that which may
+	// be deleted.
+	Forget *Item
+}
+
+// Config is what a machine knows of itself.
+type Config struct {
+	Self         Member
+	MemberPrefix string // of the keys of VMs
+	// MaxAge is the age of the knowledge of the store at which the VM watches it.
+	MaxAge time.Duration
+}
+
+// Machine keeps the copy of one VM. It is not safe for concurrent use.
+type Machine struct {
+	config  Config
+	key     string // of the own entry
+	replica *Replica
+	members members
+
+	confirmed   int64         // revision that was newest in the store at confirmedAt
+	confirmedAt time.Duration // by the own clock
+	known       bool          // something was confirmed at all
+	lost        bool
+	regainedAt  time.Duration
+	wasRegained bool
+
+	subscribers map[string]time.Duration // by key: last question
+	relaySince  time.Duration
+	isRelay     bool
+	directTill  time.Duration
+	pull        *Pull
+	pullAt      time.Duration
+	nextPrune   time.Duration
+
+	ownLoads []Load
+	loads    map[Load]loadReport // by domain and service, the counts 0
+
+	out Output
+}
+
+type loadReport struct {
+	Load
+	at time.Duration
+}
+
+// New returns a machine without a copy.
+func New(config Config) *Machine {
+	return &Machine{
+		config:      config,
+		key:         config.Self.Key(config.MemberPrefix),
+		replica:     NewReplica(),
+		members:     newMembers(),
+		subscribers: make(map[string]time.Duration),
+		loads:       make(map[Load]loadReport),
+	}
+}
+
+// Replica returns the copy, for reading.
+func (m *Machine) Replica() *Replica { return m.replica }
+
+// IsRelay reports whether the VM watches the store for its domain.
+func (m *Machine) IsRelay() bool { return m.isRelay }
+
+// Age returns how old the knowledge of the store is; ok is false without any.
+func (m *Machine) Age(now time.Duration) (age time.Duration, ok bool) {
+	return now - m.confirmedAt, m.known
+}
+
+// Watching reports whether the VM shall watch the store now.
+func (m *Machine) Watching(now time.Duration) bool {
+	return m.isRelay || now < m.directTill
+}
+
+// Registered reports whether the copy has the VM's own entry as it should be.
+func (m *Machine) Registered() bool {
+	item, ok := m.replica.Get(m.key)
+	return ok && string(item.Value) == string(m.config.Self.Value())
+}
+
+// Registration returns the VM's own entry. Its revision is that of the present
+// one, 0 if there is none.
+func (m *Machine) Registration() Item {
+	item, _ := m.replica.Get(m.key)
+	return Item{Key: m.key, Value: m.config.Self.Value(), Revision: item.Revision}
+}
+
+// Take returns what is to be done since the last call.
+func (m *Machine) Take() Output {
+	out := m.out
+	m.out = Output{}
+	return out
+}
+
+// FromStore merges an answer of the store.
+func (m *Machine) FromStore(now time.Duration, n News) {
+	n.Confirmed = Confirmation{Revision: n.Revision}
+	m.merge(now, n)
+}
+
+// StoreFailed notes that a call to the store failed.
+func (m *Machine) StoreFailed() { m.setLost() }
+
+// FromPull merges the answer to a pull, which was asked for at asked: what the
+// answer says of the store's age is at most that much older on arrival.
+func (m *Machine) FromPull(now, asked time.Duration, n News) {
+	m.pull = nil
+	n.Confirmed.Age += now - asked
+	m.merge(now, n)
+}
+
+// PullFailed notes that a pull had no answer.
+func (m *Machine) PullFailed(now time.Duration) {
+	m.pull = nil
+	m.direct(now)
+}
+
+// merge takes in news and tells them to those who ask this VM.
+func (m *Machine) merge(now time.Duration, n News) {
+	before := m.replica.Revision()
+	news := m.replica.Merge(now, n.Items, n.Revision, n.Complete)
+	for _, item := range news {
+		m.noteMember(item)
+	}
+	m.out.News = append(m.out.News, news...)
+	m.confirm(now, n.Confirmed)
+	if m.replica.Revision() > before && len(news) > 0 {
+		m.tellSubscribers(now)
+	}
+}
+
+func (m *Machine) noteMember(item Item) {
+	if item.Key == m.key {
+		return
+	}
+	member, ok := parseMember(m.config.MemberPrefix, item)
+	if item.Deleted || !ok {
+		m.members.remove(item.Key)
+		return
+	}
+	m.members.put(member, item.Key, item.Revision)
+}
+
+// confirm notes how new the copy is. A confirmation of a revision that the copy
+// does not have yet is not one.
+func (m *Machine) confirm(now time.Duration, c Confirmation) {
+	if c.Revision == 0 || c.Revision > m.replica.Revision() || c.Revision < m.confirmed {
+		return
+	}
+	at := now - c.Age
+	if m.known && at <= m.confirmedAt {
+		return
+	}
+	m.confirmed = c.Revision
+	m.confirmedAt = at
+	m.known = true
+	if c.HasRegained {
+		m.setRegained(now - c.Regained)
+	}
+	if m.lost && now-at < m.config.MaxAge {
+		m.lost = false
+		m.setRegained(now)
+		m.out.Regained = true
+	}
+}
+
+func (m *Machine) setRegained(at time.Duration) {
+	if !m.wasRegained || at > m.regainedAt {
+		m.regainedAt = at
+	}
+	m.wasRegained = true
+}
+
+func (m *Machine) setLost() {
+	if !m.lost && m.known {
+		m.lost = true
+		m.out.Lost = true
+	}
+}
+
+// direct lets the VM watch the store itself for a while.
+func (m *Machine) direct(now time.Duration) { m.directTill = now + directFor }
+
+// confirmation returns what this VM can confirm.
+func (m *Machine) confirmation(now time.Duration) Confirmation {
+	if !m.known {
+		return Confirmation{}
+	}
+	c := Confirmation{Revision: m.confirmed, Age: now - m.confirmedAt}
+	if m.wasRegained {
+		c.HasRegained = true
+		c.Regained = now - m.regainedAt
+	}
+	return c
+}
+
+// beat returns a beat of this VM with the given loads.
+func (m *Machine) beat(now time.Duration, reply bool, loads []Load) Beat {
+	return Beat{
+		Name:      m.config.Self.Name,
+		Domain:    m.config.Self.Domain,
+		Reply:     reply,
+		Revision:  m.replica.Revision(),
+		Confirmed: m.confirmation(now),
+		Loads:     busiest(loads),
+	}
+}
+
+// Receive takes in a beat that came from the given address.
+func (m *Machine) Receive(now time.Duration, from netip.AddrPort, b Beat) {
+	key := Member{Name: b.Name, Domain: b.Domain}.Key(m.config.MemberPrefix)
+	if key == m.key {
+		return
+	}
+	p := m.members.byKey[key]
+	if p != nil {
+		p.heard, p.everHear, p.waiting = now, true, false
+	}
+	m.noteLoads(now, p, b)
+	if !b.Reply {
+		m.subscribers[key] = now
+		m.out.Beats = append(m.out.Beats, Outgoing{To: from, Beat: m.beat(now, true, m.DomainLoads(now))})
+	}
+	if b.Revision > m.replica.Revision() {
+		if p != nil {
+			m.startPull(now, p)
+		}
+		return
+	}
+	m.confirm(now, b.Confirmed)
+}
+
+func (m *Machine) startPull(now time.Duration, p *peer) {
+	if m.pull != nil {
+		return
+	}
+	m.pull = &Pull{From: p.Pulls, Name: p.Name, After: m.replica.Revision()}
+	m.pullAt = now
+	m.out.Pull = m.pull
+}
+
+// Answer returns what was written after a revision, for another VM's pull.
+func (m *Machine) Answer(now time.Duration, after int64) News {
+	items, complete := m.replica.Since(after)
+	return News{Revision: m.replica.Revision(), Confirmed: m.confirmation(now), Items: items, Complete: complete}
+}
+
+// tellSubscribers sends beats about news.
+func (m *Machine) tellSubscribers(now time.Duration) {
+	keys := make([]string, 0, len(m.subscribers))
+	for key, at := range m.subscribers {
+		if now-at < subscriberFor {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	for _, key := range keys {
+		if p := m.members.byKey[key]; p != nil {
+			m.out.Beats = append(m.out.Beats, Outgoing{To: p.Beats, Beat: m.beat(now, true, m.DomainLoads(now))})
+		}
+	}
+}
+
+// Tick does what is due and returns the time of the next call.
+func (m *Machine) Tick(now time.Duration) time.Duration {
+	m.chooseRole(now)
+	next := now + askInterval
+	if m.replica.Revision() > 0 {
+		next = min(next, m.askRelays(now))
+	}
+	if m.known && now-m.confirmedAt >= m.config.MaxAge {
+		m.setLost()
+		m.direct(now)
+	} else if m.known {
+		next = min(next, m.confirmedAt+m.config.MaxAge)
+	}
+	if m.pull != nil && now-m.pullAt >= pullTimeout {
+		m.PullFailed(now)
+	}
+	if now >= m.nextPrune {
+		m.prune(now)
+	}
+	return max(next, now+time.Millisecond)
+}
+
+// chooseRole makes this VM the relay when no VM before it is alive.
+func (m *Machine) chooseRole(now time.Duration) {
+	own := rankOf(m.config.Self.Domain, m.config.Self.Name)
+	relay := m.members.relay(now, m.config.Self.Domain)
+	isRelay := relay == nil || relay.score < own
+	if isRelay && !m.isRelay {
+		m.relaySince = now
+	}
+	m.isRelay = isRelay
+}
+
+// askRelays sends the questions that are due: to the own domain's relay and the
+// dead VMs before it; a relay asks the relays of the other domains.
+func (m *Machine) askRelays(now time.Duration) time.Duration {
+	next := now + askInterval
+	own := rankOf(m.config.Self.Domain, m.config.Self.Name)
+	for _, domain := range m.members.domains() {
+		local := domain == m.config.Self.Domain
+		if !local && !m.isRelay {
+			continue
+		}
+		for _, p := range m.members.byDomain[domain] {
+			if local && p.score < own {
+				break
+			}
+			dead := p.dead(now)
+			next = min(next, m.ask(now, p, dead))
+			if !dead {
+				break
+			}
+		}
+	}
+	return next
+}
+
+// ask sends a question if it is due and returns when the next one is.
+func (m *Machine) ask(now time.Duration, p *peer, dead bool) time.Duration {
+	if now < p.nextAsk {
+		return p.nextAsk
+	}
+	p.nextAsk = now + askInterval
+	if dead {
+		p.nextAsk = now + deadAskInterval
+	}
+	if !p.waiting {
+		p.waiting = true
+		p.asked = now
+	}
+	loads := m.ownLoads
+	if p.Domain != m.config.Self.Domain {
+		loads = m.DomainLoads(now)
+	}
+	m.out.Beats = append(m.out.Beats, Outgoing{To: p.Beats, Beat: m.beat(now, false, loads)})
+	return p.nextAsk
+}
+
+// prune forgets what is old and, on a relay, entries of VMs that are long dead.
+func (m *Machine) prune(now time.Duration) {
+	const interval = 10 * time.Second
+	m.nextPrune = now + interval
+	m.replica.Prune(now)
+	for key, at := range m.subscribers {
+		if now-at >= forgetAfter {
+			delete(m.subscribers, key)
+		}
+	}
+	for key, r := range m.loads {
+		if now-r.at >= loadFor {
+			delete(m.loads, key)
+		}
+	}
+	if !m.isRelay || now-m.relaySince < forgetAfter || m.lost {
+		return
+	}
+	for _, p := range m.members.byDomain[m.config.Self.Domain] {
+		_, asks := m.subscribers[p.key]
+		if !asks && (!p.everHear || now-p.heard >= forgetAfter) {
+			m.out.Forget = &Item{Key: p.key, Revision: p.revision}
+			return
+		}
+	}
+}
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -271,14 +271,38 @@
 	CatalogValueInvalid = declare(Event{Number: "GS6105", Level: Warn, Name: "catalog_value_invalid", Limited: true,
 		Message: "value in the store can't be used",
 		Fields:  []string{"key", "revision", "error"}})
-	// StoreLost is written when the store stops answering for a part of the catalog.
+	// StoreLost is written when the VM's knowledge of the store is too old.
 	StoreLost = declare(Event{Number: "GS6106", Level: Warn, Name: "store_lost", Limited: true,
-		Message: "store does not answer, the catalog in memory stays in force",
-		Fields:  []string{"part", "error"}})
-	// StoreRegained is written when the store answers again.
+		Message: "store is not known to be unchanged, the catalog in memory stays in force",
+		Fields:  []string{"revision"}})
+	// StoreRegained is written when the VM's knowledge of the store is new again.
 	StoreRegained = declare(Event{Number: "GS6107", Level: Info, Name: "store_regained", Limited: true,
-		Message: "store answers again",
-		Fields:  []string{"part"}})
+		Message: "catalog is as new as the store again",
+		Fields:  []string{"revision"}})
+	// StoreCallFailed is written when a call to the store fails.
+	StoreCallFailed = declare(Event{Number: "GS6108", Level: Warn, Name: "store_call_failed", Limited: true,
+		Message: "call to the store failed",
+		Fields:  []string{"error"}})
+	// RelayChanged is written when the VM begins or ends to watch the store for its domain.
+	RelayChanged = declare(Event{Number: "GS6109", Level: Info, Name: "relay_changed", Limited: true,
+		Message: "VM is the relay of its failure domain, or is no longer",
+		Fields:  []string{"relay", "revision"}})
+	// PullFailed is written when changes can't be pulled from another VM.
+	PullFailed = declare(Event{Number: "GS6110", Level: Warn, Name: "pull_failed", Limited: true,
+		Message: "changes can't be pulled from another VM",
+		Fields:  []string{"peer", "error"}})
+	// MemberForgotten is written when the entry of a VM that is long dead is removed.
+	MemberForgotten = declare(Event{Number: "GS6111", Level: Info, Name: "member_forgotten", Limited: true,
+		Message: "entry of a VM that is long dead is removed",
+		Fields:  []string{"key", "revision"}})
+	// BeatMalformed is written when a datagram between VMs can't be decoded.
+	BeatMalformed = declare(Event{Number: "GS6112", Level: Warn, Name: "beat_malformed", Limited: true,
+		Message: "datagram between VMs can't be decoded",
+		Fields:  []string{"from", "error"}})
+	// BeatSendFailed is written when a datagram to another VM can't be sent.
+	BeatSendFailed = declare(Event{Number: "GS6113", Level: Warn, Name: "beat_send_failed", Limited: true,
+		Message: "datagram to another VM can't be sent",
+		Fields:  []string{"to", "error"}})
 	// FlowDecided is written for the first decision of its kind on a flow.
 	FlowDecided = declare(Event{Number: "GS6201", Level: Info, Name: "flow_decided", Limited: true, Rate: flowRate, Burst: flowBurst,
 		Message: "flow was placed or ended",
--- a/flowd/flowd.go
+++ b/flowd/flowd.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/decide/forward"
+	"github.com/gypsumspan/gypsumspan/decide/relay"
 	"github.com/gypsumspan/gypsumspan/events"
 	"github.com/gypsumspan/gypsumspan/kernel"
 	"github.com/gypsumspan/gypsumspan/platform"
@@ -23,6 +24,7 @@
 	"github.com/gypsumspan/gypsumspan/services/logs"
 	"github.com/gypsumspan/gypsumspan/services/packets"
 	"github.com/gypsumspan/gypsumspan/services/readiness"
+	relayservice "github.com/gypsumspan/gypsumspan/services/relay"
 	"github.com/gypsumspan/gypsumspan/settings/flowset"
 )
 
@@ -35,6 +37,8 @@
 	// collectorPercent is the growth of the heap, in percent, at which the collector
 	// runs. The heap is small and memory is dear, so it runs early.
 	collectorPercent = 30
+	// memberPrefix is the prefix of the VMs' own entries in the store.
+	memberPrefix = "gypsumspan/vms/"
 	// signalCapacity holds the signals that arrive before the service starts.
 	signalCapacity = 4
 )
@@ -134,12 +138,22 @@
 			Store: platform.NewStore(platform.StoreConfig{
 				Address:   s.Store.Address.String(),
 				Timeout:   s.Store.Timeout,
-				WatchWait: s.Store.WatchWait,
+				WatchWait: s.Catalog.WatchWait(),
 			}),
-			Decoder:          platform.Documents{},
-			ConfigurationKey: platform.ConfigurationKey,
-			TargetPrefix:     platform.TargetPrefixKey,
-			Seed:             seed,
+			Seed: seed,
+		}),
+		relayservice.New(relayservice.Config{
+			Machine: relay.Config{
+				Self: relay.Member{
+					Name:   s.VM.Name,
+					Domain: s.VM.Domain,
+					Beats:  s.Listen.Beats,
+					Pulls:  s.Listen.Control,
+				},
+				MemberPrefix: memberPrefix,
+				MaxAge:       s.Catalog.MaxAge(),
+			},
+			Decoder: platform.Documents{},
 		}),
 	}
 	k := kernel.New(kernel.NewClock())
--- a/services/catalogwatch/catalogwatch.go
+++ b/services/catalogwatch/catalogwatch.go
@@ -1,22 +1,20 @@
-// Package catalogwatch is the service "catalogwatch": it reads routes and targets
-// from the platform's store, watches them, and hands every change to the service
-// "packets". Each part of the catalog has a duty of its own.
+// Package catalogwatch is the service "catalogwatch": it reads the platform's
+// store, watches it while the service "relay" says so, and writes the VM's own
+// entry. What it reads goes to "relay".
 package catalogwatch
 
 import (
 	"context"
 	"errors"
 	"fmt"
-	"strings"
 	"sync/atomic"
 	"time"
 
-	"github.com/gypsumspan/gypsumspan/decide/catalog"
+	"github.com/gypsumspan/gypsumspan/decide/relay"
 	"github.com/gypsumspan/gypsumspan/decide/retry"
-	"github.com/gypsumspan/gypsumspan/events"
 	"github.com/gypsumspan/gypsumspan/kernel"
 	"github.com/gypsumspan/gypsumspan/services/logs"
-	"github.com/gypsumspan/gypsumspan/services/packets"
+	"github.com/gypsumspan/gypsumspan/services/taskswitch"
 	"github.com/gypsumspan/gypsumspan/store"
 )
 
@@ -24,303 +22,255 @@
 const Name = "catalogwatch"
 
 const (
-	// firstRetry and lastRetry bound the delay after a failed call. A VM has four
+	// firstRetry and lastRetry bound the delay after a failed call. A VM has a few
 	// seconds after the store's return to be up to date.
 	firstRetry = 200 * time.Millisecond
 	lastRetry  = time.Second
+	// writes is the number of writes that may wait.
+	writes = 4
 )
 
-// ErrCatalog means that a part of the catalog was not received from the store.
-var ErrCatalog = errors.New("catalog was not received from the store")
+// ErrStore means that the store did not answer; it wraps the error of package store.
+var ErrStore = errors.New("store did not deliver the catalog")
 
-// Decoder decodes values of the store.
-type Decoder interface {
-	Configuration(value []byte) (*catalog.Configuration, error)
-	Target(id string, value []byte) (*catalog.Entry, error)
+// Answer is what the store said.
+type Answer struct {
+	News relay.News
+	Err  error // ErrStore; News is not set then
 }
 
-// Inbox takes the changes; it is the service "packets".
+// Inbox takes the answers; it is the service "relay".
 type Inbox interface {
-	Put(in packets.Input) error
+	FromStore(a Answer) error
+}
+
+// Write is one write of an entry: it succeeds if the key was last written at
+// Item.Revision, 0 for a key that does not exist. Item.Deleted removes the key.
+type Write struct {
+	Item relay.Item
 }
 
 // Config configures the service.
 type Config struct {
-	Store            store.Store
-	Decoder          Decoder
-	ConfigurationKey string
-	TargetPrefix     string
-	Seed             uint64 // of the jitter
+	Store store.Store
+	Seed  uint64 // of the jitter
 }
 
 // Stats counts since start.
 type Stats struct {
 	Reads    uint64 // pages read
 	Polls    uint64 // answers of watches
+	Writes   uint64 // writes made or refused
 	Failures uint64 // failed calls
-	Changes  uint64 // changes handed on
-	Invalid  uint64 // values that could not be decoded
 }
 
+// task is what the blocker shall do.
+type task int
+
+const (
+	_         task = iota
+	readOnce       // read everything once
+	watchTask      // read everything if that was not done yet, then watch
+)
+
 // Service is the service "catalogwatch".
 type Service struct {
-	config Config
-	inbox  Inbox
-	log    logs.Log
+	config   Config
+	inbox    Inbox
+	tasks    *taskswitch.Switch[task]
+	from     atomic.Int64 // revision from which a watch continues; 0: read everything
+	backoff  *retry.Backoff
+	retries  int
+	gate     *kernel.Gate
+	outgoing *kernel.Ring[Write]
 
 	reads    atomic.Uint64
 	polls    atomic.Uint64
+	written  atomic.Uint64
 	failures atomic.Uint64
-	changes  atomic.Uint64
-	invalid  atomic.Uint64
 }
 
 // New returns the service.
-func New(config Config) *Service { return &Service{config: config} }
+func New(config Config) *Service {
+	s := &Service{config: config, tasks: taskswitch.New[task]()}
+	s.backoff = retry.NewBackoff(retry.BackoffConfig{Base: firstRetry, Max: lastRetry}, config.Seed)
+	s.tasks.Set(readOnce)
+	return s
+}
 
 // Name implements kernel.Service.
 func (s *Service) Name() string { return Name }
 
 // Needs implements kernel.Service.
-func (s *Service) Needs() []string { return []string{logs.Name, packets.Name} }
+func (s *Service) Needs() []string { return []string{logs.Name} }
 
 // Setup implements kernel.Service.
-func (s *Service) Setup(*kernel.Kernel) error { return nil }
+func (s *Service) Setup(k *kernel.Kernel) error {
+	s.gate = kernel.NewGate()
+	s.outgoing = kernel.NewRing[Write](k, "catalogwatch.writes", writes, kernel.DropNewest, s.gate)
+	return nil
+}
+
+// inboxName is the name of the service that takes the answers.
+const inboxName = "relay"
 
 // Connect implements kernel.Service.
 func (s *Service) Connect(k *kernel.Kernel) error {
 	var err error
-	if s.inbox, err = kernel.Lookup[Inbox](k, packets.Name); err != nil {
-		return err
-	}
-	if s.log, err = kernel.Lookup[logs.Log](k, logs.Name); err != nil {
+	if s.inbox, err = kernel.Lookup[Inbox](k, inboxName); err != nil {
 		return err
 	}
-	for _, part := range []catalog.Part{catalog.ConfigurationPart, catalog.TargetsPart} {
-		p := newPart(s, part)
-		k.AddBlocker(kernel.Blocker{Name: "catalogwatch." + part.String(), Run: p.run})
-	}
+	k.AddBlocker(kernel.Blocker{Name: "catalogwatch.read", Run: s.run})
+	k.AddBlocker(kernel.Blocker{Name: "catalogwatch.write", Run: s.write})
 	return nil
 }
 
-// Stats returns the counters.
-func (s *Service) Stats() Stats {
-	return Stats{
-		Reads:    s.reads.Load(),
-		Polls:    s.polls.Load(),
-		Failures: s.failures.Load(),
-		Changes:  s.changes.Load(),
-		Invalid:  s.invalid.Load(),
+// Watch starts or ends the watch; a new one continues from revision.
+func (s *Service) Watch(on bool, revision int64) {
+	if !on {
+		s.tasks.Set(0)
+		return
 	}
+	if revision > 0 {
+		s.from.Store(revision)
+	}
+	s.tasks.Set(watchTask)
 }
 
-// part reads and watches one part of the catalog. One duty uses it.
-type part struct {
-	service  *Service
-	name     catalog.Part
-	span     store.Span
-	known    map[string]int64 // keys in the store, with the revision of the last write
-	revision int64            // everything up to it was handed on; 0: nothing yet
-	failing  bool
-	retries  int
-	backoff  *retry.Backoff
+// Write makes one write in the background. It is dropped when too many wait; the
+// outcome shows in what is read later.
+func (s *Service) Write(w Write) {
+	_ = s.outgoing.Put(w)
 }
 
-func newPart(s *Service, name catalog.Part) *part {
-	p := &part{service: s, name: name, known: make(map[string]int64)}
-	p.span = store.Key(s.config.ConfigurationKey)
-	if name == catalog.TargetsPart {
-		p.span = store.Prefix(s.config.TargetPrefix)
-	}
-	p.backoff = retry.NewBackoff(retry.BackoffConfig{Base: firstRetry, Max: lastRetry}, s.config.Seed+uint64(name))
-	return p
+// Stats returns the counters.
+func (s *Service) Stats() Stats {
+	return Stats{Reads: s.reads.Load(), Polls: s.polls.Load(), Writes: s.written.Load(), Failures: s.failures.Load()}
 }
 
-// run keeps the part up to date until ctx ends.
-func (p *part) run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		err := p.follow(ctx)
-		if ctx.Err() != nil || errors.Is(err, kernel.ErrRingClosed) {
+// run performs tasks until ctx ends. Errors of the store are retried with backoff.
+func (s *Service) run(ctx context.Context) error {
+	for {
+		t, taskCtx, err := s.tasks.Wait(ctx)
+		if err != nil {
 			return nil
 		}
-		if errors.Is(err, store.ErrCompacted) {
-			p.revision = 0
-		}
-		if err := p.failed(err); err != nil {
+		err = s.work(taskCtx, t)
+		switch {
+		case errors.Is(err, kernel.ErrRingClosed):
 			return nil
+		case err == nil || taskCtx.Err() != nil:
+			continue
 		}
-		p.retries++
-		if sleep(ctx, p.backoff.Delay(p.retries, firstRetry)) != nil {
+		if errors.Is(err, store.ErrCompacted) {
+			s.from.Store(0)
+		}
+		s.failures.Add(1)
+		if s.inbox.FromStore(Answer{Err: fmt.Errorf("%w: %w", ErrStore, err)}) != nil {
 			return nil
 		}
+		s.retries++
+		sleep(taskCtx, s.backoff.Delay(s.retries, firstRetry))
 	}
-	return nil
 }
 
-// follow reads the part if nothing of it is known, then watches it until an error.
-func (p *part) follow(ctx context.Context) error {
-	if p.revision == 0 {
-		if err := p.read(ctx); err != nil {
+func (s *Service) work(ctx context.Context, t task) error {
+	if s.from.Load() == 0 {
+		if err := s.read(ctx); err != nil {
 			return err
 		}
 	}
-	watcher, err := p.service.config.Store.Watch(ctx, p.span, p.revision+1)
-	if err != nil {
-		return fmt.Errorf("%w: watch %s: %w", ErrCatalog, p.name, err)
-	}
-	defer watcher.Close()
-	for {
-		batch, err := watcher.Next()
-		if err != nil {
-			return fmt.Errorf("%w: watch %s: %w", ErrCatalog, p.name, err)
-		}
-		p.service.polls.Add(1)
-		if err := p.answered(); err != nil {
-			return err
-		}
-		for _, e := range batch.Events {
-			if err := p.hand(e.KV, e.Deleted); err != nil {
-				return err
-			}
-		}
-		p.revision = batch.Revision
+	if t == readOnce {
+		s.tasks.Finish(readOnce)
+		return nil
 	}
+	return s.watch(ctx)
 }
 
-// read hands the whole part on, page by page, and a removal for each key that is
-// known and no longer in the store. Pages are not a snapshot, so that the watch
-// continues from the revision of the first page.
-func (p *part) read(ctx context.Context) error {
-	request := store.RangeRequest{Span: p.span}
-	found := make(map[string]struct{})
-	var from int64
+// read hands everything on. Pages are not a snapshot, so that the watch continues
+// from the revision of the first page.
+func (s *Service) read(ctx context.Context) error {
+	request := store.RangeRequest{Span: store.Prefix("")}
+	news := relay.News{Complete: true}
 	for more := true; more; {
-		page, err := p.service.config.Store.Range(ctx, request)
+		page, err := s.config.Store.Range(ctx, request)
 		if err != nil {
-			return fmt.Errorf("%w: read %s: %w", ErrCatalog, p.name, err)
+			return fmt.Errorf("read: %w", err)
 		}
-		p.service.reads.Add(1)
-		if from == 0 {
-			from = page.Revision
-		}
-		if err := p.answered(); err != nil {
-			return err
+		s.reads.Add(1)
+		s.retries = 0
+		if news.Revision == 0 {
+			news.Revision = page.Revision
 		}
 		for _, kv := range page.KVs {
-			found[kv.Key] = struct{}{}
 			request.After = kv.Key
-			if err := p.hand(kv, false); err != nil {
-				return err
-			}
+			news.Items = append(news.Items, relay.Item{Key: kv.Key, Value: kv.Value, Revision: kv.ModRevision})
 		}
 		more = page.More && len(page.KVs) > 0
 	}
-	for key, revision := range p.known {
-		if _, ok := found[key]; ok || revision > from {
-			continue
-		}
-		if err := p.hand(store.KV{Key: key, ModRevision: from}, true); err != nil {
-			return err
-		}
+	if err := s.inbox.FromStore(Answer{News: news}); err != nil {
+		return err
 	}
-	p.revision = from
-	return p.put(catalog.Change{Revision: from, Synced: p.name})
+	s.from.Store(news.Revision)
+	return nil
 }
 
-// hand decodes one write and hands it on.
-func (p *part) hand(kv store.KV, deleted bool) error {
-	if deleted {
-		delete(p.known, kv.Key)
-	} else {
-		p.known[kv.Key] = kv.ModRevision
-	}
-	change, ok := p.decode(kv, deleted)
-	if !ok {
-		return nil
+// watch hands every change on until an error.
+func (s *Service) watch(ctx context.Context) error {
+	watcher, err := s.config.Store.Watch(ctx, store.Prefix(""), s.from.Load()+1)
+	if err != nil {
+		return fmt.Errorf("watch: %w", err)
 	}
-	return p.put(change)
-}
-
-// decode returns the change that a write stands for; ok is false without one. A
-// value that can't be decoded removes a target and leaves the configuration.
-func (p *part) decode(kv store.KV, deleted bool) (catalog.Change, bool) {
-	change := catalog.Change{Revision: kv.ModRevision}
-	if p.name == catalog.ConfigurationPart {
-		if deleted || kv.Key != p.span.Key {
-			return change, false
-		}
-		c, err := p.service.config.Decoder.Configuration(kv.Value)
+	defer watcher.Close()
+	for {
+		batch, err := watcher.Next()
 		if err != nil {
-			p.service.logInvalid(kv, err)
-			return change, false
+			return fmt.Errorf("watch: %w", err)
 		}
-		change.Configuration = c
-		return change, true
-	}
-	id := strings.TrimPrefix(kv.Key, p.span.Key)
-	if deleted {
-		change.Gone = id
-		return change, id != ""
-	}
-	entry, err := p.service.config.Decoder.Target(id, kv.Value)
-	if err != nil {
-		p.service.logInvalid(kv, err)
-		change.Gone = id
-		return change, id != ""
-	}
-	change.Target = entry
-	return change, true
-}
-
-func (p *part) put(c catalog.Change) error {
-	p.service.changes.Add(1)
-	return p.putInput(packets.Input{Change: c})
-}
-
-func (p *part) putInput(in packets.Input) error {
-	if err := p.service.inbox.Put(in); err != nil {
-		return fmt.Errorf("hand on %s: %w", p.name, err)
-	}
-	return nil
-}
-
-// failed notes a failed call.
-func (p *part) failed(err error) error {
-	p.service.failures.Add(1)
-	if p.failing {
-		return nil
+		s.polls.Add(1)
+		s.retries = 0
+		news := relay.News{Revision: batch.Revision}
+		for _, e := range batch.Events {
+			news.Items = append(news.Items, relay.Item{Key: e.KV.Key, Value: e.KV.Value, Revision: e.KV.ModRevision, Deleted: e.Deleted})
+		}
+		if err := s.inbox.FromStore(Answer{News: news}); err != nil {
+			return err
+		}
+		s.from.Store(batch.Revision)
 	}
-	p.failing = true
-	p.service.log.Log(events.StoreLost, events.F("part", p.name), events.F("error", err))
-	return p.putInput(packets.Input{Store: packets.StoreLost})
 }
 
-// answered notes an answer of the store.
-func (p *part) answered() error {
-	p.retries = 0
-	if !p.failing {
-		return nil
+// write makes waiting writes until ctx ends.
+func (s *Service) write(ctx context.Context) error {
+	for {
+		w, ok := s.outgoing.Take()
+		if !ok {
+			select {
+			case <-s.gate.C():
+				continue
+			case <-ctx.Done():
+				return nil
+			}
+		}
+		txn := store.Txn{Compares: []store.Compare{{Key: w.Item.Key, ModRevision: w.Item.Revision}}}
+		if w.Item.Deleted {
+			txn.Deletes = []string{w.Item.Key}
+		} else {
+			txn.Puts = []store.Put{{Key: w.Item.Key, Value: w.Item.Value}}
+		}
+		s.written.Add(1)
+		if _, err := s.config.Store.Txn(ctx, txn); err != nil {
+			// The asker sees from later readings whether the write was made.
+			s.failures.Add(1)
+		}
 	}
-	p.failing = false
-	p.service.log.Log(events.StoreRegained, events.F("part", p.name))
-	return p.putInput(packets.Input{Store: packets.StoreRegained})
 }
 
-func (s *Service) logInvalid(kv store.KV, err error) {
-	s.invalid.Add(1)
-	s.log.Log(events.CatalogValueInvalid,
-		events.F("key", kv.Key),
-		events.F("revision", kv.ModRevision),
-		events.F("error", err))
-}
-
-func sleep(ctx context.Context, d time.Duration) error {
+func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return nil
 	case <-ctx.Done():
-		return ctx.Err()
 	}
 }
--- a/services/packets/packets.go
+++ b/services/packets/packets.go
@@ -15,6 +15,7 @@
 	"github.com/gypsumspan/gypsumspan/decide/catalog"
 	"github.com/gypsumspan/gypsumspan/decide/flow"
 	"github.com/gypsumspan/gypsumspan/decide/forward"
+	"github.com/gypsumspan/gypsumspan/decide/relay"
 	"github.com/gypsumspan/gypsumspan/kernel"
 	"github.com/gypsumspan/gypsumspan/services/logs"
 	"github.com/gypsumspan/gypsumspan/services/readiness"
@@ -87,6 +88,7 @@
 type Input struct {
 	Change catalog.Change
 	Store  StoreState
+	Loads  []relay.Load // of all failure domains
 }
 
 // StoreState says whether the store can be reached.
@@ -152,7 +154,7 @@
 	s.conn = conn
 	s.gate = kernel.NewGate()
 	s.in = kernel.NewRing[*buffer](k, "packets.in", buffers, kernel.Block, s.gate)
-	s.input = kernel.NewRing[Input](k, "packets.input", changes, kernel.Block, s.gate)
+	s.input = kernel.NewRing[Input](k, "packets.input", changes, kernel.Refuse, s.gate)
 	s.freeGate = kernel.NewGate()
 	s.free = kernel.NewRing[*buffer](k, "packets.free", buffers, kernel.Block, s.freeGate)
 	size := s.config.Prefix + s.config.MaxPacket + 1
@@ -183,9 +185,9 @@
 	return nil
 }
 
-// Put hands an input to the forwarding duty. It waits while the ring is full and
-// returns kernel.ErrRingClosed after the service has ended.
-func (s *Service) Put(in Input) error { return s.input.Put(in) }
+// TryPut hands an input to the forwarding duty. It returns false while the ring
+// is full.
+func (s *Service) TryPut(in Input) bool { return s.input.Put(in) == nil }
 
 // receive reads datagrams into free buffers until the socket is closed.
 func (s *Service) receive(ctx context.Context) error {
--- a/services/packets/report.go
+++ b/services/packets/report.go
@@ -20,6 +20,10 @@
 		s.forwarder.StoreRegained(now)
 		return
 	}
+	if in.Loads != nil {
+		s.forwarder.SetDomainLoads(now, in.Loads)
+		return
+	}
 	effect := s.forwarder.Apply(now, in.Change)
 	s.logEffect(in.Change, effect)
 	if !s.inForce && s.forwarder.View().Ready() {
--- /dev/null
+++ b/services/relay/relay.go
@@ -0,0 +1,428 @@
+// Package relay is the service "relay": it keeps the VM's copy of the catalog new,
+// from the platform's store or from other VMs, and hands every change to the
+// service "packets".
+package relay
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/decide/catalog"
+	"github.com/gypsumspan/gypsumspan/decide/relay"
+	"github.com/gypsumspan/gypsumspan/events"
+	"github.com/gypsumspan/gypsumspan/kernel"
+	"github.com/gypsumspan/gypsumspan/services/catalogwatch"
+	"github.com/gypsumspan/gypsumspan/services/logs"
+	"github.com/gypsumspan/gypsumspan/services/packets"
+	"github.com/gypsumspan/gypsumspan/wire/relaywire"
+)
+
+// Name is the service's name.
+const Name = "relay"
+
+const (
+	// inputs is the number of beats, answers and questions that may wait.
+	inputs = 256
+	// batchSize bounds the inputs of one step.
+	batchSize = 32
+	// registerInterval is the time between two attempts to write the own entry.
+	registerInterval = 5 * time.Second
+	// fullRetry is the wait while "packets" has no room for changes.
+	fullRetry = 2 * time.Millisecond
+	// loadsInterval is the time between two reports of the domains' loads.
+	loadsInterval = 500 * time.Millisecond
+)
+
+// Decoder decodes values of the store.
+type Decoder interface {
+	// Decode returns the change that a write of key stands for; ok is false when it
+	// is none of the catalog's. With a value that can't be decoded it returns an
+	// error and, with ok, what the write means all the same.
+	Decode(key string, value []byte, deleted bool, revision int64) (c catalog.Change, ok bool, err error)
+}
+
+// Packets takes the changes; it is the service "packets".
+type Packets interface {
+	TryPut(in packets.Input) bool
+}
+
+// Watch is the service "catalogwatch".
+type Watch interface {
+	Watch(on bool, revision int64)
+	Write(w catalogwatch.Write)
+}
+
+// Config configures the service.
+type Config struct {
+	Machine relay.Config
+	Decoder Decoder
+}
+
+// Stats counts since start.
+type Stats struct {
+	BeatsSent     uint64
+	BeatsReceived uint64
+	Malformed     uint64
+	Pulls         uint64
+	PullsFailed   uint64
+	PullsAnswered uint64
+	Invalid       uint64 // values that could not be decoded
+	IsRelay       bool
+	Watching      bool
+	Revision      int64
+	Age           time.Duration // of the knowledge of the store
+}
+
+// input is one event for the deciding duty. One field is set.
+type input struct {
+	beat   *receivedBeat
+	answer *catalogwatch.Answer
+	pulled *pulled
+	asked  *question
+	loads  []relay.Load
+}
+
+type receivedBeat struct {
+	from netip.AddrPort
+	beat relay.Beat
+}
+
+type pulled struct {
+	asked time.Duration
+	news  relay.News
+	err   error
+}
+
+// question is another VM's pull.
+type question struct {
+	after  int64
+	answer chan relay.News
+}
+
+// Service is the service "relay".
+type Service struct {
+	config  Config
+	kernel  *kernel.Kernel
+	machine *relay.Machine
+	log     logs.Log
+	packets Packets
+	watch   Watch
+
+	conn     *net.UDPConn
+	listener net.Listener
+	server   *http.Server
+	client   *http.Client
+
+	gate     *kernel.Gate
+	in       *kernel.Ring[input]
+	pullGate *kernel.Gate
+	pulls    *kernel.Ring[relay.Pull]
+
+	pending      []packets.Input // changes that "packets" had no room for
+	watching     bool
+	wasRelay     bool
+	synced       bool
+	nextRegister time.Duration
+	nextLoads    time.Duration
+	buf          []byte
+
+	beatsSent     atomic.Uint64
+	beatsReceived atomic.Uint64
+	malformed     atomic.Uint64
+	pullCount     atomic.Uint64
+	pullsFailed   atomic.Uint64
+	pullsAnswered atomic.Uint64
+	invalid       atomic.Uint64
+	isRelay       atomic.Bool
+	watchingNow   atomic.Bool
+	revision      atomic.Int64
+	age           atomic.Int64
+}
+
+// New returns the service.
+func New(config Config) *Service {
+	return &Service{
+		config:  config,
+		machine: relay.New(config.Machine),
+		client: &http.Client{
+			Timeout:   pullTimeout,
+			Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
+		},
+	}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return Name }
+
+// Needs implements kernel.Service.
+func (s *Service) Needs() []string {
+	return []string{logs.Name, packets.Name, catalogwatch.Name}
+}
+
+// Setup opens the sockets.
+func (s *Service) Setup(k *kernel.Kernel) error {
+	self := s.config.Machine.Self
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(self.Beats))
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", self.Beats, err)
+	}
+	listener, err := net.Listen("tcp4", self.Pulls.String())
+	if err != nil {
+		return errors.Join(fmt.Errorf("listen on %s: %w", self.Pulls, err), conn.Close())
+	}
+	s.kernel = k
+	s.conn, s.listener = conn, listener
+	s.gate = kernel.NewGate()
+	s.in = kernel.NewRing[input](k, "relay.in", inputs, kernel.Block, s.gate)
+	s.pullGate = kernel.NewGate()
+	s.pulls = kernel.NewRing[relay.Pull](k, "relay.pulls", 1, kernel.DropOldest, s.pullGate)
+	return nil
+}
+
+// Connect implements kernel.Service.
+func (s *Service) Connect(k *kernel.Kernel) error {
+	var err error
+	if s.log, err = kernel.Lookup[logs.Log](k, logs.Name); err != nil {
+		return err
+	}
+	if s.packets, err = kernel.Lookup[Packets](k, packets.Name); err != nil {
+		return err
+	}
+	if s.watch, err = kernel.Lookup[Watch](k, catalogwatch.Name); err != nil {
+		return err
+	}
+	s.server = s.newServer()
+	k.AddDuty(kernel.Duty{Name: "relay.decide", Gate: s.gate, Step: s.step})
+	k.AddBlocker(kernel.Blocker{Name: "relay.receive", Run: s.receive, Interrupt: func() { s.conn.Close() }})
+	k.AddBlocker(kernel.Blocker{Name: "relay.pull", Run: s.pullLoop})
+	k.AddBlocker(kernel.Blocker{Name: "relay.serve", Run: s.serve, Interrupt: func() { s.server.Close() }})
+	return nil
+}
+
+// FromStore implements catalogwatch.Inbox.
+func (s *Service) FromStore(a catalogwatch.Answer) error { return s.in.Put(input{answer: &a}) }
+
+// SetLoads takes the work that comes from this VM's callers, by service.
+func (s *Service) SetLoads(loads []relay.Load) {
+	if s.in.Room() > inputs/2 {
+		// The next report replaces one that is left out.
+		_ = s.in.Put(input{loads: loads})
+	}
+}
+
+// receive reads beats until the socket is closed.
+func (s *Service) receive(ctx context.Context) error {
+	buf := make([]byte, relaywire.MaxBeat+1)
+	for {
+		n, from, err := s.conn.ReadFromUDPAddrPort(buf)
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			// An ICMP error of an earlier datagram is reported here; the socket stays usable.
+			continue
+		}
+		beat, err := relaywire.DecodeBeat(buf[:n])
+		if err != nil {
+			s.malformed.Add(1)
+			s.log.Log(events.BeatMalformed, events.F("from", from), events.F("error", err))
+			continue
+		}
+		s.beatsReceived.Add(1)
+		if s.in.Put(input{beat: &receivedBeat{from: from, beat: beat}}) != nil {
+			return nil
+		}
+	}
+}
+
+// step takes inputs in, then does what the machine wants.
+func (s *Service) step(now time.Duration) time.Duration {
+	more := true
+	for range batchSize {
+		in, ok := s.in.Take()
+		if !ok {
+			more = false
+			break
+		}
+		s.take(now, in)
+	}
+	next := s.machine.Tick(now)
+	s.perform(now, s.machine.Take())
+	next = min(next, s.reportLoads(now), s.register(now))
+	if !s.flushPending() {
+		next = min(next, now+fullRetry)
+	}
+	s.publish(now)
+	if more {
+		return now
+	}
+	return next
+}
+
+func (s *Service) take(now time.Duration, in input) {
+	switch {
+	case in.beat != nil:
+		s.machine.Receive(now, in.beat.from, in.beat.beat)
+	case in.answer != nil && in.answer.Err != nil:
+		s.machine.StoreFailed()
+		s.log.Log(events.StoreCallFailed, events.F("error", in.answer.Err))
+	case in.answer != nil:
+		s.machine.FromStore(now, in.answer.News)
+	case in.pulled != nil && in.pulled.err != nil:
+		s.machine.PullFailed(now)
+	case in.pulled != nil:
+		s.machine.FromPull(now, in.pulled.asked, in.pulled.news)
+	case in.asked != nil:
+		in.asked.answer <- s.machine.Answer(now, in.asked.after)
+	case in.loads != nil:
+		s.machine.SetLoads(in.loads)
+	}
+}
+
+// perform does what the machine wants.
+func (s *Service) perform(now time.Duration, out relay.Output) {
+	if out.Lost {
+		s.log.Log(events.StoreLost, events.F("revision", s.machine.Replica().Revision()))
+		s.pending = append(s.pending, packets.Input{Store: packets.StoreLost})
+	}
+	if out.Regained {
+		s.log.Log(events.StoreRegained, events.F("revision", s.machine.Replica().Revision()))
+		s.pending = append(s.pending, packets.Input{Store: packets.StoreRegained})
+	}
+	s.handOn(out.News)
+	for _, o := range out.Beats {
+		s.send(o)
+	}
+	if out.Pull != nil {
+		// The ring drops an older pull, which the machine has given up.
+		_ = s.pulls.Put(*out.Pull)
+	}
+	if out.Forget != nil {
+		item := *out.Forget
+		item.Deleted = true
+		s.watch.Write(catalogwatch.Write{Item: item})
+		s.log.Log(events.MemberForgotten, events.F("key", item.Key), events.F("revision", item.Revision))
+	}
+	s.setWatch(now)
+}
+
+// setWatch starts or ends the watch of the store.
+func (s *Service) setWatch(now time.Duration) {
+	revision := s.machine.Replica().Revision()
+	if revision == 0 {
+		// The first reading is still under way.
+		return
+	}
+	watching := s.machine.Watching(now)
+	if watching != s.watching {
+		s.watching = watching
+		s.watch.Watch(watching, revision)
+	}
+	if relays := s.machine.IsRelay(); relays != s.wasRelay {
+		s.wasRelay = relays
+		s.log.Log(events.RelayChanged, events.F("relay", relays), events.F("revision", revision))
+	}
+}
+
+// handOn decodes news for "packets".
+func (s *Service) handOn(news []relay.Item) {
+	for _, item := range news {
+		change, ok, err := s.config.Decoder.Decode(item.Key, item.Value, item.Deleted, item.Revision)
+		if err != nil {
+			s.invalid.Add(1)
+			s.log.Log(events.CatalogValueInvalid,
+				events.F("key", item.Key),
+				events.F("revision", item.Revision),
+				events.F("error", err))
+		}
+		if ok {
+			s.pending = append(s.pending, packets.Input{Change: change})
+		}
+	}
+	revision := s.machine.Replica().Revision()
+	if !s.synced && revision > 0 {
+		s.synced = true
+		s.pending = append(s.pending, packets.Input{Change: catalog.Change{Revision: revision, Synced: true}})
+	}
+}
+
+// flushPending reports whether everything was handed on.
+func (s *Service) flushPending() bool {
+	for i, in := range s.pending {
+		if !s.packets.TryPut(in) {
+			s.pending = s.pending[i:]
+			return false
+		}
+	}
+	s.pending = s.pending[:0]
+	return true
+}
+
+func (s *Service) send(o relay.Outgoing) {
+	data, err := relaywire.AppendBeat(s.buf[:0], o.Beat)
+	if err == nil {
+		s.buf = data
+		_, err = s.conn.WriteToUDPAddrPort(data, o.To)
+	}
+	if err != nil {
+		s.log.Log(events.BeatSendFailed, events.F("to", o.To), events.F("error", err))
+		return
+	}
+	s.beatsSent.Add(1)
+}
+
+// register writes the VM's entry when it is missing.
+func (s *Service) register(now time.Duration) time.Duration {
+	if s.machine.Replica().Revision() == 0 || s.machine.Registered() {
+		return kernel.Idle
+	}
+	if now >= s.nextRegister {
+		s.nextRegister = now + registerInterval
+		s.watch.Write(catalogwatch.Write{Item: s.machine.Registration()})
+	}
+	return s.nextRegister
+}
+
+// reportLoads tells "packets" the loads of all domains.
+func (s *Service) reportLoads(now time.Duration) time.Duration {
+	if now < s.nextLoads {
+		return s.nextLoads
+	}
+	s.nextLoads = now + loadsInterval
+	if loads := s.machine.DomainLoads(now); len(loads) > 0 {
+		s.packets.TryPut(packets.Input{Loads: loads})
+	}
+	return s.nextLoads
+}
+
+// publish sets what Stats returns.
+func (s *Service) publish(now time.Duration) {
+	age, _ := s.machine.Age(now)
+	s.age.Store(int64(age))
+	s.revision.Store(s.machine.Replica().Revision())
+	s.isRelay.Store(s.machine.IsRelay())
+	s.watchingNow.Store(s.watching)
+}
+
+// Stats returns the counters.
+func (s *Service) Stats() Stats {
+	return Stats{
+		BeatsSent:     s.beatsSent.Load(),
+		BeatsReceived: s.beatsReceived.Load(),
+		Malformed:     s.malformed.Load(),
+		Pulls:         s.pullCount.Load(),
+		PullsFailed:   s.pullsFailed.Load(),
+		PullsAnswered: s.pullsAnswered.Load(),
+		Invalid:       s.invalid.Load(),
+		IsRelay:       s.isRelay.Load(),
+		Watching:      s.watchingNow.Load(),
+		Revision:      s.revision.Load(),
+		Age:           time.Duration(s.age.Load()),
+	}
+}
--- a/services/storewatch/storewatch.go
+++ b/services/storewatch/storewatch.go
@@ -15,6 +15,7 @@
 	"github.com/gypsumspan/gypsumspan/decide/message"
 	"github.com/gypsumspan/gypsumspan/kernel"
 	"github.com/gypsumspan/gypsumspan/services/core"
+	"github.com/gypsumspan/gypsumspan/services/taskswitch"
 	"github.com/gypsumspan/gypsumspan/store"
 )
 
@@ -32,6 +33,15 @@
 	lastRetry  = 2 * time.Second
 )
 
+// task is what the blocker shall do.
+type task int
+
+const (
+	doNothing task = iota
+	readTable      // read the whole table once
+	watchTable
+)
+
 // ErrStore means that the store did not deliver the table; it wraps the error of
 // package store.
 var ErrStore = errors.New("table was not received from the store")
@@ -77,7 +87,7 @@
 type Service struct {
 	config Config
 	inbox  Inbox
-	role   role
+	role   *taskswitch.Switch[task]
 	gate   *kernel.Gate
 
 	revision atomic.Int64
@@ -102,7 +112,7 @@
 	if config.Sleep == nil {
 		config.Sleep = sleep
 	}
-	return &Service{config: config, role: newRole()}
+	return &Service{config: config, role: taskswitch.New[task]()}
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
@@ -155,11 +165,11 @@
 func (s *Service) checkRole(now time.Duration) time.Duration {
 	switch {
 	case s.config.IsRelay():
-		s.role.set(watchTable)
+		s.role.Set(watchTable)
 	case now >= s.config.ReadDelay && !s.readOnce.Load() && !s.config.HasTable():
-		s.role.set(readTable)
+		s.role.Set(readTable)
 	default:
-		s.role.set(doNothing)
+		s.role.Set(doNothing)
 	}
 	return now + s.config.RoleInterval
 }
@@ -172,7 +182,7 @@
 		backoff.WithMaxElapsedTime(0),
 	)
 	for {
-		task, taskCtx, err := s.role.wait(ctx)
+		task, taskCtx, err := s.role.Wait(ctx)
 		if err != nil {
 			return nil
 		}
@@ -196,7 +206,7 @@
 		if err == nil {
 			progress()
 			s.readOnce.Store(true)
-			s.role.finish(readTable)
+			s.role.Finish(readTable)
 		}
 		return err
 	}
--- a/settings/flowset/example.go
+++ b/settings/flowset/example.go
@@ -13,15 +13,17 @@
 [listen]
 packets = "127.0.0.1:8172"
 readiness = "127.0.0.1:8167"
-neighbours = "127.0.0.1:7720"
-metrics = "127.0.0.1:7721"
+beats = "127.0.0.1:7720"
+control = "127.0.0.1:7721"
 
 [readiness]
 path = "/readyz"
 
 [store]
 address = "127.0.0.1:8169"
-watch_wait = "2s"
+
+[catalog]
+apply_within = "3s"
 
 [log]
 format = "json"
--- a/settings/flowset/flowset.go
+++ b/settings/flowset/flowset.go
@@ -22,6 +22,7 @@
 	Listen    Listen
 	Readiness Readiness
 	Store     Store
+	Catalog   Catalog
 	Log       Log
 	Timings   Timings
 }
@@ -34,10 +35,10 @@
 
 // Listen are the addresses that the VM listens on.
 type Listen struct {
-	Packets    netip.AddrPort // UDP, packets of callers
-	Readiness  netip.AddrPort // TCP, questions of the routers
-	Neighbours netip.AddrPort // UDP, other VMs; invalid: none
-	Metrics    netip.AddrPort // TCP, metrics; invalid: none
+	Packets   netip.AddrPort // UDP, packets of callers
+	Readiness netip.AddrPort // TCP, questions of the routers
+	Beats     netip.AddrPort // UDP, beats of other VMs
+	Control   netip.AddrPort // TCP, pulls of other VMs, metrics, operators' questions
 }
 
 // Readiness is the question of the routers.
@@ -47,11 +48,23 @@
 
 // Store is the platform's store.
 type Store struct {
-	Address   netip.AddrPort
-	Timeout   time.Duration // of one call
-	WatchWait time.Duration // how long the store may hold a watch without events
+	Address netip.AddrPort
+	Timeout time.Duration // of one call
 }
 
+// Catalog says how soon changes must be in force.
+type Catalog struct {
+	ApplyWithin time.Duration // from the acknowledgement of a change to its effect
+}
+
+// MaxAge returns the age of the knowledge of the store at which a VM reads the
+// store itself. The rest of the time is for that reading, one retry included.
+func (c Catalog) MaxAge() time.Duration { return c.ApplyWithin * 7 / 10 }
+
+// WatchWait returns how long the store may hold a watch without events. Half the
+// time leaves room for a beat that is lost before MaxAge is reached.
+func (c Catalog) WatchWait() time.Duration { return c.ApplyWithin / 2 }
+
 // Log is the form of the log.
 type Log struct {
 	Format events.Format
@@ -84,10 +97,10 @@
 // checkDuplicates reports listen addresses of the same protocol that overlap.
 func checkDuplicates(c *document.Checker[Settings]) {
 	l := c.Settings.Listen
-	if document.Overlap(l.Packets, l.Neighbours) {
-		c.Add("listen.neighbours", "an address that listen.packets does not use", document.Show(l.Neighbours.String()))
+	if document.Overlap(l.Packets, l.Beats) {
+		c.Add("listen.beats", "an address that listen.packets does not use", document.Show(l.Beats.String()))
 	}
-	if document.Overlap(l.Readiness, l.Metrics) {
-		c.Add("listen.metrics", "an address that listen.readiness does not use", document.Show(l.Metrics.String()))
+	if document.Overlap(l.Readiness, l.Control) {
+		c.Add("listen.control", "an address that listen.readiness does not use", document.Show(l.Control.String()))
 	}
 }
--- a/settings/flowset/keys.go
+++ b/settings/flowset/keys.go
@@ -14,10 +14,10 @@
 
 // Defaults of timings.
 const (
-	// defaultWatchWait and defaultTimeout show a silent connection within three
-	// seconds, the time in which a change must be in force.
-	defaultWatchWait = 2 * time.Second
-	defaultTimeout   = 700 * time.Millisecond
+	// defaultApplyWithin is the platform's usual bound for changes.
+	defaultApplyWithin = 3 * time.Second
+	// defaultTimeout is a fifth of it and well above the answers of a slow store.
+	defaultTimeout = 700 * time.Millisecond
 	// defaultStopGrace is the platform's usual time between the stop signal and the
 	// end of the process.
 	defaultStopGrace = 6 * time.Second
@@ -39,12 +39,12 @@
 	{Path: "listen.readiness", Type: document.TypeAddress, Range: document.AddressRange,
 		Meaning: "TCP address for the routers' question whether the VM shall get packets (HTTP).",
 		Set:     document.Address(func(s *Settings) *netip.AddrPort { return &s.Listen.Readiness })},
-	{Path: "listen.neighbours", Type: document.TypeAddress, Range: document.AddressRange, Optional: true,
-		Meaning: "UDP address for other VMs. Without it the VM learns changes from the store only.",
-		Set:     document.Address(func(s *Settings) *netip.AddrPort { return &s.Listen.Neighbours })},
-	{Path: "listen.metrics", Type: document.TypeAddress, Range: document.AddressRange, Optional: true,
-		Meaning: "TCP address for metrics and operators' questions (HTTP). Without it there are none.",
-		Set:     document.Address(func(s *Settings) *netip.AddrPort { return &s.Listen.Metrics })},
+	{Path: "listen.beats", Type: document.TypeAddress, Range: document.AdvertisedRange,
+		Meaning: "UDP address for beats of other VMs, as they reach it.",
+		Set:     document.Advertised(func(s *Settings) *netip.AddrPort { return &s.Listen.Beats })},
+	{Path: "listen.control", Type: document.TypeAddress, Range: document.AdvertisedRange,
+		Meaning: "TCP address for pulls of other VMs, as they reach it, for metrics and for operators' questions (HTTP). It has no authentication; use an address that only VMs and operators reach.",
+		Set:     document.Advertised(func(s *Settings) *netip.AddrPort { return &s.Listen.Control })},
 	{Path: "readiness.path", Type: document.TypeString, Default: "/readyz", Range: "path that starts with /",
 		Meaning: "Path of the routers' question.",
 		Set:     setPath},
@@ -52,11 +52,11 @@
 		Meaning: "Address of the platform's store.",
 		Set:     document.Address(func(s *Settings) *netip.AddrPort { return &s.Store.Address })},
 	duration("store.timeout", defaultTimeout, 50*time.Millisecond, 10*time.Second,
-		"Time-out of one call to the store. A watch that is held has `store.watch_wait` besides.",
+		"Time-out of one call to the store, beside the time for which a watch is held.",
 		func(s *Settings) *time.Duration { return &s.Store.Timeout }),
-	duration("store.watch_wait", defaultWatchWait, 100*time.Millisecond, 30*time.Second,
-		"How long the store may hold a watch without events. With `store.timeout` it bounds the time until a silent connection shows.",
-		func(s *Settings) *time.Duration { return &s.Store.WatchWait }),
+	duration("catalog.apply_within", defaultApplyWithin, 500*time.Millisecond, time.Minute,
+		"Time from the acknowledgement of a change in the store until it is in force at every VM. A VM reads the store itself when what it knows is older than 70% of it; watches are held for half of it.",
+		func(s *Settings) *time.Duration { return &s.Catalog.ApplyWithin }),
 	{Path: "log.format", Type: document.TypeString, Default: "json", Range: "one of json, text",
 		Meaning: "Form of log lines, on the standard output.",
 		Set:     setLogFormat},
--- /dev/null
+++ b/wire/relaywire/relaywire.go
@@ -0,0 +1,118 @@
+// Package relaywire encodes the messages of package decide/relay: protobuf, a
+// message a datagram or HTTP body.
+package relaywire
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/gypsumspan/gypsumspan/decide/relay"
+	"github.com/gypsumspan/gypsumspan/wire/relaypb"
+)
+
+// ErrMalformed means that bytes are no message of the expected type.
+var ErrMalformed = errors.New("message between VMs is malformed")
+
+// MaxBeat is the size of the largest beat in bytes. It fits one datagram.
+const MaxBeat = 1400
+
+// AppendBeat appends a beat to dst. It returns ErrMalformed for a beat above
+// MaxBeat.
+func AppendBeat(dst []byte, b relay.Beat) ([]byte, error) {
+	m := &relaypb.Beat{
+		Name:      b.Name,
+		Domain:    b.Domain,
+		Reply:     b.Reply,
+		Revision:  b.Revision,
+		Confirmed: fromConfirmation(b.Confirmed),
+	}
+	for _, l := range b.Loads {
+		m.Loads = append(m.Loads, &relaypb.Load{Domain: l.Domain, Service: l.Service, Flows: l.Flows, Busy: l.Busy})
+	}
+	out, err := proto.MarshalOptions{}.MarshalAppend(dst, m)
+	if err != nil {
+		return dst, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	if len(out)-len(dst) > MaxBeat {
+		return dst, fmt.Errorf("beat of %d bytes: %w", len(out)-len(dst), ErrMalformed)
+	}
+	return out, nil
+}
+
+// DecodeBeat decodes a beat. It returns ErrMalformed.
+func DecodeBeat(data []byte) (relay.Beat, error) {
+	var m relaypb.Beat
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return relay.Beat{}, fmt.Errorf("beat: %w: %w", ErrMalformed, err)
+	}
+	if m.GetName() == "" || m.GetDomain() == "" {
+		return relay.Beat{}, fmt.Errorf("beat without a sender: %w", ErrMalformed)
+	}
+	b := relay.Beat{
+		Name:      m.GetName(),
+		Domain:    m.GetDomain(),
+		Reply:     m.GetReply(),
+		Revision:  m.GetRevision(),
+		Confirmed: toConfirmation(m.GetConfirmed()),
+	}
+	for _, l := range m.GetLoads() {
+		b.Loads = append(b.Loads, relay.Load{Domain: l.GetDomain(), Service: l.GetService(), Flows: l.GetFlows(), Busy: l.GetBusy()})
+	}
+	return b, nil
+}
+
+// EncodeNews encodes the answer to a pull.
+func EncodeNews(n relay.News) ([]byte, error) {
+	m := &relaypb.News{Revision: n.Revision, Confirmed: fromConfirmation(n.Confirmed), Complete: n.Complete}
+	for _, item := range n.Items {
+		m.Items = append(m.Items, &relaypb.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted})
+	}
+	data, err := proto.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("news: %w: %w", ErrMalformed, err)
+	}
+	return data, nil
+}
+
+// DecodeNews decodes the answer to a pull. It returns ErrMalformed.
+func DecodeNews(data []byte) (relay.News, error) {
+	var m relaypb.News
+	if err := proto.Unmarshal(data, &m); err != nil {
+		return relay.News{}, fmt.Errorf("news: %w: %w", ErrMalformed, err)
+	}
+	n := relay.News{Revision: m.GetRevision(), Confirmed: toConfirmation(m.GetConfirmed()), Complete: m.GetComplete()}
+	for _, item := range m.GetItems() {
+		n.Items = append(n.Items, relay.Item{Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Deleted: item.GetDeleted()})
+	}
+	return n, nil
+}
+
+func fromConfirmation(c relay.Confirmation) *relaypb.Confirmation {
+	if c.Revision == 0 {
+		return nil
+	}
+	return &relaypb.Confirmation{
+		Revision:   c.Revision,
+		AgeMs:      millis(c.Age),
+		RegainedMs: millis(c.Regained),
+		Regained:   c.HasRegained,
+	}
+}
+
+// millis rounds up, so that knowledge never looks newer than it is.
+func millis(d time.Duration) uint32 {
+	const most = 1 << 31
+	return uint32(min(max((d+time.Millisecond-1)/time.Millisecond, 0), most))
+}
+
+func toConfirmation(m *relaypb.Confirmation) relay.Confirmation {
+	return relay.Confirmation{
+		Revision:    m.GetRevision(),
+		Age:         time.Duration(m.GetAgeMs()) * time.Millisecond,
+		Regained:    time.Duration(m.GetRegainedMs()) * time.Millisecond,
+		HasRegained: m.GetRegained(),
+	}
+}
