Reset flows of dead and gone targets at once

Change: two flows with two repeats each and no sign of life for 500 ms make a target dead; its idle flows, and those that may be repeated, are reset, and all flows of a target whose entry is gone.

--- a/decide/evidence/evidence.go
+++ b/decide/evidence/evidence.go
@@ -14,8 +14,15 @@
 	firstAvoid = 500 * time.Millisecond
 	maxAvoid   = 4 * time.Second
 	// suspiciousRepeats is the number of repeated packets of open flows without a
-	// sign of life that make a target silent. A lone one is often a lost datagram.
+	// sign of life that make new flows avoid a target. A lone one is often a lost
+	// datagram or a request that takes longer than 200 ms.
 	suspiciousRepeats = 2
+	// stuckFlows is the number of flows that must be stuck, and stuckFor the time
+	// without a sign of life, before a target counts as dead for its open flows. A
+	// live target acknowledges the first copy of a packet, so that a flow is stuck
+	// only when both copies, or their acknowledgements, are lost.
+	stuckFlows = 2
+	stuckFor   = 500 * time.Millisecond
 	// probation is how long after the end of an avoidance a sign of life is awaited
 	// before the next flow.
 	probation = 300 * time.Millisecond
@@ -26,7 +33,9 @@
 	lastAlive  time.Duration
 	everAlive  bool
 	repeats    int           // since the last sign of life
-	firstNoted time.Duration // first repeat since the last sign of life
+	stuck      int           // flows that got stuck since the last sign of life
+	firstStuck time.Duration // time of the first of them
+	declared   bool          // Declare has returned true since the last sign of life
 	avoid      time.Duration // last avoidance
 	avoidTill  time.Duration
 	probeAt    time.Duration // last flow that was sent after an avoidance
@@ -56,9 +65,6 @@
 	if t.everAlive && now-t.lastAlive < aliveFor {
 		return
 	}
-	if t.repeats == 0 {
-		t.firstNoted = now
-	}
 	t.repeats++
 	if t.repeats >= suspiciousRepeats {
 		t.lengthen(now)
@@ -89,8 +95,39 @@
 	}
 }
 
-// SilentSince returns the time since which the target is silent and has been
-// asked in vain; ok is false when there is no such evidence.
-func (t *Tracker) SilentSince() (since time.Duration, ok bool) {
-	return t.firstNoted, t.repeats >= suspiciousRepeats
+// Stuck notes that the caller of a flow has repeated the same packet twice in
+// vain. It is called once for each such flow.
+func (t *Tracker) Stuck(now time.Duration) {
+	if t.stuck == 0 {
+		t.firstStuck = now
+	}
+	t.stuck++
+	t.lengthen(now)
+}
+
+// Dead reports whether several flows are stuck and nothing has shown life for a
+// while, so that waiting is in vain.
+func (t *Tracker) Dead(now time.Duration) bool {
+	if t.stuck < stuckFlows {
+		return false
+	}
+	return now-t.lastSign() >= stuckFor
+}
+
+// Declare returns true the first time that the target is found dead since its
+// last sign of life.
+func (t *Tracker) Declare(now time.Duration) bool {
+	if t.declared || !t.Dead(now) {
+		return false
+	}
+	t.declared = true
+	return true
+}
+
+// lastSign returns the last sign of life or, without one, the first stuck flow.
+func (t *Tracker) lastSign() time.Duration {
+	if t.everAlive {
+		return t.lastAlive
+	}
+	return t.firstStuck
 }
--- a/decide/forward/forward.go
+++ b/decide/forward/forward.go
@@ -96,6 +96,9 @@
 	// defaultIdle is the age of a flow without packets at which it is forgotten when
 	// the configuration states none.
 	defaultIdle = 30 * time.Second
+	// stuckRepeats is the number of repeats of the same packet, after 200 ms and
+	// another 400 ms, that make a flow stuck.
+	stuckRepeats = 2
 	// lifeSigns is how long after the last sign of life a target without an entry is
 	// still taken as alive for its open flows.
 	lifeSigns = time.Second
@@ -118,6 +121,9 @@
 	choices []balance.Candidate // reused
 	chosen  []*catalog.Target   // parallel to choices
 
+	ending []*catalog.Target // whose flows are to be reset once they are lost
+	resets []Ended           // flows that ended without a packet of theirs
+
 	domainLoads   []relay.Load
 	domainLoadsAt time.Duration
 	nextSweep     time.Duration
@@ -138,6 +144,9 @@
 func (f *Forwarder) Apply(now time.Duration, c catalog.Change) catalog.Effect {
 	effect := f.view.Apply(now, c)
 	f.grow()
+	if effect == catalog.TargetRemoved {
+		f.ending = append(f.ending, f.view.Target(c.Gone))
+	}
 	if effect == catalog.TargetAdded {
 		t := f.view.Target(c.Target.ID)
 		f.loads[t.Slot] = balance.Load{}
@@ -370,15 +379,24 @@
 	if t == nil {
 		return f.withoutTarget(now, p, route, r)
 	}
-	if r == nil {
-		r = f.remember(now, p.Flow)
-	}
 	if f.isLost(now, t) {
 		f.forget(p.Flow)
 		return Verdict{Action: Reset, Reason: TargetGone, Target: t, Route: route, Decided: true}
 	}
+	if r == nil {
+		// The flow was opened at another VM: its present state says nothing of the
+		// target.
+		r = f.remember(now, p.Flow)
+		r.phase = open
+		r.ack = p.Ack
+	}
 	f.assign(r, t)
 	f.note(now, r, t, p)
+	f.noteDead(now, t)
+	if r.busy && f.isStuck(now, t, route) {
+		f.forget(p.Flow)
+		return Verdict{Action: Reset, Reason: TargetSilent, Target: t, Route: route, Decided: true}
+	}
 	if p.Flags.Has(flow.RST) {
 		f.forget(p.Flow)
 	}
@@ -432,6 +450,36 @@
 	return !ok || now-alive >= lifeSigns
 }
 
+// isStuck reports whether a flow shall be reset because its target is dead by all
+// that this VM sees, and other targets of the service answer. A request that may
+// run at most once is left alone: its caller would not repeat it, and a target
+// behind a partition may still run it.
+func (f *Forwarder) isStuck(now time.Duration, t *catalog.Target, route *catalog.Route) bool {
+	if route == nil || route.Kind == catalog.NonIdempotent {
+		return false
+	}
+	return f.evidence[t.Slot].Dead(now) && f.othersAnswer(now, t)
+}
+
+// othersAnswer reports whether most other targets of t's service answer. If they
+// do not, this VM is more likely cut off than they are dead.
+func (f *Forwarder) othersAnswer(now time.Duration, t *catalog.Target) bool {
+	answering, silent := 0, 0
+	for _, other := range f.view.Service(t.Service) {
+		if other == t || !other.Listed {
+			continue
+		}
+		alive, ok := f.evidence[other.Slot].LastAlive()
+		switch {
+		case ok && now-alive < lifeSigns:
+			answering++
+		case f.evidence[other.Slot].Dead(now):
+			silent++
+		}
+	}
+	return answering > silent
+}
+
 // note learns from a packet of an open flow.
 func (f *Forwarder) note(now time.Duration, r *record, t *catalog.Target, p flow.Packet) {
 	seen := &f.evidence[t.Slot]
@@ -449,11 +497,11 @@
 	}
 	end := p.Seq + uint32(p.Len)
 	if p.Len > 0 && r.sent && !newer(end, r.seqTo) {
-		if r.repeats == 0 {
-			r.repeated = now
-		}
 		r.repeats++
 		seen.Repeated(now)
+		if r.repeats == stuckRepeats {
+			seen.Stuck(now)
+		}
 	} else if p.Len > 0 {
 		r.sent = true
 		r.seqTo = end
@@ -487,6 +535,7 @@
 	if idle == 0 {
 		idle = defaultIdle
 	}
+	f.resetLost(now)
 	for k, r := range f.flows.records {
 		if now-r.seen >= retention(r.phase, idle) {
 			f.forget(k)
--- a/decide/forward/table.go
+++ b/decide/forward/table.go
@@ -36,8 +36,7 @@
 	ack   uint32 // highest acknowledgement seen
 	busy  bool   // a request is in progress
 
-	repeats  int           // repeated packets since the caller's last progress
-	repeated time.Duration // first of them
+	repeats int // repeated packets since the caller's last progress
 }
 
 // newer reports whether sequence number a is after b, modulo 2^32.
--- a/services/packets/packets.go
+++ b/services/packets/packets.go
@@ -232,6 +232,7 @@
 		b, ok := s.in.Take()
 		if !ok {
 			wake := s.forwarder.Tick(now)
+			s.sendEnded()
 			s.flows.Store(uint64(s.forwarder.Flows()))
 			if more {
 				return now
@@ -239,6 +240,7 @@
 			return wake
 		}
 		s.decide(now, b)
+		s.sendEnded()
 		// The ring has room for every buffer that exists.
 		_ = s.free.Put(b)
 	}
@@ -279,14 +281,26 @@
 		s.config.Codec.Address(b.bytes, v.Target.Number, v.Cookie)
 		s.send(b.bytes[:prefix+b.n], v.Target.Address.AddrPort(), &s.forwarded)
 	case forward.Reset:
-		s.reset = s.config.Codec.AppendReset(s.reset[:0], p)
-		to := flow.Endpoint{IP: p.Flow.Caller.IP, Port: s.config.Listen.Port()}
-		s.send(s.reset, to.AddrPort(), &s.resets)
+		s.sendReset(p)
 	default:
 		s.dropped.Add(1)
 	}
 }
 
+func (s *Service) sendReset(p flow.Packet) {
+	s.reset = s.config.Codec.AppendReset(s.reset[:0], p)
+	to := flow.Endpoint{IP: p.Flow.Caller.IP, Port: s.config.Listen.Port()}
+	s.send(s.reset, to.AddrPort(), &s.resets)
+}
+
+// sendEnded resets the flows that ended without a packet of theirs.
+func (s *Service) sendEnded() {
+	for _, e := range s.forwarder.TakeEnded() {
+		s.logDecision(e.Packet, forward.Verdict{Action: forward.Reset, Reason: e.Reason, Target: e.Target})
+		s.sendReset(e.Packet)
+	}
+}
+
 func (s *Service) send(data []byte, to netip.AddrPort, sent *atomic.Uint64) {
 	if _, err := s.conn.WriteToUDPAddrPort(data, to); err != nil {
 		s.failed.Add(1)
