--- a/decide/forward/forward.go
+++ b/decide/forward/forward.go
@@ -12,7 +12,6 @@
 	"github.com/gypsumspan/gypsumspan/decide/catalog"
 	"github.com/gypsumspan/gypsumspan/decide/evidence"
 	"github.com/gypsumspan/gypsumspan/decide/flow"
-	"github.com/gypsumspan/gypsumspan/decide/relay"
 	"github.com/gypsumspan/gypsumspan/decide/rendezvous"
 )
 
@@ -118,20 +117,28 @@
 	loads    []balance.Load     // by slot of the target
 	evidence []evidence.Tracker // by slot of the target
 
-	choices []balance.Candidate // reused
-	chosen  []*catalog.Target   // parallel to choices
+	choices   []balance.Candidate // reused
+	chosen    []*catalog.Target   // parallel to choices
+	preferred string              // failure domain of the flow that is being placed
 
 	ending []*catalog.Target // whose flows are to be reset once they are lost
 	resets []Ended           // flows that ended without a packet of theirs
 
-	domainLoads   []relay.Load
-	domainLoadsAt time.Duration
-	nextSweep     time.Duration
+	domains   map[string][]balance.Domain // by service, from reports at domainsAt
+	domainsAt time.Duration
+	busyAt    map[place]float64            // averages behind domains
+	foreign   map[string]*evidence.Tracker // other failure domains as a whole
+	nextSweep time.Duration
 }
 
 // New returns a forwarder with an empty catalog.
 func New(config Config) *Forwarder {
-	return &Forwarder{config: config, view: catalog.NewView(), flows: newFlowTable(MaxFlows)}
+	return &Forwarder{
+		config:  config,
+		view:    catalog.NewView(),
+		flows:   newFlowTable(MaxFlows),
+		foreign: make(map[string]*evidence.Tracker),
+	}
 }
 
 // View returns the catalog, for reading.
@@ -280,6 +287,7 @@
 	hash := k.Hash()
 	service := serviceOf(route, hash)
 	targets := f.view.Service(service)
+	f.preferred = f.domainFor(now, service, hash)
 	for rank := range ranks {
 		f.collect(now, targets, r, rank)
 		if i := balance.Choose(hash^f.config.Seed, f.choices); i >= 0 {
@@ -291,7 +299,8 @@
 
 // The ranks of candidates, the best first.
 const (
-	localAnswering = iota
+	preferredAnswering = iota
+	localAnswering
 	anyAnswering
 	localSilent
 	anySilent
@@ -324,8 +333,10 @@
 		return false
 	}
 	local := t.Domain == f.config.Domain
-	silent := f.evidence[t.Slot].Silent(now)
+	silent := f.evidence[t.Slot].Silent(now) || f.isCutOff(now, t)
 	switch rank {
+	case preferredAnswering:
+		return t.Domain == f.preferred && !silent
 	case localAnswering:
 		return local && !silent
 	case anyAnswering:
@@ -458,7 +469,7 @@
 	if route == nil || route.Kind == catalog.NonIdempotent {
 		return false
 	}
-	return f.evidence[t.Slot].Dead(now) && f.othersAnswer(now, t)
+	return f.isCutOff(now, t) || f.evidence[t.Slot].Dead(now) && f.othersAnswer(now, t)
 }
 
 // othersAnswer reports whether most other targets of t's service answer. If they
@@ -489,8 +500,12 @@
 		r.ack = p.Ack
 	}
 	r.seen = now
+	domain := f.domainEvidence(t.Domain)
 	if progress {
 		seen.Alive(now)
+		if domain != nil {
+			domain.Alive(now)
+		}
 		r.ack = p.Ack
 		r.repeats = 0
 		f.setBusy(r, t, false)
@@ -501,6 +516,9 @@
 		seen.Repeated(now)
 		if r.repeats == stuckRepeats {
 			seen.Stuck(now)
+			if domain != nil {
+				domain.Stuck(now)
+			}
 		}
 	} else if p.Len > 0 {
 		r.sent = true
--- a/decide/relay/loads.go
+++ b/decide/relay/loads.go
@@ -6,8 +6,7 @@
 	"time"
 )
 
-// SetLoads sets the work that comes from this VM's callers. Load.Domain is
-// ignored.
+// SetLoads sets the work that this VM causes. Load.Domain is ignored.
 func (m *Machine) SetLoads(loads []Load) {
 	m.ownLoads = m.ownLoads[:0]
 	for _, l := range loads {
@@ -28,7 +27,7 @@
 		if l.Domain == m.config.Self.Domain && (m.isRelay || b.Domain != m.config.Self.Domain) {
 			continue
 		}
-		key := Load{Domain: l.Domain, Service: l.Service}
+		key := Load{Domain: l.Domain, At: l.At, Service: l.Service}
 		m.loads[key] = loadReport{Load: l, at: now}
 	}
 }
@@ -46,21 +45,22 @@
 		list = append(list, r.Load)
 	}
 	slices.SortFunc(list, func(a, b Load) int {
-		return cmp.Or(cmp.Compare(a.Domain, b.Domain), cmp.Compare(a.Service, b.Service))
+		return cmp.Or(cmp.Compare(a.Domain, b.Domain), cmp.Compare(a.At, b.At), cmp.Compare(a.Service, b.Service))
 	})
 	return list
 }
 
 // ownDomain adds up the loads of this VM and of those that ask it.
 func (m *Machine) ownDomain(now time.Duration) []Load {
-	sums := make(map[string]Load)
+	sums := make(map[Load]Load)
 	add := func(loads []Load) {
 		for _, l := range loads {
-			sum := sums[l.Service]
-			sum.Domain, sum.Service = m.config.Self.Domain, l.Service
+			key := Load{Domain: m.config.Self.Domain, At: l.At, Service: l.Service}
+			sum := sums[key]
+			sum.Domain, sum.At, sum.Service = key.Domain, key.At, key.Service
 			sum.Flows += l.Flows
 			sum.Busy += l.Busy
-			sums[l.Service] = sum
+			sums[key] = sum
 		}
 	}
 	add(m.ownLoads)
--- a/decide/relay/relay.go
+++ b/decide/relay/relay.go
@@ -37,14 +37,16 @@
 	// removes the entry of a VM that never asked.
 	forgetAfter = time.Minute
 	// maxLoads bounds the loads in one beat, so that it fits one datagram.
-	maxLoads = 16
+	maxLoads = 24
 	// loadFor is how long a reported load counts.
 	loadFor = 3 * time.Second
 )
 
-// Load is the work of one service whose callers are in one failure domain.
+// Load is work that comes from the VMs of one failure domain to the targets of a
+// service in the same or another one.
 type Load struct {
-	Domain  string
+	Domain  string // of the VMs
+	At      string // failure domain of the targets
 	Service string
 	Flows   uint32 // open flows
 	Busy    uint32 // requests in progress
--- a/services/packets/packets.go
+++ b/services/packets/packets.go
@@ -38,6 +38,8 @@
 	// socketBuffer is the size of the socket's buffers in bytes. It holds the
 	// datagrams that arrive while the process is not scheduled.
 	socketBuffer = 1 << 20
+	// loadsInterval is the time between two load reports.
+	loadsInterval = 500 * time.Millisecond
 	// quietTime is how long no datagram may arrive before a leaving VM ends.
 	quietTime = time.Second
 	// routersNotice is the time in which routers notice that a VM is not ready: two
@@ -67,6 +69,14 @@
 	Forward   forward.Config
 }
 
+// LoadReceiver takes reports of the work that this VM causes.
+type LoadReceiver interface {
+	SetLoads(loads []relay.Load)
+}
+
+// loadReceiverName is the name of the service that takes load reports.
+const loadReceiverName = "relay"
+
 // Stats counts since start.
 type Stats struct {
 	Received  uint64
@@ -108,6 +118,7 @@
 	conn   *net.UDPConn
 	log    logs.Log
 	ready  readiness.Switch
+	loads  LoadReceiver // nil when there is none
 
 	gate     *kernel.Gate
 	in       *kernel.Ring[*buffer]
@@ -118,6 +129,7 @@
 	forwarder *forward.Forwarder
 	inForce   bool
 	reset     []byte
+	nextLoads time.Duration // of the next load report
 
 	received  atomic.Uint64
 	malformed atomic.Uint64
@@ -176,6 +188,8 @@
 	if s.ready, err = kernel.Lookup[readiness.Switch](k, readiness.Name); err != nil {
 		return err
 	}
+	// The service "relay" is not needed to forward packets.
+	s.loads, _ = kernel.Lookup[LoadReceiver](k, loadReceiverName)
 	k.AddBlocker(kernel.Blocker{
 		Name:      "packets.receive",
 		Run:       s.receive,
@@ -231,7 +245,7 @@
 	for range batchSize {
 		b, ok := s.in.Take()
 		if !ok {
-			wake := s.forwarder.Tick(now)
+			wake := min(s.forwarder.Tick(now), s.reportLoads(now))
 			s.sendEnded()
 			s.flows.Store(uint64(s.forwarder.Flows()))
 			if more {
@@ -247,6 +261,19 @@
 	return now
 }
 
+// reportLoads reports the work that this VM causes and returns the time of the
+// next report.
+func (s *Service) reportLoads(now time.Duration) time.Duration {
+	if s.loads == nil {
+		return kernel.Idle
+	}
+	if now >= s.nextLoads {
+		s.nextLoads = now + loadsInterval
+		s.loads.SetLoads(s.forwarder.Loads())
+	}
+	return s.nextLoads
+}
+
 // applyInputs reports whether inputs are left.
 func (s *Service) applyInputs(now time.Duration) bool {
 	for range changesPerStep {
--- a/wire/relaywire/relaywire.go
+++ b/wire/relaywire/relaywire.go
@@ -30,7 +30,7 @@
 		Confirmed: fromConfirmation(b.Confirmed),
 	}
 	for _, l := range b.Loads {
-		m.Loads = append(m.Loads, &relaypb.Load{Domain: l.Domain, Service: l.Service, Flows: l.Flows, Busy: l.Busy})
+		m.Loads = append(m.Loads, &relaypb.Load{Domain: l.Domain, At: l.At, Service: l.Service, Flows: l.Flows, Busy: l.Busy})
 	}
 	out, err := proto.MarshalOptions{}.MarshalAppend(dst, m)
 	if err != nil {
@@ -59,7 +59,7 @@
 		Confirmed: toConfirmation(m.GetConfirmed()),
 	}
 	for _, l := range m.GetLoads() {
-		b.Loads = append(b.Loads, relay.Load{Domain: l.GetDomain(), Service: l.GetService(), Flows: l.GetFlows(), Busy: l.GetBusy()})
+		b.Loads = append(b.Loads, relay.Load{Domain: l.GetDomain(), At: l.GetAt(), Service: l.GetService(), Flows: l.GetFlows(), Busy: l.GetBusy()})
 	}
 	return b, nil
 }
