--- a/decide/catalog/view.go
+++ b/decide/catalog/view.go
@@ -54,6 +54,7 @@
 	removed        map[flow.Endpoint]time.Duration // removed routes, with the time
 
 	targets  map[string]*Target
+	tombs    map[string]tombstone // removed entries of targets that are not known
 	byCookie map[flow.Cookie]*Target
 	services map[string][]*Target // known targets, listed or not
 	free     []int                // slots that can be used again
@@ -67,12 +68,19 @@
 	nextSweep   time.Duration
 }
 
+// tombstone is a removed entry.
+type tombstone struct {
+	revision int64
+	at       time.Duration
+}
+
 // NewView returns an empty view.
 func NewView() *View {
 	return &View{
 		routes:   make(map[flow.Endpoint]*Route),
 		removed:  make(map[flow.Endpoint]time.Duration),
 		targets:  make(map[string]*Target),
+		tombs:    make(map[string]tombstone),
 		byCookie: make(map[flow.Cookie]*Target),
 		services: make(map[string][]*Target),
 	}
@@ -151,9 +159,10 @@
 
 func (v *View) put(now time.Duration, revision int64, e *Entry) Effect {
 	t := v.targets[e.ID]
-	if t != nil && revision <= t.Revision {
+	if t != nil && revision <= t.Revision || revision <= v.tombs[e.ID].revision {
 		return Outdated
 	}
+	delete(v.tombs, e.ID)
 	if t != nil && t.Service != e.Service {
 		// An id that changes its service is another target.
 		v.forget(t)
@@ -203,6 +212,9 @@
 	v.revision = max(v.revision, revision)
 	t := v.targets[id]
 	if t == nil {
+		if revision > v.tombs[id].revision {
+			v.tombs[id] = tombstone{revision: revision, at: now}
+		}
 		return Nothing
 	}
 	if revision <= t.Revision {
@@ -220,19 +232,24 @@
 	return TargetRemoved
 }
 
-// Tick forgets targets and routes that are long gone. It returns the time of the
-// next call.
-func (v *View) Tick(now time.Duration) time.Duration {
+// Tick forgets targets and routes that are long gone, but for targets in use. It
+// returns the time of the next call.
+func (v *View) Tick(now time.Duration, inUse func(*Target) bool) time.Duration {
 	const interval = 5 * time.Second
 	if now < v.nextSweep {
 		return v.nextSweep
 	}
 	v.nextSweep = now + interval
 	for _, t := range v.targets {
-		if !t.Listed && now >= t.GoneAt+goneRetention {
+		if !t.Listed && now >= t.GoneAt+goneRetention && !inUse(t) {
 			v.forget(t)
 		}
 	}
+	for id, tomb := range v.tombs {
+		if now >= tomb.at+goneRetention {
+			delete(v.tombs, id)
+		}
+	}
 	for address, at := range v.removed {
 		if now >= at+removedRetention {
 			delete(v.removed, address)
@@ -243,6 +260,7 @@
 
 func (v *View) forget(t *Target) {
 	delete(v.targets, t.ID)
+	v.tombs[t.ID] = tombstone{revision: t.Revision, at: v.nextSweep}
 	v.unlinkCookie(t)
 	list := v.services[t.Service]
 	for i, other := range list {
--- /dev/null
+++ b/decide/catalog/view_test.go
@@ -0,0 +1,216 @@
+package catalog
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/gypsumspan/gypsumspan/decide/flow"
+)
+
+func endpoint(last byte, port uint16) flow.Endpoint {
+	return flow.Endpoint{IP: [4]byte{10, 0, 0, last}, Port: port}
+}
+
+func entry(id, service string, state TargetState) *Entry {
+	return &Entry{ID: id, Service: service, Address: endpoint(1, 80), Domain: "a", Slots: 3, State: state}
+}
+
+func configuration(version uint64, ports ...uint16) *Configuration {
+	c := &Configuration{Version: version}
+	for _, port := range ports {
+		c.Routes = append(c.Routes, Route{Address: endpoint(9, port), Shares: []Share{{Service: "s", Weight: 1}}})
+	}
+	return c
+}
+
+// listed returns the ids of the targets that have an entry, with their service and state.
+func listed(v *View) []string {
+	var ids []string
+	v.Targets(func(t *Target) bool {
+		if t.Listed {
+			ids = append(ids, fmt.Sprint(t.ID, t.Service, t.State))
+		}
+		return true
+	})
+	slices.Sort(ids)
+	return ids
+}
+
+// Guards against a view that depends on the order in which changes arrive, or that
+// goes back to an older state.
+func TestViewMovesOnlyForward(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var changes []Change
+		newest := make(map[string]Change)
+		var newestConfig Change
+		for i := range rapid.IntRange(1, 30).Draw(t, "changes") {
+			c := Change{Revision: int64(i + 1)}
+			id := rapid.SampledFrom([]string{"i-1", "i-2", "i-3"}).Draw(t, "id")
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				c.Configuration = configuration(uint64(i+1), uint16(rapid.IntRange(1, 3).Draw(t, "port")))
+				newestConfig = c
+			case 1:
+				c.Gone = id
+				newest[id] = c
+			default:
+				service := rapid.SampledFrom([]string{"s", "u"}).Draw(t, "service")
+				c.Target = entry(id, service, TargetState(rapid.IntRange(0, 1).Draw(t, "state")))
+				newest[id] = c
+			}
+			changes = append(changes, c)
+		}
+		v := NewView()
+		var version uint64
+		order := rapid.Permutation(append(changes, changes...)).Draw(t, "order")
+		for _, c := range order {
+			v.Apply(0, c)
+			if v.Version() < version {
+				t.Fatalf("version %d after %d", v.Version(), version)
+			}
+			version = v.Version()
+		}
+		var want []string
+		for _, id := range slices.Sorted(maps.Keys(newest)) {
+			if e := newest[id].Target; e != nil {
+				want = append(want, fmt.Sprint(e.ID, e.Service, e.State))
+			}
+		}
+		if !slices.Equal(listed(v), want) {
+			t.Fatalf("targets %v, want %v", listed(v), want)
+		}
+		if newestConfig.Configuration != nil && v.Version() != newestConfig.Configuration.Version {
+			t.Fatalf("version %d, want %d", v.Version(), newestConfig.Configuration.Version)
+		}
+	})
+}
+
+// Guards against two targets in one slot, whose loads would be mixed up, and
+// against cookies that name no target or another one's service.
+func TestSlotsAndCookiesAreKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := NewView()
+		now := time.Duration(0)
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			id := fmt.Sprint("i-", rapid.IntRange(0, 9).Draw(t, "id"))
+			if rapid.Bool().Draw(t, "gone") {
+				v.Apply(now, Change{Revision: int64(i + 1), Gone: id})
+			} else {
+				service := rapid.SampledFrom([]string{"s", "u"}).Draw(t, "service")
+				v.Apply(now, Change{Revision: int64(i + 1), Target: entry(id, service, Ready)})
+			}
+			now += time.Duration(rapid.IntRange(0, 40).Draw(t, "seconds")) * time.Second
+			v.Tick(now, func(*Target) bool { return false })
+			slots := make(map[int]string)
+			v.Targets(func(target *Target) bool {
+				if other, ok := slots[target.Slot]; ok || target.Slot >= v.Slots() {
+					t.Fatalf("%s and %s share slot %d of %d", other, target.ID, target.Slot, v.Slots())
+				}
+				slots[target.Slot] = target.ID
+				if v.ByCookie(target.Cookie, nil) != target {
+					t.Fatalf("the cookie of %s names another target", target.ID)
+				}
+				if !slices.Contains(v.Service(target.Service), target) {
+					t.Fatalf("%s is not listed under %s", target.ID, target.Service)
+				}
+				return true
+			})
+		}
+	})
+}
+
+// Guards against targets with the same cookie that take each other's flows, and
+// against one that can't be found after the other was forgotten.
+func TestTargetsWithOneCookie(t *testing.T) {
+	is := is.New(t)
+	v := NewView()
+	v.Apply(0, Change{Revision: 1, Target: entry("i-1", "s", Ready)})
+	v.Apply(0, Change{Revision: 2, Target: entry("i-2", "u", Ready)})
+	one, two := v.Target("i-1"), v.Target("i-2")
+	v.unlinkCookie(two)
+	two.Cookie = one.Cookie
+	two.next = v.byCookie[one.Cookie]
+	v.byCookie[one.Cookie] = two
+	routeTo := func(service string) *Route { return &Route{Shares: []Share{{Service: service, Weight: 1}}} }
+	is.Equal(v.ByCookie(one.Cookie, routeTo("s")), one)
+	is.Equal(v.ByCookie(one.Cookie, routeTo("u")), two)
+	v.forget(one)
+	is.Equal(v.ByCookie(two.Cookie, nil), two)
+	v.forget(two)
+	is.Equal(v.ByCookie(two.Cookie, nil), nil)
+}
+
+// Guards against removed entries that are believed too early after an outage of
+// the store, or too late otherwise.
+func TestRemovedEntries(t *testing.T) {
+	second := time.Second
+	cases := []struct {
+		name     string
+		state    TargetState
+		outage   bool // ends at 10 s
+		removed  time.Duration
+		goneFrom time.Duration
+	}{
+		{"no outage", Ready, false, 10 * second, 10 * second},
+		{"just after an outage", Ready, true, 10*second + 10*time.Millisecond, 10*second + LapseGrace},
+		{"two seconds after an outage", Ready, true, 12 * second, 10*second + LapseGrace},
+		{"long after an outage", Ready, true, 20 * second, 20 * second},
+		{"had said that it leaves", Draining, true, 10*second + 10*time.Millisecond, 10*second + 10*time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			v := NewView()
+			v.Apply(0, Change{Revision: 1, Target: entry("i-1", "s", c.state)})
+			if c.outage {
+				v.StoreLost()
+				v.StoreRegained(10 * second)
+			}
+			v.Apply(c.removed, Change{Revision: 2, Gone: "i-1"})
+			target := v.Target("i-1")
+			is.True(!target.Gone(c.goneFrom - 1))
+			is.True(target.Gone(c.goneFrom))
+			is.Equal(target.TakesFlows(c.goneFrom-1), c.state == Ready)
+			// The entry comes back: the target was alive all the while.
+			v.Apply(c.goneFrom, Change{Revision: 3, Target: entry("i-1", "s", Ready)})
+			is.True(v.Target("i-1").TakesFlows(c.goneFrom))
+		})
+	}
+}
+
+// Guards against targets that are forgotten while flows still use them.
+func TestTargetsInUseAreKept(t *testing.T) {
+	is := is.New(t)
+	v := NewView()
+	v.Apply(0, Change{Revision: 1, Target: entry("i-1", "s", Ready)})
+	v.Apply(0, Change{Revision: 2, Gone: "i-1"})
+	v.Tick(2*goneRetention, func(*Target) bool { return true })
+	is.True(v.Target("i-1") != nil)
+	v.Tick(3*goneRetention, func(*Target) bool { return false })
+	is.True(v.Target("i-1") == nil)
+}
+
+// Guards against a removed route that is taken for one that was never known, and
+// against one that comes back.
+func TestRemovedRoutes(t *testing.T) {
+	is := is.New(t)
+	v := NewView()
+	is.True(!v.Ready())
+	v.Apply(0, Change{Revision: 1, Configuration: configuration(4, 1, 2)})
+	v.Apply(0, Change{Revision: 1, Synced: true})
+	is.True(v.Ready())
+	v.Apply(0, Change{Revision: 2, Configuration: configuration(5, 2, 3)})
+	is.True(v.Route(endpoint(9, 1)) == nil)
+	is.True(v.RouteRemoved(endpoint(9, 1)))
+	is.True(!v.RouteRemoved(endpoint(9, 7)))
+	is.Equal(v.Apply(0, Change{Revision: 3, Configuration: configuration(4, 1)}), Outdated)
+	v.Apply(0, Change{Revision: 4, Configuration: configuration(6, 1)})
+	is.True(v.Route(endpoint(9, 1)) != nil)
+	is.True(!v.RouteRemoved(endpoint(9, 1)))
+}
--- a/decide/forward/forward.go
+++ b/decide/forward/forward.go
@@ -209,7 +209,7 @@
 		return f.place(now, r, route, r.target, Placed, false)
 	}
 	if r == nil {
-		r = f.remember(now, p.Flow)
+		r = f.flows.add(p.Flow, now)
 	} else if r.target != nil {
 		f.evidence[r.target.Slot].Unanswered(now, r.sentAt)
 	}
@@ -246,6 +246,9 @@
 	}
 	f.release(r)
 	r.target = t
+	if r.transient {
+		return
+	}
 	f.loads[t.Slot].Flows++
 	if r.busy {
 		f.loads[t.Slot].Busy++
@@ -254,7 +257,7 @@
 
 // release removes a flow from the load of its target.
 func (f *Forwarder) release(r *record) {
-	if r.target == nil {
+	if r.target == nil || r.transient {
 		return
 	}
 	load := &f.loads[r.target.Slot]
@@ -265,14 +268,6 @@
 	r.target = nil
 }
 
-func (f *Forwarder) remember(now time.Duration, k flow.Key) *record {
-	r, evicted := f.flows.add(k, now)
-	if evicted != nil {
-		f.release(evicted)
-	}
-	return r
-}
-
 func (f *Forwarder) forget(k flow.Key) {
 	if r := f.flows.get(k); r != nil {
 		f.release(r)
@@ -397,7 +392,7 @@
 	if r == nil {
 		// The flow was opened at another VM: its present state says nothing of the
 		// target.
-		r = f.remember(now, p.Flow)
+		r = f.flows.add(p.Flow, now)
 		r.phase = open
 		r.ack = p.Ack
 	}
@@ -436,7 +431,7 @@
 		return Verdict{Action: Drop, Reason: NoCookie, Route: route}
 	}
 	if r == nil {
-		r = f.remember(now, p.Flow)
+		r = f.flows.add(p.Flow, now)
 		r.phase = open
 	}
 	r.seen = now
@@ -535,6 +530,9 @@
 		return
 	}
 	r.busy = busy
+	if r.transient {
+		return
+	}
 	if busy {
 		f.loads[t.Slot].Busy++
 	} else {
@@ -559,7 +557,7 @@
 			f.forget(k)
 		}
 	}
-	f.view.Tick(now)
+	f.view.Tick(now, func(t *catalog.Target) bool { return f.loads[t.Slot].Flows > 0 })
 	return f.nextSweep
 }
 
--- /dev/null
+++ b/decide/forward/fuzz_test.go
@@ -0,0 +1,177 @@
+package forward
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/gypsumspan/gypsumspan/decide/catalog"
+	"github.com/gypsumspan/gypsumspan/decide/flow"
+)
+
+// truth is what the store holds and which targets run: the oracle's side.
+type truth struct {
+	revision int64
+	changes  []catalog.Change // by rising revision
+	service  map[string]string
+	alive    map[string]bool
+	allowed  map[string]bool // services that the route has ever led to
+	cookies  map[flow.Cookie]string
+}
+
+func (w *truth) add(c catalog.Change) {
+	w.revision++
+	c.Revision = w.revision
+	w.changes = append(w.changes, c)
+}
+
+// liveFlow is a flow that a target has taken.
+type liveFlow struct {
+	key    flow.Key
+	cookie flow.Cookie
+	target string
+	seq    uint32
+	ack    uint32
+}
+
+// node is one VM, which has applied the first changes.
+type node struct {
+	f       *Forwarder
+	applied int
+}
+
+// Guards against the ways in which a fleet breaks the promises to flows, whatever
+// the order of views and restarts: a packet at a target of another service or at
+// two targets, a reset while the target lives, a target that leaves and gets a new
+// flow from a VM that knows it.
+func TestFlowsReachOneTarget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &truth{service: make(map[string]string), alive: make(map[string]bool), allowed: make(map[string]bool), cookies: make(map[flow.Cookie]string)}
+		now := time.Duration(0)
+		version := uint64(0)
+		configure := func(service string) {
+			version++
+			w.allowed[service] = true
+			w.add(catalog.Change{Configuration: &catalog.Configuration{Version: version, Routes: []catalog.Route{{
+				Address: service1, Kind: catalog.Idempotent, Shares: []catalog.Share{{Service: service, Weight: 1}},
+			}}}})
+		}
+		nextID := 0
+		start := func() {
+			nextID++
+			e := entry(nextID, rapid.SampledFrom([]string{"s", "u"}).Draw(t, "service"), "a", catalog.Ready)
+			w.service[e.ID], w.alive[e.ID] = e.Service, true
+			w.add(catalog.Change{Target: e})
+		}
+		configure("s")
+		for range 4 {
+			start()
+		}
+		nodes := make([]*node, 3)
+		restart := func(i int) { nodes[i] = &node{f: New(Config{Domain: "a", Seed: uint64(i)})} }
+		catchUp := func(n *node, upTo int) {
+			for ; n.applied < upTo; n.applied++ {
+				n.f.Apply(now, w.changes[n.applied])
+			}
+			n.f.Apply(now, catalog.Change{Revision: int64(upTo), Synced: true})
+		}
+		for i := range nodes {
+			restart(i)
+			catchUp(nodes[i], len(w.changes))
+		}
+		var flows []*liveFlow
+		caller := uint16(0)
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * ms
+			i := rapid.IntRange(0, len(nodes)-1).Draw(t, "vm")
+			n := nodes[i]
+			// A VM whose catalog is behind knows that it may be.
+			if n.applied < len(w.changes) {
+				n.f.StoreLost()
+			} else {
+				n.f.StoreRegained(now)
+			}
+			switch rapid.IntRange(0, 9).Draw(t, "action") {
+			case 0:
+				start()
+			case 1:
+				// A target ends; its entry goes with it.
+				ids := liveIDs(w)
+				if len(ids) > 1 {
+					id := rapid.SampledFrom(ids).Draw(t, "ends")
+					w.alive[id] = false
+					w.add(catalog.Change{Gone: id})
+				}
+			case 2:
+				configure(rapid.SampledFrom([]string{"s", "u"}).Draw(t, "to"))
+			case 3:
+				restart(i)
+				catchUp(nodes[i], len(w.changes))
+			case 4, 5:
+				catchUp(n, rapid.IntRange(n.applied, len(w.changes)).Draw(t, "up to"))
+			case 6, 7:
+				caller++
+				v := n.f.Receive(now, syn(caller, 0))
+				if v.Action != Forward {
+					continue
+				}
+				checkTarget(t, w, v)
+				if w.alive[v.Target.ID] {
+					flows = append(flows, &liveFlow{key: key(caller), cookie: v.Cookie, target: v.Target.ID, seq: 101, ack: 500})
+				}
+			default:
+				if len(flows) == 0 {
+					continue
+				}
+				fl := rapid.SampledFrom(flows).Draw(t, "flow")
+				if rapid.Bool().Draw(t, "answered") {
+					fl.ack += 100
+				}
+				p := flow.Packet{Flow: fl.key, Flags: flow.ACK, Cookie: fl.cookie, Seq: fl.seq, Ack: fl.ack, Len: 10}
+				fl.seq += 10
+				v := n.f.Receive(now, p)
+				if v.Action == Forward && v.Target.ID != fl.target {
+					t.Fatalf("a packet for %s went to %s", fl.target, v.Target.ID)
+				}
+				if v.Action == Reset && w.alive[fl.target] {
+					t.Fatalf("a flow of the live target %s was reset: %s", fl.target, v.Reason)
+				}
+				if v.Action == Forward {
+					fl.cookie = v.Cookie
+				}
+				for _, e := range n.f.TakeEnded() {
+					if w.alive[e.Target.ID] {
+						t.Fatalf("a flow of the live target %s was ended: %s", e.Target.ID, e.Reason)
+					}
+				}
+			}
+		}
+	})
+}
+
+func liveIDs(w *truth) []string {
+	var ids []string
+	for id, alive := range w.alive {
+		if alive {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func checkTarget(t *rapid.T, w *truth, v Verdict) {
+	if !w.allowed[w.service[v.Target.ID]] {
+		t.Fatalf("a new flow went to %s of %s", v.Target.ID, w.service[v.Target.ID])
+	}
+	if other, ok := w.cookies[v.Cookie]; ok && other != v.Target.ID {
+		t.Fatalf("one cookie for %s and %s", other, v.Target.ID)
+	}
+	w.cookies[v.Cookie] = v.Target.ID
+	if v.Target.State == catalog.Draining {
+		t.Fatal(fmt.Sprint("a new flow went to a leaving target ", v.Target.ID))
+	}
+}
--- a/decide/forward/table.go
+++ b/decide/forward/table.go
@@ -23,6 +23,8 @@
 // record is what a VM remembers of one flow. It is a hint: a VM without it
 // forwards by the cookie.
 type record struct {
+	transient bool // not in the table
+
 	phase   phase
 	target  *catalog.Target // of an opening, the one that was asked last
 	tried   [maxTried]*catalog.Target
@@ -54,19 +56,16 @@
 
 func (t *flowTable) get(k flow.Key) *record { return t.records[k] }
 
-// add inserts a record for k. On a full table it returns an older record that
-// had to make room, else nil.
-func (t *flowTable) add(k flow.Key, now time.Duration) (added, evicted *record) {
+// add returns a new record for k. On a full table the record is not kept: the
+// flow is forwarded by its cookie, and does not count as load.
+func (t *flowTable) add(k flow.Key, now time.Duration) *record {
+	r := &record{seen: now}
 	if len(t.records) >= t.capacity {
-		for key, r := range t.records {
-			evicted = r
-			delete(t.records, key)
-			break
-		}
+		r.transient = true
+		return r
 	}
-	added = &record{seen: now}
-	t.records[k] = added
-	return added, evicted
+	t.records[k] = r
+	return r
 }
 
 func (t *flowTable) remove(k flow.Key) { delete(t.records, k) }
--- /dev/null
+++ b/decide/relay/relay_test.go
@@ -0,0 +1,385 @@
+package relay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+const (
+	prefix      = "vms/"
+	applyWithin = 3 * time.Second
+	maxAge      = applyWithin * 7 / 10
+	watchWait   = applyWithin / 2
+	callTimeout = 700 * time.Millisecond
+	simStep     = 10 * time.Millisecond
+	beatDelay   = 2 * time.Millisecond
+)
+
+// vm is one VM of a simulated fleet.
+type vm struct {
+	member  Member
+	machine *Machine
+	up      bool
+	started time.Duration
+	refused bool // the store leaves its calls unanswered
+	healed  time.Duration
+
+	watching bool
+	pollAt   time.Duration // when the present call of the watch began
+	nextTick time.Duration
+}
+
+// arrival is a beat under way.
+type arrival struct {
+	at       time.Duration
+	from, to *vm
+	beat     Beat
+}
+
+// fleet is a set of VMs with a store, on a virtual clock.
+type fleet struct {
+	now      time.Duration
+	rng      *rand.Rand
+	store    *written
+	vms      []*vm
+	byBeats  map[netip.AddrPort]*vm
+	byPulls  map[netip.AddrPort]*vm
+	arrivals []arrival
+	cut      map[string]bool // domains that reach no other domain
+	calls    int
+	lossRate float64
+	// writes holds the time of each revision.
+	writes map[int64]time.Duration
+}
+
+func newFleet(seed uint64, domains, each int) *fleet {
+	f := &fleet{
+		rng:     rand.New(rand.NewPCG(seed, 1)),
+		store:   &written{items: make(map[string]Item)},
+		byBeats: make(map[netip.AddrPort]*vm),
+		byPulls: make(map[netip.AddrPort]*vm),
+		cut:     make(map[string]bool),
+		writes:  make(map[int64]time.Duration),
+	}
+	for d := range domains {
+		for i := range each {
+			ip := netip.AddrFrom4([4]byte{10, byte(d), byte(i >> 8), byte(i)})
+			v := &vm{member: Member{
+				Name:   fmt.Sprintf("vm-%d-%d", d, i),
+				Domain: fmt.Sprintf("d%d", d),
+				Beats:  netip.AddrPortFrom(ip, 1),
+				Pulls:  netip.AddrPortFrom(ip, 2),
+			}}
+			f.vms = append(f.vms, v)
+			f.byBeats[v.member.Beats] = v
+			f.byPulls[v.member.Pulls] = v
+			f.start(v)
+		}
+	}
+	return f
+}
+
+func (f *fleet) start(v *vm) {
+	v.machine = New(Config{Self: v.member, MemberPrefix: prefix, MaxAge: maxAge})
+	v.up, v.started, v.watching, v.nextTick = true, f.now, false, f.now
+}
+
+func (f *fleet) write(key string, deleted bool) {
+	f.store.write(key, deleted)
+	f.writes[f.store.revision] = f.now
+}
+
+func (f *fleet) reach(a, b *vm) bool {
+	if !a.up || !b.up {
+		return false
+	}
+	return a.member.Domain == b.member.Domain || !f.cut[a.member.Domain] && !f.cut[b.member.Domain]
+}
+
+func (f *fleet) advance(d time.Duration) {
+	for end := f.now + d; f.now < end; f.now += simStep {
+		f.deliver()
+		for _, v := range f.vms {
+			if v.up {
+				f.step(v)
+			}
+		}
+	}
+}
+
+func (f *fleet) deliver() {
+	var later []arrival
+	for _, a := range f.arrivals {
+		if a.at > f.now {
+			later = append(later, a)
+			continue
+		}
+		if f.reach(a.from, a.to) {
+			a.to.machine.Receive(f.now, a.from.member.Beats, a.beat)
+			a.to.nextTick = f.now
+		}
+	}
+	f.arrivals = later
+}
+
+func (f *fleet) step(v *vm) {
+	m := v.machine
+	if m.Replica().Revision() == 0 && !v.refused && f.store.revision > 0 {
+		f.calls++
+		m.FromStore(f.now, News{Revision: f.store.revision, Items: f.store.all(), Complete: true})
+		if !m.Registered() {
+			f.store.write(m.Registration().Key, false)
+			item := f.store.items[m.key]
+			item.Value = m.config.Self.Value()
+			f.store.items[m.key] = item
+		}
+	}
+	if f.now >= v.nextTick {
+		v.nextTick = m.Tick(f.now)
+	}
+	f.perform(v, m.Take())
+	f.watch(v)
+}
+
+func (f *fleet) perform(v *vm, out Output) {
+	for _, o := range out.Beats {
+		to := f.byBeats[o.To]
+		if f.rng.Float64() >= f.lossRate {
+			f.arrivals = append(f.arrivals, arrival{at: f.now + beatDelay, from: v, to: to, beat: o.Beat})
+		}
+	}
+	if out.Pull == nil {
+		return
+	}
+	from := f.byPulls[out.Pull.From]
+	if !f.reach(v, from) {
+		v.machine.PullFailed(f.now)
+		return
+	}
+	v.machine.FromPull(f.now, f.now, from.machine.Answer(f.now, out.Pull.After))
+	v.nextTick = f.now
+}
+
+// watch plays the long poll of a VM.
+func (f *fleet) watch(v *vm) {
+	watching := v.machine.Watching(f.now) && v.machine.Replica().Revision() > 0
+	if watching && !v.watching {
+		v.pollAt = f.now
+		f.calls++
+	}
+	v.watching = watching
+	if !watching {
+		return
+	}
+	waited := f.now - v.pollAt
+	switch {
+	case v.refused && waited >= watchWait+callTimeout:
+		v.machine.StoreFailed()
+		f.poll(v)
+	case !v.refused && (v.machine.Replica().Revision() < f.store.revision || waited >= watchWait):
+		var items []Item
+		for _, item := range f.store.items {
+			if item.Revision > v.machine.Replica().Revision() {
+				items = append(items, item)
+			}
+		}
+		v.machine.FromStore(f.now, News{Revision: f.store.revision, Items: items})
+		f.poll(v)
+	}
+}
+
+func (f *fleet) poll(v *vm) {
+	v.pollAt = f.now
+	v.nextTick = f.now
+	f.calls++
+}
+
+// stale returns a VM that should have a write and has not: it has been up, and
+// has reached the store, for the bound and a little more.
+func (f *fleet) stale() *vm {
+	const settle = 4 * time.Second
+	for _, v := range f.vms {
+		if !v.up || v.refused || f.now-v.started < settle || f.now-v.healed < settle {
+			continue
+		}
+		next := v.machine.Replica().Revision() + 1
+		if at, ok := f.writes[next]; ok && f.now-at > applyWithin {
+			return v
+		}
+	}
+	return nil
+}
+
+// Guards against a fleet in which every VM watches the store, or none does.
+func TestOneVMOfEachDomainWatches(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(1, 3, 6)
+	f.write("op", false)
+	f.advance(10 * time.Second)
+	relays := make(map[string]int)
+	for _, v := range f.vms {
+		is.Equal(v.machine.Watching(f.now), v.machine.IsRelay())
+		if v.machine.IsRelay() {
+			relays[v.member.Domain]++
+		}
+	}
+	is.Equal(relays, map[string]int{"d0": 1, "d1": 1, "d2": 1})
+	before := f.calls
+	f.advance(30 * time.Second)
+	is.True(f.calls-before <= 3*(30*1000/int(watchWait.Milliseconds())+1))
+}
+
+// Guards against a change that reaches some VM too late, whatever happens to
+// relays, to domains and to the store's connections.
+func TestChangesReachEveryVMInTime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 4).Draw(t, "domains"), rapid.IntRange(1, 6).Draw(t, "each"))
+		f.lossRate = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss")
+		f.write("op", false)
+		f.advance(5 * time.Second)
+		for range rapid.IntRange(1, 25).Draw(t, "events") {
+			v := f.vms[rapid.IntRange(0, len(f.vms)-1).Draw(t, "vm")]
+			switch rapid.SampledFrom([]string{"write", "write", "kill", "kill relay", "start", "refuse", "refuse relays", "serve", "cut", "heal"}).Draw(t, "event") {
+			case "write":
+				f.write(fmt.Sprint("k", rapid.IntRange(0, 3).Draw(t, "key")), rapid.Bool().Draw(t, "deleted"))
+			case "kill":
+				v.up = false
+			case "kill relay":
+				for _, other := range f.vms {
+					other.up = other.up && !(other.machine.IsRelay() && other.member.Domain == v.member.Domain)
+				}
+			case "start":
+				if !v.up {
+					f.start(v)
+				}
+			case "refuse":
+				v.refused = true
+			case "refuse relays":
+				for _, other := range f.vms {
+					other.refused = other.refused || other.machine.IsRelay()
+				}
+			case "serve":
+				for _, other := range f.vms {
+					if other.refused {
+						other.refused, other.healed = false, f.now
+					}
+				}
+			case "cut":
+				f.cut[v.member.Domain] = true
+			case "heal":
+				clear(f.cut)
+			}
+			for range rapid.IntRange(1, 40).Draw(t, "for") {
+				f.advance(100 * time.Millisecond)
+				if v := f.stale(); v != nil {
+					t.Fatalf("%v: %s is at revision %d of %d, age known %v", f.now, v.member.Name,
+						v.machine.Replica().Revision(), f.store.revision, f.now-v.machine.confirmedAt)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a VM that is refused by the store and does not get changes from
+// the others.
+func TestRefusedVMLearnsFromOthers(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(3, 3, 4)
+	f.write("op", false)
+	f.advance(5 * time.Second)
+	for _, v := range f.vms {
+		if v.machine.IsRelay() && v.member.Domain == "d0" {
+			v.refused = true
+		}
+	}
+	f.write("op", false)
+	f.advance(applyWithin)
+	for _, v := range f.vms {
+		is.Equal(v.machine.Replica().Revision(), f.store.revision)
+	}
+}
+
+// Guards against entries of lost VMs that stay in the store for ever, and against
+// the removal of one that lives.
+func TestRelayForgetsOnlyLostVMs(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(4, 1, 5)
+	f.write("op", false)
+	f.advance(5 * time.Second)
+	var lost *vm
+	for _, v := range f.vms {
+		if !v.machine.IsRelay() {
+			lost = v
+		}
+	}
+	lost.up = false
+	forgotten := make(map[string]bool)
+	for range 300 {
+		f.advance(500 * time.Millisecond)
+		for _, v := range f.vms {
+			if !v.up {
+				continue
+			}
+			v.machine.Tick(f.now)
+			out := v.machine.Take()
+			f.perform(v, out)
+			if out.Forget != nil {
+				forgotten[out.Forget.Key] = true
+			}
+		}
+	}
+	is.Equal(forgotten, map[string]bool{lost.machine.key: true})
+}
+
+// Guards against loads that are counted twice or lost on their way to other domains.
+func TestLoadsOfDomainsReachEveryVM(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(5, 3, 4)
+	f.write("op", false)
+	for _, v := range f.vms {
+		v.machine.SetLoads([]Load{{At: v.member.Domain, Service: "s", Flows: 10, Busy: 2}})
+	}
+	f.advance(8 * time.Second)
+	want := []Load{
+		{Domain: "d0", At: "d0", Service: "s", Flows: 40, Busy: 8},
+		{Domain: "d1", At: "d1", Service: "s", Flows: 40, Busy: 8},
+		{Domain: "d2", At: "d2", Service: "s", Flows: 40, Busy: 8},
+	}
+	for _, v := range f.vms {
+		is.Equal(v.machine.DomainLoads(f.now), want)
+	}
+}
+
+// Guards against knowledge that looks newer than it is.
+func TestConfirmations(t *testing.T) {
+	self := Member{Name: "me", Domain: "a", Beats: netip.MustParseAddrPort("10.0.0.1:1"), Pulls: netip.MustParseAddrPort("10.0.0.1:2")}
+	cases := []struct {
+		name string
+		beat Beat
+		age  time.Duration // 10 s after the start; the copy was confirmed at 8 s
+	}{
+		{"newer", Beat{Revision: 5, Confirmed: Confirmation{Revision: 5, Age: 500 * time.Millisecond}}, 500 * time.Millisecond},
+		{"older", Beat{Revision: 5, Confirmed: Confirmation{Revision: 5, Age: 3 * time.Second}}, 2 * time.Second},
+		{"of an older revision", Beat{Revision: 4, Confirmed: Confirmation{Revision: 4, Age: time.Millisecond}}, 2 * time.Second},
+		{"of a revision that is still missing", Beat{Revision: 6, Confirmed: Confirmation{Revision: 6, Age: time.Millisecond}}, 2 * time.Second},
+		{"of nothing", Beat{}, 2 * time.Second},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			m := New(Config{Self: self, MemberPrefix: prefix, MaxAge: maxAge})
+			m.FromStore(8*time.Second, News{Revision: 5, Complete: true})
+			c.beat.Name, c.beat.Domain, c.beat.Reply = "other", "a", true
+			m.Receive(10*time.Second, netip.MustParseAddrPort("10.0.0.2:1"), c.beat)
+			age, ok := m.Age(10 * time.Second)
+			is.True(ok)
+			is.Equal(age, c.age)
+		})
+	}
+}
--- a/decide/relay/replica.go
+++ b/decide/relay/replica.go
@@ -28,7 +28,7 @@
 type Replica struct {
 	items    map[string]held
 	revision int64 // everything up to it was merged
-	pruned   int64 // highest revision of a forgotten deletion
+	pruned   int64 // deletions up to this revision may not be known
 }
 
 // NewReplica returns an empty replica.
@@ -57,6 +57,8 @@
 	}
 	if complete {
 		news = append(news, r.deleteMissing(now, items, revision)...)
+		// A whole reading does not show which keys were deleted before it.
+		r.pruned = max(r.pruned, revision)
 	}
 	r.revision = max(r.revision, revision)
 	return news
--- /dev/null
+++ b/decide/relay/replica_test.go
@@ -0,0 +1,81 @@
+package relay
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// written is a store of test: every write of every key.
+type written struct {
+	items    map[string]Item
+	revision int64
+}
+
+func (w *written) write(key string, deleted bool) {
+	w.revision++
+	item := Item{Key: key, Revision: w.revision, Deleted: deleted}
+	if !deleted {
+		item.Value = fmt.Append(nil, w.revision)
+	}
+	w.items[key] = item
+}
+
+func (w *written) all() []Item {
+	var items []Item
+	for _, item := range w.items {
+		if !item.Deleted {
+			items = append(items, item)
+		}
+	}
+	slices.SortFunc(items, byKey)
+	return items
+}
+
+func live(r *Replica) []Item {
+	items, _ := r.Since(0)
+	slices.SortFunc(items, byKey)
+	return items
+}
+
+// Guards against replicas that lose a write or a deletion, or bring one back,
+// whatever they read from the store, pull from each other and forget.
+func TestReplicasFollowTheStore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := &written{items: make(map[string]Item)}
+		replicas := []*Replica{NewReplica(), NewReplica(), NewReplica()}
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 60).Draw(t, "seconds")) * time.Second
+			one := rapid.IntRange(0, 2).Draw(t, "replica")
+			switch rapid.IntRange(0, 4).Draw(t, "action") {
+			case 0, 1:
+				store.write(fmt.Sprint("k", rapid.IntRange(0, 5).Draw(t, "key")), rapid.Bool().Draw(t, "deleted"))
+			case 2:
+				replicas[one].Merge(now, store.all(), store.revision, true)
+				if got := live(replicas[one]); !slices.EqualFunc(got, store.all(), equal) {
+					t.Fatalf("after a reading: %v, want %v", got, store.all())
+				}
+			case 3:
+				from := replicas[(one+1)%3]
+				if from.Revision() < replicas[one].Revision() {
+					continue
+				}
+				items, complete := from.Since(replicas[one].Revision())
+				replicas[one].Merge(now, items, from.Revision(), complete)
+				if got := live(replicas[one]); !slices.EqualFunc(got, live(from), equal) {
+					t.Fatalf("after a pull: %v, want %v", got, live(from))
+				}
+			default:
+				replicas[one].Prune(now)
+			}
+		}
+	})
+}
+
+func equal(a, b Item) bool {
+	return a.Key == b.Key && a.Revision == b.Revision && string(a.Value) == string(b.Value)
+}
--- /dev/null
+++ b/flowd/flowd_test.go
@@ -0,0 +1,313 @@
+package flowd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gypsumspan/gypsumspan/events"
+	"github.com/gypsumspan/gypsumspan/settings/flowset"
+	"github.com/gypsumspan/gypsumspan/standin/flowends"
+	"github.com/gypsumspan/gypsumspan/standin/kvstore"
+	standin "github.com/gypsumspan/gypsumspan/standin/store"
+	"github.com/gypsumspan/gypsumspan/store"
+)
+
+// patience bounds the wait for a state. It is far above what a busy machine takes.
+const patience = 30 * time.Second
+
+// fleet is a set of VMs with their platform on loopback addresses.
+type fleet struct {
+	*is.I
+	t      *testing.T
+	engine *standin.Engine
+	store  netip.AddrPort
+	port   uint16 // of packets, at every VM and caller
+}
+
+// vm is one running VM.
+type vm struct {
+	settings *flowset.Settings
+	file     string
+	signals  chan os.Signal
+	ended    chan error
+	log      *events.Recorder
+}
+
+func newFleet(t *testing.T) *fleet {
+	f := &fleet{I: is.New(t), t: t, engine: standin.NewEngine(standin.Options{})}
+	server := httptest.NewServer(kvstore.Handler(f.engine))
+	t.Cleanup(server.CloseClientConnections)
+	t.Cleanup(server.Close)
+	f.store = netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+	f.port = freePort(t)
+	return f
+}
+
+// freePort returns a UDP port that was free a moment ago.
+func freePort(t *testing.T) uint16 {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	return conn.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+}
+
+// write writes a key as the operator and the targets do.
+func (f *fleet) write(key, value string) {
+	_, err := f.engine.Txn(store.Txn{Puts: []store.Put{{Key: key, Value: []byte(value)}}})
+	f.NoErr(err)
+}
+
+func (f *fleet) configure(version int, ports ...int) {
+	var routes []string
+	for _, port := range ports {
+		routes = append(routes, fmt.Sprintf(`{"name":"r%d","host":"198.18.0.1","prefix":"/%d/","route_type":"safe","service":"s"}`, port, port))
+	}
+	f.write("op/config", fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s"}],"limits":{"idle_timeout_ms":15000}}`, version, strings.Join(routes, ",")))
+}
+
+func (f *fleet) startTarget(number int, domain string) *flowends.Target {
+	addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 3, byte(number)}), 0)
+	target, err := flowends.NewTarget(fmt.Sprintf("i-%x", number), uint64(number), addr, f.port)
+	f.NoErr(err)
+	f.t.Cleanup(target.Close)
+	f.announce(target, domain, "ready")
+	return target
+}
+
+func (f *fleet) announce(target *flowends.Target, domain, state string) {
+	f.write("servers/"+target.Name, fmt.Sprintf(`{"service":"s","address":%q,"zone":%q,"version":"v1","slots":3,"state":%q,"cold_remaining_ms":0,"seq_no":1}`,
+		target.Address(), domain, state))
+}
+
+func (f *fleet) startVM(number int, domain string) *vm {
+	ip := netip.AddrFrom4([4]byte{127, 0, 1, byte(number)})
+	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(ip, port) }
+	tcp, err := net.Listen("tcp4", at(0).String())
+	f.NoErr(err)
+	free := tcp.Addr().(*net.TCPAddr).AddrPort().Port()
+	f.NoErr(tcp.Close())
+	text := fmt.Sprintf(`
+[vm]
+name = "vm-%d"
+domain = %q
+[listen]
+packets = %q
+readiness = %q
+beats = %q
+control = %q
+[store]
+address = %q
+[timings]
+stop_grace = "20s"
+`, number, domain, at(f.port), at(free), at(f.port+1), at(free+1), f.store)
+	v := &vm{
+		file:    filepath.Join(f.t.TempDir(), "settings.toml"),
+		signals: make(chan os.Signal, 2),
+		ended:   make(chan error, 1),
+	}
+	f.NoErr(os.WriteFile(v.file, []byte(text), 0o600))
+	v.settings, err = flowset.Load(v.file)
+	f.NoErr(err)
+	var logger *events.Logger
+	v.log, logger = events.NewRecorder(nil)
+	go func() {
+		v.ended <- Run(context.Background(), v.file, v.settings, Options{Signals: v.signals, Logger: logger})
+	}()
+	f.t.Cleanup(func() {
+		select {
+		case v.signals <- syscall.SIGTERM:
+		default:
+		}
+		<-v.ended
+	})
+	f.eventually("ready", func() bool { return v.ready() })
+	return v
+}
+
+func (v *vm) ready() bool {
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get("http://" + v.settings.Listen.Readiness.String() + "/readyz")
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// eventually waits until a state is reached.
+func (f *fleet) eventually(what string, reached func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(patience); !reached(); {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("not reached: %s", what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func (f *fleet) newCaller() *flowends.Caller {
+	caller, err := flowends.NewCaller(netip.AddrPortFrom(netip.MustParseAddr("127.0.2.1"), f.port))
+	f.NoErr(err)
+	f.t.Cleanup(caller.Close)
+	return caller
+}
+
+var route = netip.MustParseAddrPort("198.18.0.1:443")
+
+// Guards against a fleet that, as real processes do it over sockets, breaks a flow
+// when its packets change VMs, when a VM stops, or when the settings are broken,
+// and against changes of the operator and of targets that do not take effect.
+func TestFlowsOnThePlatform(t *testing.T) {
+	f := newFleet(t)
+	f.configure(4, 443)
+	first := f.startTarget(1, "a")
+	second := f.startTarget(2, "a")
+	remote := f.startTarget(3, "b")
+	f.write("servers/i-dead", "\x00 no entry")
+	one, two, three := f.startVM(1, "a"), f.startVM(2, "a"), f.startVM(3, "b")
+	caller := f.newCaller()
+
+	// A flow keeps its target, whichever VM gets its packets.
+	flow, err := caller.Open(one.settings.Listen.Packets, route)
+	f.NoErr(err)
+	name, err := flow.Ask(one.settings.Listen.Packets)
+	f.NoErr(err)
+	f.True(name == first.Name || name == second.Name) // of the own domain
+	for _, v := range []*vm{two, three, one} {
+		again, err := flow.Ask(v.settings.Listen.Packets)
+		f.NoErr(err)
+		f.Equal(again, name)
+	}
+
+	// Broken settings change nothing, good ones take effect.
+	good, err := os.ReadFile(one.file)
+	f.NoErr(err)
+	f.NoErr(os.WriteFile(one.file, []byte("[vm"), 0o600))
+	one.signals <- syscall.SIGHUP
+	f.eventually("settings rejected", func() bool { return one.log.Count(events.SettingsRejected) == 1 })
+	f.NoErr(os.WriteFile(one.file, append(good, "[log]\nlevel = \"debug\"\n"...), 0o600))
+	one.signals <- syscall.SIGHUP
+	f.eventually("settings reloaded", func() bool { return one.log.Count(events.SettingsReloaded) >= 1 })
+
+	// A planned stop cuts no flow.
+	one.signals <- syscall.SIGTERM
+	f.eventually("not ready", func() bool { return !one.ready() })
+	again, err := flow.Ask(one.settings.Listen.Packets)
+	f.NoErr(err)
+	f.Equal(again, name)
+	err = <-one.ended
+	f.NoErr(err)
+	one.ended <- nil
+	again, err = flow.Ask(two.settings.Listen.Packets)
+	f.NoErr(err)
+	f.Equal(again, name)
+
+	// A target that leaves gets no new flow.
+	f.announce(first, "a", "draining")
+	f.eventually("draining known", func() bool { return lastState(two, first.Name) == "draining" })
+	opened, _, _ := first.Stats()
+	for range 5 {
+		_, err := caller.Open(two.settings.Listen.Packets, route)
+		f.NoErr(err)
+	}
+	after, _, _ := first.Stats()
+	f.Equal(after, opened)
+
+	// A removed route ends its flows; an unknown one is refused at once.
+	f.configure(6, 444)
+	f.eventually("route removed", func() bool { return three.log.Count(events.ConfigurationApplied) == 2 })
+	f.eventually("route removed", func() bool { return two.log.Count(events.ConfigurationApplied) == 2 })
+	_, err = flow.Ask(two.settings.Listen.Packets)
+	f.True(errors.Is(err, flowends.ErrReset))
+	_, err = caller.Open(three.settings.Listen.Packets, route)
+	f.True(errors.Is(err, flowends.ErrReset))
+
+	for _, target := range []*flowends.Target{first, second, remote} {
+		_, changed, foreign := target.Stats()
+		f.Equal(changed, 0)
+		f.Equal(foreign, 0)
+	}
+}
+
+// lastState returns the state of a target in the last line that names it.
+func lastState(v *vm, target string) string {
+	state := ""
+	for _, line := range v.log.Lines() {
+		if line.Event == events.TargetChanged && line.Fields[0].Value == target {
+			state = fmt.Sprint(line.Fields[4].Value)
+		}
+	}
+	return state
+}
+
+// Guards against a VM that learns nothing while the store refuses it, although
+// other VMs know more, and against one that gives up its catalog in an outage.
+func TestStoreOutage(t *testing.T) {
+	f := newFleet(t)
+	f.configure(4, 443)
+	f.startTarget(1, "a")
+	v := f.startVM(4, "a")
+	caller := f.newCaller()
+	f.engine.SetOutage(true)
+	f.eventually("outage noticed", func() bool { return v.log.Count(events.StoreLost) >= 1 })
+	_, err := caller.Open(v.settings.Listen.Packets, route)
+	f.NoErr(err)
+	f.engine.SetOutage(false)
+	f.configure(5, 444)
+	f.eventually("change after the outage", func() bool { return v.log.Count(events.ConfigurationApplied) == 2 })
+	_, err = caller.Open(v.settings.Listen.Packets, netip.MustParseAddrPort("198.18.0.1:444"))
+	f.NoErr(err)
+}
+
+// Guards against faults of the command line that end without a word, or with a
+// wrong exit code.
+func TestCommandLine(t *testing.T) {
+	good := filepath.Join(t.TempDir(), "good.toml")
+	bad := filepath.Join(t.TempDir(), "bad.toml")
+	for file, text := range map[string]string{good: flowset.Example(), bad: "[vm]\nname = 3\n"} {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	t.Setenv("GYPSUMSPAN_TEST_SETTINGS", good)
+	cases := []struct {
+		name string
+		args []string
+		code int
+		want string
+	}{
+		{"no command", nil, ExitSettings, "a command is required"},
+		{"unknown flag", []string{"run", "--speed"}, ExitSettings, "unknown flag"},
+		{"no file", []string{"check"}, ExitSettings, "--config FILE"},
+		{"missing file", []string{"check", "--config", good + "x"}, ExitSettings, "no such file"},
+		{"variable is not set", []string{"check", "--config-env", "GYPSUMSPAN_NOT_SET"}, ExitSettings, "--config FILE"},
+		{"valid", []string{"check", "--config", good}, ExitOK, "settings are valid"},
+		{"valid, by variable", []string{"check", "--config-env", "GYPSUMSPAN_TEST_SETTINGS"}, ExitOK, "settings are valid"},
+		{"all faults", []string{"check", "--config", bad}, ExitSettings, "listen.packets"},
+		{"example", []string{"settings"}, ExitOK, "[listen]"},
+		{"version", []string{"version"}, ExitOK, "gypsumflowd"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var out strings.Builder
+			is.Equal(Main(c.args, Options{Stdout: &out, Stderr: &out}), c.code)
+			is.True(strings.Contains(out.String(), c.want))
+		})
+	}
+}
--- /dev/null
+++ b/services/readiness/readiness_test.go
@@ -0,0 +1,45 @@
+package readiness
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/goleak"
+
+	"github.com/gypsumspan/gypsumspan/kernel"
+)
+
+// Guards against routers that send packets to a VM that has no catalog, or that leaves.
+func TestAnswerFollowsTheState(t *testing.T) {
+	before := goleak.IgnoreCurrent()
+	defer goleak.VerifyNone(t, before)
+	defer http.DefaultClient.CloseIdleConnections()
+	is := is.New(t)
+	s := New(Config{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Path: "/readyz"})
+	k := kernel.New(kernel.NewClock())
+	is.NoErr(k.Register(s))
+	is.NoErr(k.Assemble())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- k.Run(ctx, time.Second) }()
+	ask := func(path string) int {
+		response, err := http.Get("http://" + s.listener.Addr().String() + path)
+		is.NoErr(err)
+		is.NoErr(response.Body.Close())
+		return response.StatusCode
+	}
+	is.Equal(ask("/readyz"), http.StatusServiceUnavailable)
+	s.Set(true)
+	is.Equal(ask("/readyz"), http.StatusOK)
+	is.Equal(ask("/other"), http.StatusNotFound)
+	s.Leave()
+	is.Equal(ask("/readyz"), http.StatusServiceUnavailable)
+	s.Set(true)
+	is.Equal(ask("/readyz"), http.StatusServiceUnavailable)
+	cancel()
+	is.NoErr(<-ended)
+}
--- /dev/null
+++ b/standin/flowends/flowends.go
@@ -0,0 +1,297 @@
+// Package flowends has stand-ins for the two ends of opaque flows: callers and
+// targets that speak the packets of the users' platform over UDP. They are for
+// tests only. Each end checks the sum of what it receives, so that a packet that
+// was changed on its way shows.
+package flowends
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Errors of packets.
+var (
+	ErrShort   = errors.New("datagram is too short")
+	ErrChanged = errors.New("packet was changed on its way")
+	// ErrReset means that a flow was reset.
+	ErrReset = errors.New("flow was reset")
+	// ErrNoAnswer means that nothing arrived in time.
+	ErrNoAnswer = errors.New("no answer")
+)
+
+const (
+	headerSize = 32
+	prefixSize = 8
+	maxSize    = headerSize + 1200
+)
+
+// Flags of a packet.
+const (
+	SYN = 2
+	RST = 4
+	ACK = 8
+	FIN = 128
+)
+
+// Packet is one packet of either end.
+type Packet struct {
+	Echo     uint32
+	From, To netip.AddrPort
+	Flags    byte
+	Seq, Ack uint32
+	Data     []byte
+}
+
+// sumKey is the key of the sums of both ends.
+const sumKey = 0x67797073756d
+
+func (p Packet) sum() uint32 {
+	h := xxhash.NewWithSeed(sumKey)
+	fmt.Fprint(h, p.From, p.To, p.Flags, p.Seq, p.Ack)
+	_, _ = h.Write(p.Data)
+	return uint32(h.Sum64())
+}
+
+// Encode returns the packet's bytes.
+func (p Packet) Encode() []byte {
+	b := make([]byte, headerSize, headerSize+len(p.Data))
+	from, to := p.From.Addr().As4(), p.To.Addr().As4()
+	binary.BigEndian.PutUint32(b, p.Echo)
+	copy(b[4:], from[:])
+	copy(b[8:], to[:])
+	binary.BigEndian.PutUint16(b[12:], p.To.Port())
+	binary.BigEndian.PutUint16(b[14:], p.From.Port())
+	binary.BigEndian.PutUint16(b[16:], uint16(len(p.Data)))
+	b[18] = p.Flags
+	binary.BigEndian.PutUint32(b[20:], p.sum())
+	binary.BigEndian.PutUint32(b[24:], p.Seq)
+	binary.BigEndian.PutUint32(b[28:], p.Ack)
+	return append(b, p.Data...)
+}
+
+// Decode reads a packet. It returns ErrShort or ErrChanged. A reset of the system
+// carries no sum.
+func Decode(b []byte) (Packet, error) {
+	if len(b) < headerSize || len(b) != headerSize+int(binary.BigEndian.Uint16(b[16:])) {
+		return Packet{}, ErrShort
+	}
+	p := Packet{
+		Echo:  binary.BigEndian.Uint32(b),
+		From:  netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[4:8])), binary.BigEndian.Uint16(b[14:])),
+		To:    netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[8:12])), binary.BigEndian.Uint16(b[12:])),
+		Flags: b[18],
+		Seq:   binary.BigEndian.Uint32(b[24:]),
+		Ack:   binary.BigEndian.Uint32(b[28:]),
+		Data:  b[headerSize:],
+	}
+	sum := binary.BigEndian.Uint32(b[20:])
+	if p.sum() != sum && !(p.Flags == RST && sum == 0) {
+		return Packet{}, ErrChanged
+	}
+	return p, nil
+}
+
+// Target answers flows: it accepts each, and answers data with its own name.
+type Target struct {
+	Name   string
+	Number uint64 // by which it recognises datagrams that are meant for it
+
+	conn       *net.UDPConn
+	callerPort uint16 // to which answers go
+	done       chan struct{}
+
+	mu      sync.Mutex
+	flows   map[netip.AddrPort]bool
+	opened  int
+	changed int
+	foreign int
+}
+
+// NewTarget starts a target at addr that answers callers at callerPort.
+func NewTarget(name string, number uint64, addr netip.AddrPort, callerPort uint16) (*Target, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, fmt.Errorf("target %s: %w", name, err)
+	}
+	t := &Target{Name: name, Number: number, conn: conn, callerPort: callerPort, done: make(chan struct{}), flows: make(map[netip.AddrPort]bool)}
+	go t.run()
+	return t, nil
+}
+
+// Address returns the address of the target.
+func (t *Target) Address() netip.AddrPort {
+	return t.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// Stats returns the flows that were opened, and the datagrams that were changed or
+// meant for another target.
+func (t *Target) Stats() (opened, changed, foreign int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.opened, t.changed, t.foreign
+}
+
+// Close ends the target. It says nothing to its callers.
+func (t *Target) Close() {
+	t.conn.Close()
+	<-t.done
+}
+
+func (t *Target) run() {
+	defer close(t.done)
+	buf := make([]byte, prefixSize+maxSize)
+	for {
+		n, _, err := t.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		if n >= prefixSize {
+			t.take(binary.BigEndian.Uint64(buf), buf[prefixSize:n])
+		}
+	}
+}
+
+func (t *Target) take(number uint64, data []byte) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if number != t.Number && number != 0 {
+		t.foreign++
+		return
+	}
+	p, err := Decode(data)
+	if err != nil {
+		t.changed++
+		return
+	}
+	answer := Packet{Echo: p.Echo, From: p.To, To: p.From, Seq: 1000, Ack: p.Seq + uint32(len(p.Data))}
+	switch {
+	case p.Flags&SYN != 0:
+		if !t.flows[p.From] {
+			t.opened++
+		}
+		t.flows[p.From] = true
+		answer.Flags = SYN | ACK
+		answer.Ack = p.Seq + 1
+	case !t.flows[p.From]:
+		answer.Flags = RST
+	case len(p.Data) > 0:
+		answer.Flags = ACK
+		answer.Seq = p.Ack
+		answer.Data = []byte(t.Name)
+	default:
+		return
+	}
+	to := netip.AddrPortFrom(p.From.Addr(), t.callerPort)
+	// A caller that has gone shows as a missing answer.
+	_, _ = t.conn.WriteToUDPAddrPort(answer.Encode(), to)
+}
+
+// Caller opens flows from one address.
+type Caller struct {
+	conn *net.UDPConn
+	next uint16 // port of the next flow
+}
+
+// NewCaller returns a caller at addr.
+func NewCaller(addr netip.AddrPort) (*Caller, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, fmt.Errorf("caller %s: %w", addr, err)
+	}
+	return &Caller{conn: conn, next: 1024}, nil
+}
+
+// Close closes the caller's socket.
+func (c *Caller) Close() { c.conn.Close() }
+
+// Flow is one flow of a caller.
+type Flow struct {
+	caller   *Caller
+	From, To netip.AddrPort
+	echo     uint32
+	seq, ack uint32
+}
+
+// Open opens a flow to address through the VM at vm, with copies of the first
+// packet after 200 and 600 ms. It returns ErrReset or ErrNoAnswer.
+func (c *Caller) Open(vm, address netip.AddrPort) (*Flow, error) {
+	c.next++
+	ip := c.conn.LocalAddr().(*net.UDPAddr).AddrPort().Addr()
+	f := &Flow{caller: c, From: netip.AddrPortFrom(ip, c.next), To: address, seq: 100}
+	for copies, wait := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond} {
+		f.send(vm, Packet{Flags: SYN, Seq: f.seq, Ack: uint32(copies)})
+		answer, err := f.receive(wait)
+		if errors.Is(err, ErrNoAnswer) {
+			continue
+		}
+		if err != nil {
+			return nil, err
+		}
+		f.seq++
+		f.ack = answer.Seq + 1
+		f.send(vm, Packet{Flags: ACK, Seq: f.seq, Ack: f.ack})
+		return f, nil
+	}
+	return nil, ErrNoAnswer
+}
+
+// Ask sends data through the VM at vm and returns the name of the target that
+// answers. It repeats the packet as a caller does, and returns ErrReset or
+// ErrNoAnswer.
+func (f *Flow) Ask(vm netip.AddrPort) (string, error) {
+	data := []byte("hello")
+	for _, wait := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond} {
+		f.send(vm, Packet{Flags: ACK, Seq: f.seq, Ack: f.ack, Data: data})
+		answer, err := f.receive(wait)
+		if errors.Is(err, ErrNoAnswer) {
+			continue
+		}
+		if err != nil {
+			return "", err
+		}
+		f.seq += uint32(len(data))
+		f.ack = answer.Seq + uint32(len(answer.Data))
+		return string(answer.Data), nil
+	}
+	return "", ErrNoAnswer
+}
+
+func (f *Flow) send(vm netip.AddrPort, p Packet) {
+	p.From, p.To, p.Echo = f.From, f.To, f.echo
+	// What is lost shows as a missing answer.
+	_, _ = f.caller.conn.WriteToUDPAddrPort(p.Encode(), vm)
+}
+
+// receive returns the next packet of the flow; packets of others are skipped.
+func (f *Flow) receive(wait time.Duration) (Packet, error) {
+	deadline := time.Now().Add(wait)
+	if err := f.caller.conn.SetReadDeadline(deadline); err != nil {
+		return Packet{}, err
+	}
+	buf := make([]byte, maxSize)
+	for {
+		n, _, err := f.caller.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return Packet{}, fmt.Errorf("%w: %w", ErrNoAnswer, err)
+		}
+		p, err := Decode(buf[:n])
+		if err != nil {
+			return Packet{}, err
+		}
+		if p.To != f.From || p.From != f.To {
+			continue
+		}
+		if p.Flags&RST != 0 {
+			return Packet{}, ErrReset
+		}
+		f.echo = p.Echo
+		return p, nil
+	}
+}
--- /dev/null
+++ b/standin/kvstore/kvstore.go
@@ -0,0 +1,217 @@
+// Package kvstore is a stand-in for the store of the users' platform: its HTTP
+// calls over the engine of package standin/store. It is for tests only.
+package kvstore
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/store"
+
+	standin "github.com/gypsumspan/gypsumspan/standin/store"
+)
+
+// pageSize is the number of items in one page.
+const pageSize = 50
+
+// maxBody is the largest body of a call, in bytes.
+const maxBody = 4 << 20
+
+// item is a key as the store shows it.
+type item struct {
+	Key            string `json:"key"`
+	Value          []byte `json:"value,omitempty"`
+	Revision       int64  `json:"revision"`
+	CreateRevision int64  `json:"create_revision,omitempty"`
+	Lease          int64  `json:"lease"`
+	Removed        bool   `json:"removed,omitempty"`
+}
+
+func itemOf(kv store.KV) item {
+	return item{Key: kv.Key, Value: kv.Value, Revision: kv.ModRevision, CreateRevision: kv.CreateRevision, Lease: int64(kv.Lease)}
+}
+
+// server answers the calls.
+type server struct {
+	engine *standin.Engine
+	client *standin.Client
+}
+
+// Handler returns the store's HTTP interface over e. Keys of the operator and of
+// targets are written through e itself; callers get 403 for them.
+func Handler(e *standin.Engine) http.Handler {
+	s := &server{engine: e, client: standin.NewClient(e)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /-/kv-range", s.serveRange)
+	mux.HandleFunc("GET /-/kv-watch", s.serveWatch)
+	mux.HandleFunc("POST /-/kv-txn", s.serveTxn)
+	mux.HandleFunc("POST /-/kv-lease", s.serveLease)
+	mux.HandleFunc("POST /-/kv-keep/{id}", s.serveKeep)
+	return mux
+}
+
+func (s *server) serveRange(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	out, err := s.client.Range(r.Context(), store.RangeRequest{
+		Span:  store.Prefix(query.Get("prefix")),
+		After: query.Get("after"),
+		Limit: pageSize,
+	})
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	items := []item{}
+	for _, kv := range out.KVs {
+		items = append(items, itemOf(kv))
+	}
+	write(w, map[string]any{"items": items, "truncated": out.More, "as_of": out.Revision})
+}
+
+func (s *server) serveWatch(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	after, errAfter := strconv.ParseInt(query.Get("after"), 10, 64)
+	wait, errWait := strconv.ParseInt(query.Get("wait_ms"), 10, 64)
+	if errAfter != nil || errWait != nil || wait > 30_000 {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	watch, err := s.engine.Subscribe(store.Prefix(query.Get("prefix")), after+1)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	defer watch.Close()
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(wait)*time.Millisecond)
+	defer cancel()
+	for {
+		batch, ok, err := watch.Take()
+		switch {
+		case err != nil:
+			writeError(w, err)
+			return
+		case ok:
+			writeEvents(w, batch.Events, batch.Revision)
+			return
+		}
+		select {
+		case <-watch.Ready():
+		case <-ctx.Done():
+			writeEvents(w, nil, s.engine.Revision())
+			return
+		}
+	}
+}
+
+func writeEvents(w http.ResponseWriter, events []store.Event, revision int64) {
+	items := []item{}
+	for _, e := range events {
+		i := itemOf(e.KV)
+		i.Removed = e.Deleted
+		items = append(items, i)
+	}
+	write(w, map[string]any{"events": items, "as_of": revision})
+}
+
+func (s *server) serveTxn(w http.ResponseWriter, r *http.Request) {
+	var in struct {
+		Expected []struct {
+			Key      string `json:"key"`
+			Revision int64  `json:"revision"`
+		} `json:"expected"`
+		Puts []struct {
+			Key   string `json:"key"`
+			Value []byte `json:"value"`
+			Lease int64  `json:"lease"`
+		} `json:"puts"`
+		Deletes []string `json:"delete_keys"`
+	}
+	if json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&in) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	var t store.Txn
+	for _, e := range in.Expected {
+		t.Compares = append(t.Compares, store.Compare{Key: e.Key, ModRevision: e.Revision})
+	}
+	t.Deletes = in.Deletes
+	keys := t.Deletes
+	for _, p := range in.Puts {
+		keys = append(keys, p.Key)
+		t.Puts = append(t.Puts, store.Put{Key: p.Key, Value: p.Value, Lease: store.LeaseID(p.Lease)})
+	}
+	for _, key := range keys {
+		if strings.HasPrefix(key, "op/") || strings.HasPrefix(key, "servers/") {
+			w.WriteHeader(http.StatusForbidden)
+			return
+		}
+	}
+	out, err := s.client.Txn(r.Context(), t)
+	switch {
+	case err != nil:
+		writeError(w, err)
+	case !out.Succeeded:
+		w.WriteHeader(http.StatusPreconditionFailed)
+	default:
+		write(w, map[string]any{"revision": out.Revision})
+	}
+}
+
+func (s *server) serveLease(w http.ResponseWriter, r *http.Request) {
+	var in struct {
+		TTL int64 `json:"ttl_ms"`
+	}
+	if json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(&in) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	id, err := s.client.Grant(r.Context(), time.Duration(in.TTL)*time.Millisecond)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	write(w, map[string]any{"lease": id, "ttl_ms": in.TTL})
+}
+
+func (s *server) serveKeep(w http.ResponseWriter, r *http.Request) {
+	id, err := strconv.ParseInt(r.PathValue("id"), 10, 64)
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	ttl, err := s.client.KeepAlive(r.Context(), store.LeaseID(id))
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	write(w, map[string]any{"ttl_ms": ttl.Milliseconds()})
+}
+
+func write(w http.ResponseWriter, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	// A failed write means that the client has gone.
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	switch {
+	case errors.Is(err, store.ErrUncertain):
+		// Closes the connection without an answer.
+		panic(http.ErrAbortHandler)
+	case errors.Is(err, store.ErrRateLimited):
+		w.WriteHeader(http.StatusTooManyRequests)
+	case errors.Is(err, store.ErrCompacted):
+		w.WriteHeader(http.StatusGone)
+	case errors.Is(err, store.ErrLeaseUnknown):
+		w.WriteHeader(http.StatusNotFound)
+	case errors.Is(err, store.ErrTooLarge):
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	default:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
