Carry small changes in beats; ignore copies of packets that waited at a paused VM

Change: a copy counts as unanswered only 150 ms after its predecessor; relays tell news at most ten times a second, small ones within the beat, and add up loads at most five times a second. Relays take a domain's load only from that domain: two of them could keep an old sum alive by repeating it to each other.

--- a/decide/forward/forward.go
+++ b/decide/forward/forward.go
@@ -98,6 +98,9 @@
 	// stuckRepeats is the number of repeats of the same packet, after 200 ms and
 	// another 400 ms, that make a flow stuck.
 	stuckRepeats = 2
+	// answerTime is the time that a target must have had before a copy of a packet
+	// says that it has not answered. Callers send copies after 200 ms.
+	answerTime = 150 * time.Millisecond
 	// lifeSigns is how long after the last sign of life a target without an entry is
 	// still taken as alive for its open flows.
 	lifeSigns = time.Second
@@ -204,8 +207,8 @@
 		f.forget(p.Flow)
 		r = nil
 	}
-	if r != nil && p.Ack == 0 && r.tries > 0 && !r.target.Gone(now) {
-		// A duplicate of the same packet.
+	if r != nil && r.tries > 0 && now-r.sentAt < answerTime && !r.target.Gone(now) {
+		// A duplicate, or a copy that has waited at this VM with its predecessor.
 		return f.place(now, r, route, r.target, Placed, false)
 	}
 	if r == nil {
@@ -507,17 +510,11 @@
 	}
 	end := p.Seq + uint32(p.Len)
 	if p.Len > 0 && r.sent && !newer(end, r.seqTo) {
-		r.repeats++
-		seen.Repeated(now)
-		if r.repeats == stuckRepeats {
-			seen.Stuck(now)
-			if domain != nil {
-				domain.Stuck(now)
-			}
-		}
+		f.noteRepeat(now, r, seen, domain)
 	} else if p.Len > 0 {
 		r.sent = true
 		r.seqTo = end
+		r.dataAt = now
 		f.setBusy(r, t, true)
 	}
 	if p.Flags.Has(flow.FIN) {
@@ -525,6 +522,25 @@
 	}
 }
 
+// noteRepeat notes a packet that was seen before. A copy that comes right after
+// its predecessor has waited with it at this VM, which was paused or slow: the
+// target had no time to answer.
+func (f *Forwarder) noteRepeat(now time.Duration, r *record, target, domain *evidence.Tracker) {
+	if now-r.dataAt < answerTime {
+		return
+	}
+	r.dataAt = now
+	r.repeats++
+	target.Repeated(now)
+	if r.repeats != stuckRepeats {
+		return
+	}
+	target.Stuck(now)
+	if domain != nil {
+		domain.Stuck(now)
+	}
+}
+
 func (f *Forwarder) setBusy(r *record, t *catalog.Target, busy bool) {
 	if r.busy == busy {
 		return
--- a/decide/forward/forward_test.go
+++ b/decide/forward/forward_test.go
@@ -231,6 +231,29 @@
 	r.Equal(v.Cookie, second.Cookie)
 }
 
+// Guards against a VM that was paused and takes the copies that have waited at it
+// for the silence of a target.
+func TestAPausedVMBlamesNoTarget(t *testing.T) {
+	r := newRig(t)
+	r.keepAlive(0, nil)
+	dead := r.f.View().Target("i-1")
+	const woke = 3 * time.Second
+	r.keepAlive(woke, dead)
+	for copies := range uint32(3) {
+		for caller := uint16(1); caller <= 5; caller++ {
+			v := r.f.Receive(woke+time.Duration(copies)*ms, later(caller, dead.Cookie, 101, 500, 10))
+			r.Equal(v.Action, Forward)
+		}
+	}
+	first := r.f.Receive(woke, syn(50, 0))
+	for copies := uint32(1); copies <= 2; copies++ {
+		v := r.f.Receive(woke+time.Duration(copies)*ms, syn(50, copies))
+		r.Equal(v.Target, first.Target)
+	}
+	r.Equal(len(r.f.TakeEnded()), 0)
+	r.True(!r.f.evidence[first.Target.Slot].Silent(woke + 10*ms))
+}
+
 // keepAlive lets a flow make progress at every target of the domain but one.
 func (r *rig) keepAlive(now time.Duration, dead *catalog.Target) {
 	for id := 1; id <= 3; id++ {
--- a/decide/forward/table.go
+++ b/decide/forward/table.go
@@ -33,10 +33,11 @@
 	seen    time.Duration // last packet
 	unknown time.Duration // first packet with a cookie that no target has; 0: none
 
-	sent  bool   // data was seen
-	seqTo uint32 // end of the data seen so far
-	ack   uint32 // highest acknowledgement seen
-	busy  bool   // a request is in progress
+	sent   bool          // data was seen
+	seqTo  uint32        // end of the data seen so far
+	dataAt time.Duration // last packet with data
+	ack    uint32        // highest acknowledgement seen
+	busy   bool          // a request is in progress
 
 	repeats int // repeated packets since the caller's last progress
 }
--- a/decide/relay/loads.go
+++ b/decide/relay/loads.go
@@ -8,23 +8,25 @@
 
 // SetLoads sets the work that this VM causes. Load.Domain is ignored.
 func (m *Machine) SetLoads(loads []Load) {
-	m.ownLoads = m.ownLoads[:0]
+	m.ownLoads = make([]Load, 0, len(loads))
 	for _, l := range loads {
 		l.Domain = m.config.Self.Domain
 		m.ownLoads = append(m.ownLoads, l)
 	}
 }
 
-// noteLoads takes in the loads of a beat: those of the sender itself when it
-// asks, and those of whole domains when it answers. The own domain's sum is
-// taken from its relay.
+// noteLoads takes in the loads of a beat. A VM that asks tells its own. The sum
+// of a domain is taken from a VM of that domain, or from the own domain's relay:
+// relays that repeated each other's sums would keep old ones alive.
 func (m *Machine) noteLoads(now time.Duration, p *peer, b Beat) {
-	if p != nil && !b.Reply && p.Domain == m.config.Self.Domain {
+	own := m.config.Self.Domain
+	if p != nil && !b.Reply && p.Domain == own {
 		p.load = b.Loads
 		return
 	}
 	for _, l := range b.Loads {
-		if l.Domain == m.config.Self.Domain && (m.isRelay || b.Domain != m.config.Self.Domain) {
+		fromRelay := b.Domain == own && !m.isRelay
+		if !fromRelay && (l.Domain != b.Domain || l.Domain == own) {
 			continue
 		}
 		key := Load{Domain: l.Domain, At: l.At, Service: l.Service}
@@ -33,7 +35,16 @@
 }
 
 // DomainLoads returns what is known of the work of each domain, in a fixed order.
+// The caller must not change the list.
 func (m *Machine) DomainLoads(now time.Duration) []Load {
+	if m.cached == nil || now-m.cachedAt >= loadsCacheFor {
+		m.cached = m.sumLoads(now)
+		m.cachedAt = now
+	}
+	return m.cached
+}
+
+func (m *Machine) sumLoads(now time.Duration) []Load {
 	list := make([]Load, 0, len(m.loads)+len(m.ownLoads))
 	if m.isRelay {
 		list = append(list, m.ownDomain(now)...)
@@ -76,11 +87,10 @@
 	return list
 }
 
-// busiest returns a copy of the loads that fit one beat. The busiest services
-// matter most.
+// busiest returns the loads that fit one beat. The busiest services matter most.
 func busiest(loads []Load) []Load {
-	loads = slices.Clone(loads)
 	if len(loads) > maxLoads {
+		loads = slices.Clone(loads)
 		slices.SortStableFunc(loads, func(a, b Load) int { return cmp.Compare(b.Flows+b.Busy, a.Flows+a.Busy) })
 		loads = loads[:maxLoads]
 	}
--- a/decide/relay/relay.go
+++ b/decide/relay/relay.go
@@ -36,8 +36,16 @@
 	// forgetAfter is how long a relay must have been asked by the others before it
 	// removes the entry of a VM that never asked.
 	forgetAfter = time.Minute
+	// tellInterval is the least time between two beats about news to the same VMs.
+	// Changes come in groups, such as the starts of VMs that are replaced.
+	tellInterval = 100 * time.Millisecond
+	// maxInline bounds the keys and values in one beat, in bytes, so that it fits one
+	// datagram.
+	maxInline = 900
+	// loadsCacheFor is how long a sum of loads is used again.
+	loadsCacheFor = 200 * time.Millisecond
 	// maxLoads bounds the loads in one beat, so that it fits one datagram.
-	maxLoads = 24
+	maxLoads = 8
 	// loadFor is how long a reported load counts.
 	loadFor = 3 * time.Second
 )
@@ -70,6 +78,11 @@
 	Revision  int64 // everything up to it is in the sender's copy
 	Confirmed Confirmation
 	Loads     []Load
+	// Items, with HasItems, are what was written after After and up to Revision, when
+	// it is little. A receiver that has everything up to After needs no pull.
+	HasItems bool
+	After    int64
+	Items    []Item
 }
 
 // News is a part of another copy: the answer of the store or of a pull.
@@ -136,8 +149,14 @@
 	pullAt      time.Duration
 	nextPrune   time.Duration
 
+	tellFrom int64 // revision after which subscribers were not told
+	tellDue  bool
+	toldAt   time.Duration
+
 	ownLoads []Load
-	loads    map[Load]loadReport // by domain and service, the counts 0
+	loads    map[Load]loadReport // by domains and service, the counts 0
+	cached   []Load              // of DomainLoads
+	cachedAt time.Duration
 
 	out Output
 }
@@ -227,8 +246,9 @@
 	}
 	m.out.News = append(m.out.News, news...)
 	m.confirm(now, n.Confirmed)
-	if m.replica.Revision() > before && len(news) > 0 {
-		m.tellSubscribers(now)
+	if m.replica.Revision() > before && len(news) > 0 && !m.tellDue {
+		m.tellDue = true
+		m.tellFrom = before
 	}
 }
 
@@ -322,15 +342,34 @@
 	m.noteLoads(now, p, b)
 	if !b.Reply {
 		m.subscribers[key] = now
-		m.out.Beats = append(m.out.Beats, Outgoing{To: from, Beat: m.beat(now, true, m.DomainLoads(now))})
+		answer := m.beat(now, true, m.DomainLoads(now))
+		m.inline(&answer, b.Revision)
+		m.out.Beats = append(m.out.Beats, Outgoing{To: from, Beat: answer})
 	}
-	if b.Revision > m.replica.Revision() {
-		if p != nil {
-			m.startPull(now, p)
-		}
+	switch {
+	case b.Revision <= m.replica.Revision():
+		m.confirm(now, b.Confirmed)
+	case b.HasItems && b.After <= m.replica.Revision() && m.replica.Revision() > 0:
+		m.merge(now, News{Revision: b.Revision, Confirmed: b.Confirmed, Items: b.Items})
+	case p != nil:
+		m.startPull(now, p)
+	}
+}
+
+// inline adds what was written after a revision to a beat, when it is little.
+func (m *Machine) inline(b *Beat, after int64) {
+	if after <= 0 || after >= m.replica.Revision() {
+		return
+	}
+	items, complete := m.replica.Since(after)
+	size := 0
+	for _, item := range items {
+		size += len(item.Key) + len(item.Value)
+	}
+	if complete || size > maxInline {
 		return
 	}
-	m.confirm(now, b.Confirmed)
+	b.HasItems, b.After, b.Items = true, after, items
 }
 
 func (m *Machine) startPull(now time.Duration, p *peer) {
@@ -348,8 +387,15 @@
 	return News{Revision: m.replica.Revision(), Confirmed: m.confirmation(now), Items: items, Complete: complete}
 }
 
-// tellSubscribers sends beats about news.
+// tellSubscribers sends beats about news if they are due.
 func (m *Machine) tellSubscribers(now time.Duration) {
+	if !m.tellDue || now < m.toldAt+tellInterval {
+		return
+	}
+	m.tellDue = false
+	m.toldAt = now
+	beat := m.beat(now, true, nil)
+	m.inline(&beat, m.tellFrom)
 	keys := make([]string, 0, len(m.subscribers))
 	for key, at := range m.subscribers {
 		if now-at < subscriberFor {
@@ -359,7 +405,7 @@
 	slices.Sort(keys)
 	for _, key := range keys {
 		if p := m.members.byKey[key]; p != nil {
-			m.out.Beats = append(m.out.Beats, Outgoing{To: p.Beats, Beat: m.beat(now, true, m.DomainLoads(now))})
+			m.out.Beats = append(m.out.Beats, Outgoing{To: p.Beats, Beat: beat})
 		}
 	}
 }
@@ -367,7 +413,11 @@
 // Tick does what is due and returns the time of the next call.
 func (m *Machine) Tick(now time.Duration) time.Duration {
 	m.chooseRole(now)
+	m.tellSubscribers(now)
 	next := now + askInterval
+	if m.tellDue {
+		next = m.toldAt + tellInterval
+	}
 	if m.replica.Revision() > 0 {
 		next = min(next, m.askRelays(now))
 	}
--- a/wire/relaywire/relaywire.go
+++ b/wire/relaywire/relaywire.go
@@ -28,6 +28,9 @@
 		Reply:     b.Reply,
 		Revision:  b.Revision,
 		Confirmed: fromConfirmation(b.Confirmed),
+		HasItems:  b.HasItems,
+		After:     b.After,
+		Items:     fromItems(b.Items),
 	}
 	for _, l := range b.Loads {
 		m.Loads = append(m.Loads, &relaypb.Load{Domain: l.Domain, At: l.At, Service: l.Service, Flows: l.Flows, Busy: l.Busy})
@@ -57,6 +60,11 @@
 		Reply:     m.GetReply(),
 		Revision:  m.GetRevision(),
 		Confirmed: toConfirmation(m.GetConfirmed()),
+		HasItems:  m.GetHasItems(),
+		After:     m.GetAfter(),
+	}
+	if b.HasItems {
+		b.Items = toItems(m.GetItems())
 	}
 	for _, l := range m.GetLoads() {
 		b.Loads = append(b.Loads, relay.Load{Domain: l.GetDomain(), At: l.GetAt(), Service: l.GetService(), Flows: l.GetFlows(), Busy: l.GetBusy()})
@@ -66,9 +74,11 @@
 
 // EncodeNews encodes the answer to a pull.
 func EncodeNews(n relay.News) ([]byte, error) {
-	m := &relaypb.News{Revision: n.Revision, Confirmed: fromConfirmation(n.Confirmed), Complete: n.Complete}
-	for _, item := range n.Items {
-		m.Items = append(m.Items, &relaypb.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted})
+	m := &relaypb.News{
+		Revision:  n.Revision,
+		Confirmed: fromConfirmation(n.Confirmed),
+		Complete:  n.Complete,
+		Items:     fromItems(n.Items),
 	}
 	data, err := proto.Marshal(m)
 	if err != nil {
@@ -83,11 +93,28 @@
 	if err := proto.Unmarshal(data, &m); err != nil {
 		return relay.News{}, fmt.Errorf("news: %w: %w", ErrMalformed, err)
 	}
-	n := relay.News{Revision: m.GetRevision(), Confirmed: toConfirmation(m.GetConfirmed()), Complete: m.GetComplete()}
-	for _, item := range m.GetItems() {
-		n.Items = append(n.Items, relay.Item{Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Deleted: item.GetDeleted()})
+	return relay.News{
+		Revision:  m.GetRevision(),
+		Confirmed: toConfirmation(m.GetConfirmed()),
+		Complete:  m.GetComplete(),
+		Items:     toItems(m.GetItems()),
+	}, nil
+}
+
+func fromItems(items []relay.Item) []*relaypb.Item {
+	list := make([]*relaypb.Item, 0, len(items))
+	for _, item := range items {
+		list = append(list, &relaypb.Item{Key: item.Key, Value: item.Value, Revision: item.Revision, Deleted: item.Deleted})
+	}
+	return list
+}
+
+func toItems(items []*relaypb.Item) []relay.Item {
+	list := make([]relay.Item, 0, len(items))
+	for _, item := range items {
+		list = append(list, relay.Item{Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Deleted: item.GetDeleted()})
 	}
-	return n, nil
+	return list
 }
 
 func fromConfirmation(c relay.Confirmation) *relaypb.Confirmation {
