Keep non-idempotent flows in their domain; let datagrams wait for the catalog

Cause: in a cut of a domain, flows that had spilled to it failed; a restarted VM dropped packets for the 20 ms until its catalog was in force. Change: flows whose requests may run at most once spill only above one request a slot; datagrams wait in the socket's buffer until the catalog is in force.

--- a/decide/balance/domains.go
+++ b/decide/balance/domains.go
@@ -1,10 +1,16 @@
 package balance
 
+// The pressure of a domain, requests in progress for each slot, up to which flows
+// stay in the domain: they are not hurt when it is cut off from others.
+const (
+	// CalmRepeatable is for flows whose requests may be repeated: queues are short.
+	CalmRepeatable = 0.6
+	// CalmOnce is for flows whose requests may run at most once, which a cut loses:
+	// every slot is taken.
+	CalmOnce = 1.0
+)
+
 const (
-	// calm is the pressure of a domain, requests in progress for each slot, up to
-	// which flows stay in the domain: queues are short, and flows that stay are not
-	// hurt when the domain is cut off.
-	calm = 0.6
 	// spillGain is how strongly a difference in pressure moves new flows. Open flows
 	// stay where they are, so that new ones have to make up for them.
 	spillGain = 2.5
@@ -27,9 +33,10 @@
 }
 
 // Spill returns the failure domain whose targets a new flow shall use, given the
-// domain of its caller and a number that is uniform in [0, 1). Flows leave a
-// domain only when it is under pressure and others are less so.
-func Spill(local string, domains []Domain, draw float64) string {
+// domain of its caller, the pressure up to which it stays there, and a number that
+// is uniform in [0, 1). Flows leave a domain only when others are under less
+// pressure.
+func Spill(local string, domains []Domain, calm, draw float64) string {
 	var home Domain
 	var busy float64
 	slots := 0
--- a/decide/forward/domains.go
+++ b/decide/forward/domains.go
@@ -82,14 +82,18 @@
 }
 
 // domainFor returns the failure domain whose targets a new flow shall use.
-func (f *Forwarder) domainFor(now time.Duration, service string, hash uint64) string {
+func (f *Forwarder) domainFor(now time.Duration, service string, kind catalog.Kind, hash uint64) string {
 	domains := f.domains[service]
 	if len(domains) < 2 || now-f.domainsAt >= loadsFor {
 		return f.config.Domain
 	}
 	const salt = 0x1f83d9abfb41bd6b // makes the draw independent of the other choices
 	draw := float64(rendezvous.Mix(hash, salt)>>11) / (1 << 53)
-	return balance.Spill(f.config.Domain, domains, draw)
+	calm := balance.CalmRepeatable
+	if kind == catalog.NonIdempotent {
+		calm = balance.CalmOnce
+	}
+	return balance.Spill(f.config.Domain, domains, calm, draw)
 }
 
 // domainEvidence returns the evidence of a foreign failure domain as a whole, or
--- a/decide/forward/forward.go
+++ b/decide/forward/forward.go
@@ -285,7 +285,7 @@
 	hash := k.Hash()
 	service := serviceOf(route, hash)
 	targets := f.view.Service(service)
-	f.preferred = f.domainFor(now, service, hash)
+	f.preferred = f.domainFor(now, service, route.Kind, hash)
 	for rank := range ranks {
 		f.collect(now, targets, r, rank)
 		if i := balance.Choose(hash^f.config.Seed, f.choices); i >= 0 {
--- a/services/packets/packets.go
+++ b/services/packets/packets.go
@@ -127,7 +127,7 @@
 	free     *kernel.Ring[*buffer]
 
 	forwarder *forward.Forwarder
-	inForce   bool
+	inForce   chan struct{} // closed when the catalog is in force
 	reset     []byte
 	nextLoads time.Duration // of the next load report
 
@@ -143,7 +143,7 @@
 
 // New returns the service.
 func New(config Config) *Service {
-	return &Service{config: config, forwarder: forward.New(config.Forward)}
+	return &Service{config: config, forwarder: forward.New(config.Forward), inForce: make(chan struct{})}
 }
 
 // Name implements kernel.Service.
@@ -203,8 +203,15 @@
 // is full.
 func (s *Service) TryPut(in Input) bool { return s.input.Put(in) == nil }
 
-// receive reads datagrams into free buffers until the socket is closed.
+// receive reads datagrams into free buffers until the socket is closed. Until the
+// catalog is in force the socket's buffer holds them: a restarted VM gets packets
+// of open flows at once, and their callers repeat a dropped one only after 200 ms.
 func (s *Service) receive(ctx context.Context) error {
+	select {
+	case <-s.inForce:
+	case <-ctx.Done():
+		return nil
+	}
 	for {
 		b, ok := s.takeFree(ctx)
 		if !ok {
--- a/services/packets/report.go
+++ b/services/packets/report.go
@@ -26,8 +26,8 @@
 	}
 	effect := s.forwarder.Apply(now, in.Change)
 	s.logEffect(in.Change, effect)
-	if !s.inForce && s.forwarder.View().Ready() {
-		s.inForce = true
+	if !s.ready.IsSet() && s.forwarder.View().Ready() {
+		close(s.inForce)
 		s.ready.Set(true)
 		s.log.Log(events.CatalogInForce,
 			events.F("version", s.forwarder.View().Version()),
--- a/services/readiness/readiness.go
+++ b/services/readiness/readiness.go
@@ -31,6 +31,8 @@
 type Switch interface {
 	// Set says whether the VM has what it needs.
 	Set(ready bool)
+	// IsSet returns what was set last.
+	IsSet() bool
 	// Leave makes the VM not ready for good.
 	Leave()
 }
@@ -109,5 +111,8 @@
 // Set implements Switch.
 func (s *Service) Set(ready bool) { s.ready.Store(ready) }
 
+// IsSet implements Switch.
+func (s *Service) IsSet() bool { return s.ready.Load() }
+
 // Leave implements Switch.
 func (s *Service) Leave() { s.leaving.Store(true) }
