Refuse new flows of a flooding kind before targets queue

Ruled out: priorities alone, since floods also come from the most urgent kind. Change: above two requests in progress a slot, a kind above its usual rate of new flows yields first, then the least urgent one; a reset of the first packet is the refusal. Open flows of the flooding kind still fill the queues: partial.

--- a/decide/forward/domains.go
+++ b/decide/forward/domains.go
@@ -8,6 +8,7 @@
 	"github.com/gypsumspan/gypsumspan/decide/balance"
 	"github.com/gypsumspan/gypsumspan/decide/catalog"
 	"github.com/gypsumspan/gypsumspan/decide/evidence"
+	"github.com/gypsumspan/gypsumspan/decide/flow"
 	"github.com/gypsumspan/gypsumspan/decide/relay"
 	"github.com/gypsumspan/gypsumspan/decide/rendezvous"
 )
@@ -76,11 +77,49 @@
 	for _, domains := range services {
 		slices.SortFunc(domains, func(a, b balance.Domain) int { return cmp.Compare(a.Name, b.Name) })
 	}
+	f.setPressure(now, loads, slots)
 	f.busyAt = busy
 	f.domains = services
 	f.domainsAt = now
 }
 
+// setPressure tells the limiter of floods the requests in progress for each slot
+// of each service, in all domains together.
+func (f *Forwarder) setPressure(now time.Duration, loads []relay.Load, slots map[place]int) {
+	busy := make(map[string]float64)
+	for _, l := range loads {
+		busy[l.Service] += float64(l.Busy)
+	}
+	total := make(map[string]int)
+	for p, n := range slots {
+		total[p.service] += n
+	}
+	for service, n := range total {
+		f.flood.SetPressure(now, service, busy[service]/float64(n))
+	}
+}
+
+// admit reports whether the first packet of a new flow may be placed. A copy has
+// a predecessor that was placed, here or at another VM.
+func (f *Forwarder) admit(now time.Duration, p flow.Packet, route *catalog.Route) bool {
+	if p.Ack > 0 {
+		return true
+	}
+	hash := p.Flow.Hash()
+	const salt = 0x510e527fade682d1 // makes the draw independent of the other choices
+	draw := float64(rendezvous.Mix(hash^f.config.Seed, salt)>>11) / (1 << 53)
+	return f.flood.Admit(now, route.Name, route.Priority, serviceOf(route, hash), draw)
+}
+
+// forgetKinds forgets the kinds of removed routes.
+func (f *Forwarder) forgetKinds(c *catalog.Configuration) {
+	names := make(map[string]bool, len(c.Routes))
+	for _, r := range c.Routes {
+		names[r.Name] = true
+	}
+	f.flood.Forget(func(name string) bool { return names[name] })
+}
+
 // domainFor returns the failure domain whose targets a new flow shall use.
 func (f *Forwarder) domainFor(now time.Duration, service string, kind catalog.Kind, hash uint64) string {
 	domains := f.domains[service]
--- a/decide/forward/forward.go
+++ b/decide/forward/forward.go
@@ -11,6 +11,7 @@
 	"github.com/gypsumspan/gypsumspan/decide/balance"
 	"github.com/gypsumspan/gypsumspan/decide/catalog"
 	"github.com/gypsumspan/gypsumspan/decide/evidence"
+	"github.com/gypsumspan/gypsumspan/decide/flood"
 	"github.com/gypsumspan/gypsumspan/decide/flow"
 	"github.com/gypsumspan/gypsumspan/decide/rendezvous"
 )
@@ -131,6 +132,7 @@
 	domainsAt time.Duration
 	busyAt    map[place]float64            // averages behind domains
 	foreign   map[string]*evidence.Tracker // other failure domains as a whole
+	flood     *flood.Limiter
 	nextSweep time.Duration
 }
 
@@ -141,6 +143,7 @@
 		view:    catalog.NewView(),
 		flows:   newFlowTable(MaxFlows),
 		foreign: make(map[string]*evidence.Tracker),
+		flood:   flood.New(),
 	}
 }
 
@@ -154,6 +157,9 @@
 func (f *Forwarder) Apply(now time.Duration, c catalog.Change) catalog.Effect {
 	effect := f.view.Apply(now, c)
 	f.grow()
+	if effect == catalog.ConfigurationApplied {
+		f.forgetKinds(c.Configuration)
+	}
 	if effect == catalog.TargetRemoved {
 		f.ending = append(f.ending, f.view.Target(c.Gone))
 	}
@@ -211,6 +217,9 @@
 		// A duplicate, or a copy that has waited at this VM with its predecessor.
 		return f.place(now, r, route, r.target, Placed, false)
 	}
+	if r == nil && !f.admit(now, p, route) {
+		return Verdict{Action: Reset, Reason: Shed, Route: route, Decided: true}
+	}
 	if r == nil {
 		r = f.flows.add(p.Flow, now)
 	} else if r.target != nil {
