Metrics, questions and traces of flows; fewer calls; no readiness without targets

A watch pauses 200 ms after events, and a VM that has just started leaves the relay's role to others for a second.

--- a/ctl/ctl.go
+++ b/ctl/ctl.go
@@ -170,7 +170,7 @@
 	fixed := cobra.FixedCompletions([]string{outputTable, outputJSON, outputCSV}, cobra.ShellCompDirectiveNoFileComp)
 	// It fails only for a flag that does not exist.
 	_ = root.RegisterFlagCompletionFunc("output", fixed)
-	root.AddCommand(a.tableCommand(), a.auditCommand(), a.statusCommand(), a.explainCommand())
+	root.AddCommand(a.tableCommand(), a.auditCommand(), a.statusCommand(), a.explainCommand(), a.flowCommand())
 	return root
 }
 
--- a/decide/catalog/catalog.go
+++ b/decide/catalog/catalog.go
@@ -33,8 +33,8 @@
 
 // Share is a service's part of a route's new flows.
 type Share struct {
-	Service string
-	Weight  uint32 // relative to the route's other shares
+	Service string `json:"service"`
+	Weight  uint32 `json:"weight"` // relative to the route's other shares
 }
 
 // Route says where the flows of one address go.
--- a/decide/catalog/view.go
+++ b/decide/catalog/view.go
@@ -61,6 +61,8 @@
 	slots    int
 	revision int64 // of the targets: everything up to it was applied
 	synced   bool
+	syncedAt time.Duration
+	complete bool
 
 	storeLost   bool
 	regainedAt  time.Duration
@@ -102,6 +104,7 @@
 
 // Apply merges a change. It ignores what is older than what it has.
 func (v *View) Apply(now time.Duration, c Change) Effect {
+	defer v.noteComplete()
 	switch {
 	case c.Configuration != nil:
 		return v.configure(now, c.Revision, c.Configuration)
@@ -110,7 +113,10 @@
 	case c.Gone != "":
 		return v.remove(now, c.Revision, c.Gone)
 	case c.Synced:
-		v.synced = true
+		if !v.synced {
+			v.synced = true
+			v.syncedAt = now
+		}
 		v.revision = max(v.revision, c.Revision)
 		return Synced
 	default:
@@ -290,9 +296,29 @@
 	}
 }
 
-// Ready reports whether a configuration and the targets are in force.
-func (v *View) Ready() bool {
-	return v.config != nil && v.synced
+// Ready reports whether a configuration and the targets are in force. After the
+// first reading a service without targets is waited for a little: its entries may
+// have lapsed in an outage of the store.
+func (v *View) Ready(now time.Duration) bool {
+	if v.config == nil || !v.synced {
+		return false
+	}
+	return v.complete || now >= v.syncedAt+LapseGrace
+}
+
+// noteComplete remembers whether every service that routes lead to has had targets.
+func (v *View) noteComplete() {
+	if v.complete || v.config == nil || !v.synced {
+		return
+	}
+	for _, r := range v.config.Routes {
+		for _, share := range r.Shares {
+			if len(v.services[share.Service]) == 0 {
+				return
+			}
+		}
+	}
+	v.complete = true
 }
 
 // Version returns the version of the configuration; 0 without one.
@@ -352,6 +378,15 @@
 	return first
 }
 
+// Routes calls yield for every route in force until it returns false.
+func (v *View) Routes(yield func(*Route) bool) {
+	for _, r := range v.routes {
+		if !yield(r) {
+			return
+		}
+	}
+}
+
 // Targets calls yield for every known target until it returns false.
 func (v *View) Targets(yield func(*Target) bool) {
 	for _, t := range v.targets {
--- /dev/null
+++ b/decide/forward/explain.go
@@ -0,0 +1,129 @@
+package forward
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/decide/catalog"
+	"github.com/gypsumspan/gypsumspan/decide/flow"
+)
+
+// TargetStatus is what a VM knows of one target.
+type TargetStatus struct {
+	ID        string `json:"id"`
+	Service   string `json:"service"`
+	Address   string `json:"address"`
+	Domain    string `json:"domain"`
+	State     string `json:"state"`
+	Listed    bool   `json:"listed"` // the entry exists
+	Gone      bool   `json:"gone"`
+	Cold      bool   `json:"cold"`
+	Revision  int64  `json:"revision"`
+	Flows     int    `json:"flows"` // of this VM
+	Busy      int    `json:"busy"`  // requests in progress of this VM
+	Silent    bool   `json:"silent"`
+	Dead      bool   `json:"dead"`
+	AliveMS   int64  `json:"alive_ms"` // age of the last sign of life; -1 without one
+	CutOff    bool   `json:"cut_off"`  // its failure domain is out of reach
+	TakesFlow bool   `json:"takes_flows"`
+}
+
+// RouteStatus is one route in force.
+type RouteStatus struct {
+	Name     string          `json:"name"`
+	Address  string          `json:"address"`
+	Kind     string          `json:"kind"`
+	Priority int             `json:"priority"`
+	Shares   []catalog.Share `json:"shares"`
+}
+
+// Status is what a VM knows of routes and targets.
+type Status struct {
+	Version  uint64         `json:"version"`
+	Revision int64          `json:"revision"`
+	Ready    bool           `json:"ready"`
+	Fresh    bool           `json:"fresh"` // the store is known to be unchanged
+	Flows    int            `json:"flows"`
+	Routes   []RouteStatus  `json:"routes"`
+	Targets  []TargetStatus `json:"targets"`
+}
+
+// Status returns what the VM knows, in a fixed order.
+func (f *Forwarder) Status(now time.Duration) Status {
+	s := Status{
+		Version:  f.view.Version(),
+		Revision: f.view.Revision(),
+		Ready:    f.view.Ready(now),
+		Fresh:    f.view.Fresh(now),
+		Flows:    f.Flows(),
+		Routes:   []RouteStatus{},
+		Targets:  []TargetStatus{},
+	}
+	f.view.Routes(func(r *catalog.Route) bool {
+		s.Routes = append(s.Routes, RouteStatus{
+			Name: r.Name, Address: r.Address.String(), Kind: r.Kind.String(), Priority: r.Priority, Shares: r.Shares,
+		})
+		return true
+	})
+	slices.SortFunc(s.Routes, func(a, b RouteStatus) int { return cmp.Compare(a.Address, b.Address) })
+	f.view.Targets(func(t *catalog.Target) bool {
+		s.Targets = append(s.Targets, f.targetStatus(now, t))
+		return true
+	})
+	slices.SortFunc(s.Targets, func(a, b TargetStatus) int { return cmp.Compare(a.ID, b.ID) })
+	return s
+}
+
+func (f *Forwarder) targetStatus(now time.Duration, t *catalog.Target) TargetStatus {
+	seen := &f.evidence[t.Slot]
+	age := int64(-1)
+	if alive, ok := seen.LastAlive(); ok {
+		age = (now - alive).Milliseconds()
+	}
+	return TargetStatus{
+		ID: t.ID, Service: t.Service, Address: t.Address.String(), Domain: t.Domain, State: t.State.String(),
+		Listed: t.Listed, Gone: t.Gone(now), Cold: now < t.ColdTill, Revision: t.Revision,
+		Flows: f.loads[t.Slot].Flows, Busy: f.loads[t.Slot].Busy,
+		Silent: seen.Silent(now), Dead: seen.Dead(now), AliveMS: age,
+		CutOff: f.isCutOff(now, t), TakesFlow: t.TakesFlows(now),
+	}
+}
+
+// Explanation says what a VM knows of one flow and where its first packet would go.
+type Explanation struct {
+	Flow    string        `json:"flow"`
+	Route   string        `json:"route"` // empty: none
+	Removed bool          `json:"route_removed"`
+	Known   bool          `json:"known"` // the VM remembers the flow
+	Phase   string        `json:"phase,omitempty"`
+	Target  *TargetStatus `json:"target,omitempty"`
+	SeenMS  int64         `json:"seen_ms,omitempty"` // age of its last packet
+	Repeats int           `json:"repeats,omitempty"` // since the caller's last progress
+	// Service and Domain are those that a new flow with this four-tuple would use.
+	Service string `json:"service,omitempty"`
+	Domain  string `json:"domain,omitempty"`
+}
+
+// Explain explains one flow.
+func (f *Forwarder) Explain(now time.Duration, k flow.Key) Explanation {
+	e := Explanation{Flow: k.String(), Removed: f.view.RouteRemoved(k.Address)}
+	if route := f.view.Route(k.Address); route != nil {
+		e.Route = route.Name
+		e.Service = serviceOf(route, k.Hash())
+		e.Domain = f.domainFor(now, e.Service, route.Kind, k.Hash())
+	}
+	r := f.flows.get(k)
+	if r == nil {
+		return e
+	}
+	e.Known = true
+	e.Phase = [...]string{"opening", "open", "closing"}[r.phase]
+	e.SeenMS = (now - r.seen).Milliseconds()
+	e.Repeats = r.repeats
+	if r.target != nil {
+		status := f.targetStatus(now, r.target)
+		e.Target = &status
+	}
+	return e
+}
--- a/decide/forward/forward.go
+++ b/decide/forward/forward.go
@@ -77,6 +77,11 @@
 	Target *catalog.Target // of Forward and, where known, of Reset
 	Cookie flow.Cookie     // of Forward: to write into the packet
 	Route  *catalog.Route  // nil without one
+	// Opened and Answered are the times from the first packet of the flow, and from
+	// the data of a request, to the packet that shows the target's answer; 0 when
+	// this packet shows none.
+	Opened   time.Duration
+	Answered time.Duration
 	// Decided means that the verdict is the first of its kind for this flow and is
 	// worth a log line.
 	Decided bool
@@ -195,7 +200,7 @@
 
 // first decides on the first packet of a flow or a copy of it.
 func (f *Forwarder) first(now time.Duration, p flow.Packet) Verdict {
-	if !f.view.Ready() {
+	if !f.view.Ready(now) {
 		return Verdict{Action: Drop, Reason: NotReady}
 	}
 	route := f.view.Route(p.Flow.Address)
@@ -409,7 +414,7 @@
 		r.ack = p.Ack
 	}
 	f.assign(r, t)
-	f.note(now, r, t, p)
+	opened, answered := f.note(now, r, t, p)
 	f.noteDead(now, t)
 	if r.busy && f.isStuck(now, t, route) {
 		f.forget(p.Flow)
@@ -418,7 +423,7 @@
 	if p.Flags.Has(flow.RST) {
 		f.forget(p.Flow)
 	}
-	return Verdict{Action: Forward, Reason: Continued, Target: t, Cookie: t.Cookie, Route: route}
+	return Verdict{Action: Forward, Reason: Continued, Target: t, Cookie: t.Cookie, Route: route, Opened: opened, Answered: answered}
 }
 
 // targetOf returns the target of an open flow: the one that this VM has seen
@@ -451,7 +456,7 @@
 	if first {
 		r.unknown = now
 	}
-	if f.view.Ready() && f.view.Fresh(now) && now >= r.unknown+unknownTolerance {
+	if f.view.Ready(now) && f.view.Fresh(now) && now >= r.unknown+unknownTolerance {
 		f.forget(p.Flow)
 		return Verdict{Action: Reset, Reason: UnknownForLong, Route: route, Decided: true}
 	}
@@ -498,13 +503,15 @@
 	return answering > silent
 }
 
-// note learns from a packet of an open flow.
-func (f *Forwarder) note(now time.Duration, r *record, t *catalog.Target, p flow.Packet) {
+// note learns from a packet of an open flow. It returns how long the target took
+// to accept the flow and to answer a request, when the packet shows it.
+func (f *Forwarder) note(now time.Duration, r *record, t *catalog.Target, p flow.Packet) (opened, answered time.Duration) {
 	seen := &f.evidence[t.Slot]
 	progress := r.phase == opening || newer(p.Ack, r.ack)
 	if r.phase == opening {
 		r.phase = open
 		r.ack = p.Ack
+		opened = now - r.sentAt
 	}
 	r.seen = now
 	domain := f.domainEvidence(t.Domain)
@@ -515,6 +522,9 @@
 		}
 		r.ack = p.Ack
 		r.repeats = 0
+		if r.busy {
+			answered = now - r.askedAt
+		}
 		f.setBusy(r, t, false)
 	}
 	end := p.Seq + uint32(p.Len)
@@ -524,11 +534,15 @@
 		r.sent = true
 		r.seqTo = end
 		r.dataAt = now
+		if !r.busy {
+			r.askedAt = now
+		}
 		f.setBusy(r, t, true)
 	}
 	if p.Flags.Has(flow.FIN) {
 		r.phase = closing
 	}
+	return opened, answered
 }
 
 // noteRepeat notes a packet that was seen before. A copy that comes right after
--- a/decide/forward/table.go
+++ b/decide/forward/table.go
@@ -36,8 +36,10 @@
 	sent   bool          // data was seen
 	seqTo  uint32        // end of the data seen so far
 	dataAt time.Duration // last packet with data
-	ack    uint32        // highest acknowledgement seen
-	busy   bool          // a request is in progress
+
+	askedAt time.Duration // first data of the request in progress
+	ack     uint32        // highest acknowledgement seen
+	busy    bool          // a request is in progress
 
 	repeats int // repeated packets since the caller's last progress
 }
--- a/decide/relay/relay.go
+++ b/decide/relay/relay.go
@@ -24,6 +24,9 @@
 	// deadAfter is how long a relay may leave questions unanswered: two questions
 	// and the answer to the second may be lost.
 	deadAfter = 1200 * time.Millisecond
+	// settle is how long a VM that has just read the store leaves the relay's role to
+	// others: VMs that start together learn of each other meanwhile.
+	settle = time.Second
 	// deadAskInterval is the time between two questions to a dead VM that would be
 	// relay if it lived.
 	deadAskInterval = 3 * time.Second
@@ -137,6 +140,7 @@
 	confirmed   int64         // revision that was newest in the store at confirmedAt
 	confirmedAt time.Duration // by the own clock
 	known       bool          // something was confirmed at all
+	firstKnown  time.Duration // when it was
 	lost        bool
 	regainedAt  time.Duration
 	wasRegained bool
@@ -276,7 +280,10 @@
 	}
 	m.confirmed = c.Revision
 	m.confirmedAt = at
-	m.known = true
+	if !m.known {
+		m.known = true
+		m.firstKnown = now
+	}
 	if c.HasRegained {
 		m.setRegained(now - c.Regained)
 	}
@@ -440,7 +447,7 @@
 func (m *Machine) chooseRole(now time.Duration) {
 	own := rankOf(m.config.Self.Domain, m.config.Self.Name)
 	relay := m.members.relay(now, m.config.Self.Domain)
-	isRelay := relay == nil || relay.score < own
+	isRelay := (relay == nil || relay.score < own) && m.known && now-m.firstKnown >= settle
 	if isRelay && !m.isRelay {
 		m.relaySince = now
 	}
--- a/flowd/flowd.go
+++ b/flowd/flowd.go
@@ -21,6 +21,8 @@
 	"github.com/gypsumspan/gypsumspan/kernel"
 	"github.com/gypsumspan/gypsumspan/platform"
 	"github.com/gypsumspan/gypsumspan/services/catalogwatch"
+	"github.com/gypsumspan/gypsumspan/services/control"
+	"github.com/gypsumspan/gypsumspan/services/flowmetrics"
 	"github.com/gypsumspan/gypsumspan/services/logs"
 	"github.com/gypsumspan/gypsumspan/services/packets"
 	"github.com/gypsumspan/gypsumspan/services/readiness"
@@ -126,6 +128,7 @@
 	list := []kernel.Service{
 		log,
 		signals,
+		control.New(s.Listen.Control),
 		readiness.New(readiness.Config{Listen: s.Listen.Readiness, Path: s.Readiness.Path}),
 		packets.New(packets.Config{
 			Listen:    s.Listen.Packets,
@@ -155,6 +158,7 @@
 			},
 			Decoder: platform.Documents{},
 		}),
+		flowmetrics.New(s.VM.Name, s.VM.Domain),
 	}
 	k := kernel.New(kernel.NewClock())
 	for _, service := range list {
--- a/services/admin/metrics.go
+++ b/services/admin/metrics.go
@@ -1,26 +1,22 @@
 package admin
 
 import (
-	"bytes"
+	"maps"
 	"net/http"
+	"strings"
 
 	"github.com/uber-go/tally/v4"
 
 	"github.com/gypsumspan/gypsumspan/services/core"
+	"github.com/gypsumspan/gypsumspan/services/exposition"
 )
 
-// metricPrefix precedes the name of every metric.
-const metricPrefix = "gypsumspan"
-
-// contentType is the media type of the Prometheus text format.
-const contentType = "text/plain; version=0.0.4; charset=utf-8"
-
 // metrics reads all sources into a new scope and renders it. A scope of its own
 // for each scrape lets metrics of things that are gone, such as a target that
 // moved to another VM, disappear.
 func (s *Service) metrics(w http.ResponseWriter, r *http.Request) {
-	scope := newScope()
-	s.readRings(scope)
+	scope := exposition.NewScope()
+	exposition.Rings(scope, s.kernel.Rings())
 	s.readUDP(scope)
 	s.readPeers(scope)
 	s.readStore(scope)
@@ -36,34 +32,7 @@
 	for _, g := range machine.gauges {
 		scope.Tagged(g.tags).Gauge(g.name).Update(g.value)
 	}
-	var buf bytes.Buffer
-	render(&buf, scope.(snapshotter).Snapshot())
-	s.write(w, r, contentType, buf.Bytes(), nil)
-}
-
-// snapshotter is implemented by tally's root scopes.
-type snapshotter interface {
-	Snapshot() tally.Snapshot
-}
-
-// newScope returns a scope without a reporting goroutine.
-func newScope() tally.Scope {
-	scope, _ := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:                 metricPrefix,
-		Separator:              "_",
-		OmitCardinalityMetrics: true,
-	}, 0)
-	return scope
-}
-
-func (s *Service) readRings(scope tally.Scope) {
-	for _, ring := range s.kernel.Rings() {
-		tagged := scope.Tagged(map[string]string{"ring": ring.Name})
-		tagged.Gauge("ring_depth").Update(float64(ring.Depth))
-		tagged.Gauge("ring_capacity").Update(float64(ring.Capacity))
-		tagged.Counter("ring_puts_total").Inc(int64(ring.Puts))
-		tagged.Counter("ring_drops_total").Inc(int64(ring.Drops))
-	}
+	s.write(w, r, exposition.ContentType, exposition.Render(scope), nil)
 }
 
 func (s *Service) readUDP(scope tally.Scope) {
@@ -71,7 +40,7 @@
 		return
 	}
 	stats := s.udp.Stats()
-	count(scope, map[string]uint64{
+	exposition.Count(scope, map[string]uint64{
 		"udp_received_total": stats.Received,
 		"udp_rejected_total": stats.Rejected,
 		"udp_sent_total":     stats.Sent,
@@ -88,7 +57,7 @@
 	stats := s.peers.Stats()
 	scope.Gauge("peers_links").Update(float64(stats.Links))
 	scope.Gauge("peers_sessions").Update(float64(stats.Sessions))
-	count(scope, map[string]uint64{
+	exposition.Count(scope, map[string]uint64{
 		"peers_sent_total":             stats.Sent,
 		"peers_received_total":         stats.Received,
 		"peers_sent_bytes_total":       stats.BytesSent,
@@ -110,7 +79,7 @@
 	}
 	stats := s.store.Stats()
 	scope.Gauge("store_revision").Update(float64(stats.Revision))
-	count(scope, map[string]uint64{
+	exposition.Count(scope, map[string]uint64{
 		"store_reads_total":    stats.Reads,
 		"store_watches_total":  stats.Watches,
 		"store_failures_total": stats.Failures,
@@ -127,19 +96,13 @@
 	stats := s.certs.Stats()
 	left := stats.Expires.Sub(s.certs.Source().Now())
 	scope.Gauge("certificate_left_seconds").Update(left.Seconds())
-	count(scope, map[string]uint64{
+	exposition.Count(scope, map[string]uint64{
 		"certificate_reloads_total":  stats.Reloads,
 		"certificate_failures_total": stats.Failures,
 		"admin_refused_total":        s.refused.Load(),
 	})
 }
 
-func count(scope tally.Scope, values map[string]uint64) {
-	for name, value := range values {
-		scope.Counter(name).Inc(int64(value))
-	}
-}
-
 // counter is one counter of the machine.
 type counter struct {
 	name  string
@@ -190,3 +153,14 @@
 	}
 	return result
 }
+
+func counterName(name string) string {
+	if strings.HasSuffix(name, "_total") {
+		return name
+	}
+	return name + "_total"
+}
+
+func cloneTags(tags map[string]string) map[string]string {
+	return maps.Clone(tags)
+}
--- a/services/catalogwatch/catalogwatch.go
+++ b/services/catalogwatch/catalogwatch.go
@@ -26,6 +26,10 @@
 	// seconds after the store's return to be up to date.
 	firstRetry = 200 * time.Millisecond
 	lastRetry  = time.Second
+	// eventPause is the wait after an answer with events. Changes come in groups, and
+	// each answer costs a call; the pause is small against the seconds in which a
+	// change must be in force.
+	eventPause = 200 * time.Millisecond
 	// writes is the number of writes that may wait.
 	writes = 4
 )
@@ -237,6 +241,9 @@
 			return err
 		}
 		s.from.Store(batch.Revision)
+		if len(batch.Events) > 0 {
+			sleep(ctx, eventPause)
+		}
 	}
 }
 
--- /dev/null
+++ b/services/control/control.go
@@ -0,0 +1,81 @@
+// Package control is the service "control": the HTTP server on a VM's control
+// address, for other VMs, metrics and operators' questions. Other services add
+// their handlers to it.
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/kernel"
+)
+
+// Name is the service's name.
+const Name = "control"
+
+const (
+	// serveTimeout bounds reading a request and writing its answer.
+	serveTimeout = 5 * time.Second
+	// maxHeader is the largest request header, in bytes.
+	maxHeader = 4 << 10
+)
+
+// Mux takes handlers, until all services are connected.
+type Mux interface {
+	// Handle registers a handler for a pattern of net/http.
+	Handle(pattern string, handler http.HandlerFunc)
+}
+
+// Service is the service "control".
+type Service struct {
+	listen   netip.AddrPort
+	listener net.Listener
+	mux      *http.ServeMux
+	server   *http.Server
+}
+
+// New returns the service that listens on listen.
+func New(listen netip.AddrPort) *Service {
+	return &Service{listen: listen, mux: http.NewServeMux()}
+}
+
+// Name implements kernel.Service.
+func (s *Service) Name() string { return Name }
+
+// Needs implements kernel.Service.
+func (s *Service) Needs() []string { return nil }
+
+// Setup opens the listening socket.
+func (s *Service) Setup(*kernel.Kernel) error {
+	listener, err := net.Listen("tcp4", s.listen.String())
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", s.listen, err)
+	}
+	s.listener = listener
+	return nil
+}
+
+// Handle implements Mux.
+func (s *Service) Handle(pattern string, handler http.HandlerFunc) {
+	s.mux.HandleFunc(pattern, handler)
+}
+
+// Connect implements kernel.Service.
+func (s *Service) Connect(k *kernel.Kernel) error {
+	s.server = &http.Server{Handler: s.mux, ReadTimeout: serveTimeout, WriteTimeout: serveTimeout, MaxHeaderBytes: maxHeader}
+	k.AddBlocker(kernel.Blocker{Name: "control.serve", Run: s.serve, Interrupt: func() { s.server.Close() }})
+	return nil
+}
+
+func (s *Service) serve(context.Context) error {
+	err := s.server.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fmt.Errorf("serve control: %w", err)
+}
--- a/services/admin/render.go
+++ b/services/exposition/exposition.go
@@ -1,4 +1,7 @@
-package admin
+// Package exposition renders metrics in the Prometheus text format 0.0.4. Each
+// reading has a tally scope of its own, so that metrics of things that are gone
+// disappear.
+package exposition
 
 import (
 	"bytes"
@@ -9,8 +12,57 @@
 	"strings"
 
 	"github.com/uber-go/tally/v4"
+
+	"github.com/gypsumspan/gypsumspan/kernel"
 )
 
+// prefix precedes the name of every metric.
+const prefix = "gypsumspan"
+
+// ContentType is the media type of the text format.
+const ContentType = "text/plain; version=0.0.4; charset=utf-8"
+
+// snapshotter is implemented by tally's root scopes.
+type snapshotter interface {
+	Snapshot() tally.Snapshot
+}
+
+// NewScope returns a scope without a reporting goroutine.
+func NewScope() tally.Scope {
+	scope, _ := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 prefix,
+		Separator:              "_",
+		OmitCardinalityMetrics: true,
+	}, 0)
+	return scope
+}
+
+// Render returns the counters and gauges of a scope that NewScope has returned,
+// sorted by name and labels.
+func Render(scope tally.Scope) []byte {
+	var buf bytes.Buffer
+	render(&buf, scope.(snapshotter).Snapshot())
+	return buf.Bytes()
+}
+
+// Count adds counters.
+func Count(scope tally.Scope, values map[string]uint64) {
+	for name, value := range values {
+		scope.Counter(name).Inc(int64(value))
+	}
+}
+
+// Rings adds the readings of a kernel's rings.
+func Rings(scope tally.Scope, rings []kernel.RingStats) {
+	for _, ring := range rings {
+		tagged := scope.Tagged(map[string]string{"ring": ring.Name})
+		tagged.Gauge("ring_depth").Update(float64(ring.Depth))
+		tagged.Gauge("ring_capacity").Update(float64(ring.Capacity))
+		tagged.Counter("ring_puts_total").Inc(int64(ring.Puts))
+		tagged.Counter("ring_drops_total").Inc(int64(ring.Drops))
+	}
+}
+
 // sample is one line of the Prometheus text format.
 type sample struct {
 	name   string
@@ -85,14 +137,3 @@
 		}
 	}, name)
 }
-
-func counterName(name string) string {
-	if strings.HasSuffix(name, "_total") {
-		return name
-	}
-	return name + "_total"
-}
-
-func cloneTags(tags map[string]string) map[string]string {
-	return maps.Clone(tags)
-}
--- a/services/packets/packets.go
+++ b/services/packets/packets.go
@@ -86,6 +86,8 @@
 	Dropped   uint64
 	Failed    uint64 // not sent because of an error
 	Flows     uint64 // remembered now
+	// ByReason counts packets by the reason of their verdict.
+	ByReason [forward.Reasons]uint64
 }
 
 // buffer is one datagram with room for the prefix.
@@ -99,6 +101,31 @@
 	Change catalog.Change
 	Store  StoreState
 	Loads  []relay.Load // of all failure domains
+	Ask    *Question
+}
+
+// Question runs on the forwarding duty, which owns what it asks for.
+type Question struct {
+	ask  func(now time.Duration, f *forward.Forwarder)
+	done chan struct{}
+}
+
+// ErrNoAnswer means that the forwarding duty had no time for a question.
+var ErrNoAnswer = errors.New("forwarding duty does not answer")
+
+// Ask runs ask on the forwarding duty. It returns ErrNoAnswer when ctx ends first
+// or the duty is busy.
+func (s *Service) Ask(ctx context.Context, ask func(now time.Duration, f *forward.Forwarder)) error {
+	q := &Question{ask: ask, done: make(chan struct{})}
+	if !s.TryPut(Input{Ask: q}) {
+		return ErrNoAnswer
+	}
+	select {
+	case <-q.done:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("%w: %w", ErrNoAnswer, ctx.Err())
+	}
 }
 
 // StoreState says whether the store can be reached.
@@ -138,12 +165,19 @@
 	dropped   atomic.Uint64
 	failed    atomic.Uint64
 	flows     atomic.Uint64
+	byReason  [forward.Reasons]atomic.Uint64
+	times     Times        // of the forwarding duty
 	lastSeen  atomic.Int64 // time of the last datagram, in ns since start
 }
 
 // New returns the service.
 func New(config Config) *Service {
-	return &Service{config: config, forwarder: forward.New(config.Forward), inForce: make(chan struct{})}
+	return &Service{
+		config:    config,
+		forwarder: forward.New(config.Forward),
+		inForce:   make(chan struct{}),
+		times:     newTimes(),
+	}
 }
 
 // Name implements kernel.Service.
@@ -249,6 +283,7 @@
 // step applies changes of the catalog, then decides on waiting datagrams.
 func (s *Service) step(now time.Duration) time.Duration {
 	more := s.applyInputs(now)
+	s.checkInForce(now)
 	for range batchSize {
 		b, ok := s.in.Take()
 		if !ok {
@@ -307,6 +342,8 @@
 		return
 	}
 	v := s.forwarder.Receive(now, p)
+	s.byReason[v.Reason].Add(1)
+	s.times.note(v)
 	if v.Decided {
 		s.logDecision(p, v)
 	}
@@ -377,5 +414,13 @@
 		Dropped:   s.dropped.Load(),
 		Failed:    s.failed.Load(),
 		Flows:     s.flows.Load(),
+		ByReason:  s.reasonCounts(),
+	}
+}
+
+func (s *Service) reasonCounts() (counts [forward.Reasons]uint64) {
+	for i := range counts {
+		counts[i] = s.byReason[i].Load()
 	}
+	return counts
 }
--- a/services/packets/report.go
+++ b/services/packets/report.go
@@ -20,19 +20,29 @@
 		s.forwarder.StoreRegained(now)
 		return
 	}
+	if in.Ask != nil {
+		in.Ask.ask(now, s.forwarder)
+		close(in.Ask.done)
+		return
+	}
 	if in.Loads != nil {
 		s.forwarder.SetDomainLoads(now, in.Loads)
 		return
 	}
 	effect := s.forwarder.Apply(now, in.Change)
 	s.logEffect(in.Change, effect)
-	if !s.ready.IsSet() && s.forwarder.View().Ready() {
-		close(s.inForce)
-		s.ready.Set(true)
-		s.log.Log(events.CatalogInForce,
-			events.F("version", s.forwarder.View().Version()),
-			events.F("revision", s.forwarder.View().Revision()))
+}
+
+// checkInForce makes the VM ready once its catalog is.
+func (s *Service) checkInForce(now time.Duration) {
+	if s.ready.IsSet() || !s.forwarder.View().Ready(now) {
+		return
 	}
+	close(s.inForce)
+	s.ready.Set(true)
+	s.log.Log(events.CatalogInForce,
+		events.F("version", s.forwarder.View().Version()),
+		events.F("revision", s.forwarder.View().Revision()))
 }
 
 func (s *Service) logEffect(c catalog.Change, effect catalog.Effect) {
