A dead target is not a cut domain; bounds leave VMs with few flows alone

Change: a domain is cut off when several of its targets have stuck flows and none shows life, and only flows that are stuck themselves are reset for it; a bound is never below five requests.

--- a/decide/evidence/evidence.go
+++ b/decide/evidence/evidence.go
@@ -105,6 +105,9 @@
 	t.lengthen(now)
 }
 
+// StuckFlows returns the flows that got stuck since the last sign of life.
+func (t *Tracker) StuckFlows() int { return t.stuck }
+
 // Dead reports whether several flows are stuck and nothing has shown life for a
 // while, so that waiting is in vain.
 func (t *Tracker) Dead(now time.Duration) bool {
--- a/decide/flood/flood.go
+++ b/decide/flood/flood.go
@@ -30,7 +30,10 @@
 	end   = 1.2
 	// sudden is the part of its bound at which a VM applies the bound by itself, before
 	// the next report: far more than chance brings.
-	sudden = 2.0
+	sudden = 2.5
+	// leastBound is the smallest bound: a VM with few flows may have several requests
+	// in progress by chance.
+	leastBound = 5.0
 	// endAfter is how long the pressure must be below end.
 	endAfter = 2 * time.Second
 	// window is the time over which the present rate of a kind is counted.
@@ -97,7 +100,7 @@
 		p = &pressure{}
 		l.services[r.Service] = p
 	}
-	p.bound = max(perSlot*float64(r.Slots)*r.Share, 1)
+	p.bound = max(perSlot*float64(r.Slots)*r.Share, leastBound)
 	p.least = 0
 	for _, k := range l.kinds {
 		if k.service == r.Service {
--- a/decide/forward/domains.go
+++ b/decide/forward/domains.go
@@ -7,7 +7,6 @@
 
 	"github.com/gypsumspan/gypsumspan/decide/balance"
 	"github.com/gypsumspan/gypsumspan/decide/catalog"
-	"github.com/gypsumspan/gypsumspan/decide/evidence"
 	"github.com/gypsumspan/gypsumspan/decide/flood"
 	"github.com/gypsumspan/gypsumspan/decide/flow"
 	"github.com/gypsumspan/gypsumspan/decide/relay"
@@ -18,6 +17,11 @@
 	// busyKeep is the part of the former average that a new report of a domain's
 	// load keeps. Reports come twice a second; the average covers about two seconds.
 	busyKeep = 0.7
+	// cutTargets is the number of targets of a foreign failure domain with stuck flows,
+	// and cutSilence the time without a sign of life from any target there, that make
+	// the domain cut off. One target alone may be dead.
+	cutTargets = 2
+	cutSilence = 500 * time.Millisecond
 	// loadsFor is how long a report counts. Without reports flows stay in their
 	// domain.
 	loadsFor = 3 * time.Second
@@ -190,32 +194,27 @@
 	return balance.Spill(f.config.Domain, domains, calm, draw)
 }
 
-// domainEvidence returns the evidence of a foreign failure domain as a whole, or
-// nil for the own one.
-func (f *Forwarder) domainEvidence(domain string) *evidence.Tracker {
-	if domain == f.config.Domain {
-		return nil
-	}
-	t := f.foreign[domain]
-	if t == nil {
-		t = &evidence.Tracker{}
-		f.foreign[domain] = t
-	}
-	return t
-}
-
 // isCutOff reports whether the failure domain of a target is out of reach: flows
-// to several of its targets are stuck, and the own domain's targets answer.
+// to several of its targets are stuck, none of its targets shows life, and those of
+// the own domain do.
 func (f *Forwarder) isCutOff(now time.Duration, t *catalog.Target) bool {
-	domain := f.domainEvidence(t.Domain)
-	if domain == nil || !domain.Dead(now) {
+	if t.Domain == f.config.Domain {
 		return false
 	}
+	stuckTargets := 0
+	localAnswers := false
 	for _, other := range f.view.Service(t.Service) {
-		alive, ok := f.evidence[other.Slot].LastAlive()
-		if other.Domain == f.config.Domain && ok && now-alive < lifeSigns {
-			return true
+		seen := &f.evidence[other.Slot]
+		alive, ok := seen.LastAlive()
+		switch {
+		case other.Domain == f.config.Domain:
+			localAnswers = localAnswers || ok && now-alive < lifeSigns
+		case other.Domain != t.Domain:
+		case ok && now-alive < cutSilence:
+			return false
+		case seen.StuckFlows() > 0:
+			stuckTargets++
 		}
 	}
-	return false
+	return localAnswers && stuckTargets >= cutTargets
 }
--- a/decide/forward/forward.go
+++ b/decide/forward/forward.go
@@ -141,8 +141,7 @@
 
 	domains   map[string][]balance.Domain // by service, from reports at domainsAt
 	domainsAt time.Duration
-	busyAt    map[place]float64            // averages behind domains
-	foreign   map[string]*evidence.Tracker // other failure domains as a whole
+	busyAt    map[place]float64 // averages behind domains
 	flood     *flood.Limiter
 	nextSweep time.Duration
 }
@@ -150,11 +149,10 @@
 // New returns a forwarder with an empty catalog.
 func New(config Config) *Forwarder {
 	return &Forwarder{
-		config:  config,
-		view:    catalog.NewView(),
-		flows:   newFlowTable(MaxFlows),
-		foreign: make(map[string]*evidence.Tracker),
-		flood:   flood.New(),
+		config: config,
+		view:   catalog.NewView(),
+		flows:  newFlowTable(MaxFlows),
+		flood:  flood.New(),
 	}
 }
 
@@ -426,7 +424,7 @@
 	}
 	opened, answered := f.note(now, r, t, p)
 	f.noteDead(now, t)
-	if r.busy && f.isStuck(now, t, route) {
+	if r.busy && f.isStuck(now, r, t, route) {
 		f.forget(p.Flow)
 		return Verdict{Action: Reset, Reason: TargetSilent, Target: t, Route: route, Decided: true}
 	}
@@ -487,11 +485,14 @@
 // that this VM sees, and other targets of the service answer. A request that may
 // run at most once is left alone: its caller would not repeat it, and a target
 // behind a partition may still run it.
-func (f *Forwarder) isStuck(now time.Duration, t *catalog.Target, route *catalog.Route) bool {
+func (f *Forwarder) isStuck(now time.Duration, r *record, t *catalog.Target, route *catalog.Route) bool {
 	if route == nil || route.Kind == catalog.NonIdempotent {
 		return false
 	}
-	return f.isCutOff(now, t) || f.evidence[t.Slot].Dead(now) && f.othersAnswer(now, t)
+	if r.repeats >= stuckRepeats && f.isCutOff(now, t) {
+		return true
+	}
+	return f.evidence[t.Slot].Dead(now) && f.othersAnswer(now, t)
 }
 
 // othersAnswer reports whether most other targets of t's service answer. If they
@@ -524,12 +525,8 @@
 		opened = now - r.sentAt
 	}
 	r.seen = now
-	domain := f.domainEvidence(t.Domain)
 	if progress {
 		seen.Alive(now)
-		if domain != nil {
-			domain.Alive(now)
-		}
 		r.ack = p.Ack
 		r.repeats = 0
 		if r.busy {
@@ -539,7 +536,7 @@
 	}
 	end := p.Seq + uint32(p.Len)
 	if p.Len > 0 && r.sent && !newer(end, r.seqTo) {
-		f.noteRepeat(now, r, seen, domain)
+		f.noteRepeat(now, r, seen)
 	} else if p.Len > 0 {
 		r.sent = true
 		r.seqTo = end
@@ -558,19 +555,15 @@
 // noteRepeat notes a packet that was seen before. A copy that comes right after
 // its predecessor has waited with it at this VM, which was paused or slow: the
 // target had no time to answer.
-func (f *Forwarder) noteRepeat(now time.Duration, r *record, target, domain *evidence.Tracker) {
+func (f *Forwarder) noteRepeat(now time.Duration, r *record, target *evidence.Tracker) {
 	if now-r.dataAt < answerTime {
 		return
 	}
 	r.dataAt = now
 	r.repeats++
 	target.Repeated(now)
-	if r.repeats != stuckRepeats {
-		return
-	}
-	target.Stuck(now)
-	if domain != nil {
-		domain.Stuck(now)
+	if r.repeats == stuckRepeats {
+		target.Stuck(now)
 	}
 }
 
--- a/decide/forward/forward_test.go
+++ b/decide/forward/forward_test.go
@@ -356,6 +356,31 @@
 	}
 }
 
+// Guards against flows to live targets of another domain that are reset because one
+// target there is dead.
+func TestOneDeadTargetIsNotACutDomain(t *testing.T) {
+	r := newRig(t)
+	r.keepAlive(0, nil)
+	dead, alive := r.f.View().Target("i-4"), r.f.View().Target("i-5")
+	r.f.Receive(0, later(30, alive.Cookie, 101, 500, 0))
+	r.f.Receive(50*ms, later(30, alive.Cookie, 101, 600, 0)) // the last sign of life
+	for at := time.Duration(0); at <= 1400*ms; at += 100 * ms {
+		r.keepAlive(at, nil)
+		for caller := uint16(1); caller <= 3; caller++ {
+			if at == 0 || at == 200*ms || at == 600*ms || at == 1400*ms {
+				r.f.Receive(at, later(caller, dead.Cookie, 101, 500, 10))
+			}
+		}
+		if at == 1100*ms || at == 1300*ms {
+			// A request that takes long.
+			r.Equal(r.f.Receive(at, later(30, alive.Cookie, 101, 600, 10)).Action, Forward)
+		}
+	}
+	for _, e := range r.f.TakeEnded() {
+		r.Equal(e.Target, dead)
+	}
+}
+
 // Guards against idle flows of a target that has left: their next request would be lost.
 func TestIdleFlowsOfAGoneTargetAreReset(t *testing.T) {
 	r := newRig(t)
