Let a VM that starts in an outage of the store get its catalog from a seed

Two of four VMs of a domain restarted while the store was down and stayed without a catalog for six seconds; when a third left, the routers used all VMs, and the packets that went to the two were lost (64 failed requests between seconds 32 and 36). Ruled out: a paused VM, since both wrote a line for each failed call. Change: the settings name seeds; a VM without a catalog whose call to the store fails pulls from them in turn.

--- a/decide/relay/relay.go
+++ b/decide/relay/relay.go
@@ -126,6 +126,9 @@
 type Config struct {
 	Self         Member
 	MemberPrefix string // of the keys of VMs
+	// Seeds are addresses for pulls of some VMs, which may be down. A VM that starts
+	// while the store does not answer gets its first copy from one of them.
+	Seeds []netip.AddrPort
 	// MaxAge is the age of the knowledge of the store at which the VM watches it.
 	MaxAge time.Duration
 }
@@ -151,6 +154,7 @@
 	directTill  time.Duration
 	pull        *Pull
 	pullAt      time.Duration
+	nextSeed    int // index of the seed that is asked next
 	nextPrune   time.Duration
 
 	tellFrom int64 // revision after which subscribers were not told
@@ -224,13 +228,31 @@
 	m.merge(now, n)
 }
 
-// StoreFailed notes that a call to the store failed.
-func (m *Machine) StoreFailed() { m.setLost() }
+// StoreFailed notes that a call to the store failed. A VM without a copy then
+// asks a seed, each in turn.
+func (m *Machine) StoreFailed(now time.Duration) {
+	m.setLost()
+	if m.replica.Revision() > 0 || m.pull != nil || len(m.config.Seeds) == 0 {
+		return
+	}
+	seed := m.config.Seeds[m.nextSeed%len(m.config.Seeds)]
+	m.nextSeed++
+	if seed == m.config.Self.Pulls {
+		return
+	}
+	m.pull = &Pull{From: seed, Name: "seed"}
+	m.pullAt = now
+	m.out.Pull = m.pull
+}
 
 // FromPull merges the answer to a pull, which was asked for at asked: what the
 // answer says of the store's age is at most that much older on arrival.
 func (m *Machine) FromPull(now, asked time.Duration, n News) {
 	m.pull = nil
+	if n.Revision == 0 {
+		// The other VM has no copy either.
+		return
+	}
 	n.Confirmed.Age += now - asked
 	m.merge(now, n)
 }
--- a/decide/relay/relay_test.go
+++ b/decide/relay/relay_test.go
@@ -53,6 +53,7 @@
 	arrivals []arrival
 	cut      map[string]bool // domains that reach no other domain
 	calls    int
+	seeds    []netip.AddrPort
 	lossRate float64
 	// writes holds the time of each revision.
 	writes map[int64]time.Duration
@@ -86,7 +87,7 @@
 }
 
 func (f *fleet) start(v *vm) {
-	v.machine = New(Config{Self: v.member, MemberPrefix: prefix, MaxAge: maxAge})
+	v.machine = New(Config{Self: v.member, MemberPrefix: prefix, MaxAge: maxAge, Seeds: f.seeds})
 	v.up, v.started, v.watching, v.nextTick = true, f.now, false, f.now
 }
 
@@ -140,6 +141,9 @@
 			f.store.items[m.key] = item
 		}
 	}
+	if m.Replica().Revision() == 0 && v.refused && f.now%callTimeout == 0 {
+		m.StoreFailed(f.now)
+	}
 	if f.now >= v.nextTick {
 		v.nextTick = m.Tick(f.now)
 	}
@@ -180,7 +184,7 @@
 	waited := f.now - v.pollAt
 	switch {
 	case v.refused && waited >= watchWait+callTimeout:
-		v.machine.StoreFailed()
+		v.machine.StoreFailed(f.now)
 		f.poll(v)
 	case !v.refused && (v.machine.Replica().Revision() < f.store.revision || waited >= watchWait):
 		var items []Item
@@ -305,6 +309,38 @@
 	}
 }
 
+// Guards against a VM that starts while the store is down and stays without a
+// catalog, though other VMs have one.
+func TestVMStartsWithoutTheStore(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(6, 3, 4)
+	f.write("op", false)
+	for i := range 3 {
+		f.seeds = append(f.seeds, f.vms[i].member.Pulls)
+	}
+	f.advance(5 * time.Second)
+	late := f.vms[5]
+	f.vms[0].up = false // a seed that is down
+	late.up = false
+	f.advance(time.Second)
+	for _, v := range f.vms {
+		v.refused = true
+	}
+	f.start(late)
+	f.advance(3 * time.Second)
+	is.Equal(late.machine.Replica().Revision(), f.store.revision)
+	age, known := late.machine.Age(f.now)
+	is.True(known && age >= maxAge) // it knows that its knowledge is old
+	// A seed that starts with the others has nothing to tell.
+	alone := New(Config{Self: late.member, MemberPrefix: prefix, MaxAge: maxAge, Seeds: f.seeds})
+	alone.StoreFailed(f.now)
+	is.True(alone.Take().Pull != nil)
+	alone.FromPull(f.now, f.now, News{})
+	is.Equal(alone.Replica().Revision(), int64(0))
+	alone.StoreFailed(f.now)
+	is.True(alone.Take().Pull != nil)
+}
+
 // Guards against entries of lost VMs that stay in the store for ever, and against
 // the removal of one that lives.
 func TestRelayForgetsOnlyLostVMs(t *testing.T) {
--- a/flowd/flowd.go
+++ b/flowd/flowd.go
@@ -128,7 +128,7 @@
 	list := []kernel.Service{
 		log,
 		signals,
-		control.New(s.Listen.Control),
+		control.New(s.Listen.Control, s.Listen.Metrics),
 		readiness.New(readiness.Config{Listen: s.Listen.Readiness, Path: s.Readiness.Path}),
 		packets.New(packets.Config{
 			Listen:    s.Listen.Packets,
@@ -155,6 +155,7 @@
 				},
 				MemberPrefix: memberPrefix,
 				MaxAge:       s.Catalog.MaxAge(),
+				Seeds:        s.Catalog.Seeds,
 			},
 			Decoder: platform.Documents{},
 		}),
--- a/flowd/signals.go
+++ b/flowd/signals.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"reflect"
 	"syscall"
 	"time"
 
@@ -101,5 +102,5 @@
 	s.log.Log(events.SettingsReloaded,
 		events.F("file", s.file),
 		events.F("level", next.Log.Level),
-		events.F("restart_needed", restart != *s.settings))
+		events.F("restart_needed", !reflect.DeepEqual(restart, *s.settings)))
 }
--- a/services/control/control.go
+++ b/services/control/control.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/kernel"
@@ -33,15 +34,16 @@
 
 // Service is the service "control".
 type Service struct {
-	listen   netip.AddrPort
-	listener net.Listener
-	mux      *http.ServeMux
-	server   *http.Server
+	addresses []netip.AddrPort
+	listeners []net.Listener
+	mux       *http.ServeMux
+	server    *http.Server
 }
 
-// New returns the service that listens on listen.
-func New(listen netip.AddrPort) *Service {
-	return &Service{listen: listen, mux: http.NewServeMux()}
+// New returns the service that listens on the valid ones of addresses.
+func New(addresses ...netip.AddrPort) *Service {
+	addresses = slices.DeleteFunc(addresses, func(a netip.AddrPort) bool { return !a.IsValid() })
+	return &Service{addresses: addresses, mux: http.NewServeMux()}
 }
 
 // Name implements kernel.Service.
@@ -52,11 +54,13 @@
 
 // Setup opens the listening socket.
 func (s *Service) Setup(*kernel.Kernel) error {
-	listener, err := net.Listen("tcp4", s.listen.String())
-	if err != nil {
-		return fmt.Errorf("listen on %s: %w", s.listen, err)
+	for _, address := range s.addresses {
+		listener, err := net.Listen("tcp4", address.String())
+		if err != nil {
+			return fmt.Errorf("listen on %s: %w", address, err)
+		}
+		s.listeners = append(s.listeners, listener)
 	}
-	s.listener = listener
 	return nil
 }
 
@@ -68,12 +72,18 @@
 // Connect implements kernel.Service.
 func (s *Service) Connect(k *kernel.Kernel) error {
 	s.server = &http.Server{Handler: s.mux, ReadTimeout: serveTimeout, WriteTimeout: serveTimeout, MaxHeaderBytes: maxHeader}
-	k.AddBlocker(kernel.Blocker{Name: "control.serve", Run: s.serve, Interrupt: func() { s.server.Close() }})
+	for _, listener := range s.listeners {
+		k.AddBlocker(kernel.Blocker{
+			Name:      "control.serve",
+			Run:       func(context.Context) error { return s.serve(listener) },
+			Interrupt: func() { s.server.Close() },
+		})
+	}
 	return nil
 }
 
-func (s *Service) serve(context.Context) error {
-	err := s.server.Serve(s.listener)
+func (s *Service) serve(listener net.Listener) error {
+	err := s.server.Serve(listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -268,7 +268,7 @@
 	case in.beat != nil:
 		s.machine.Receive(now, in.beat.from, in.beat.beat)
 	case in.answer != nil && in.answer.Err != nil:
-		s.machine.StoreFailed()
+		s.machine.StoreFailed(now)
 		s.log.Log(events.StoreCallFailed, events.F("error", in.answer.Err))
 	case in.answer != nil:
 		s.machine.FromStore(now, in.answer.News)
--- a/settings/flowset/example.go
+++ b/settings/flowset/example.go
@@ -24,6 +24,7 @@
 
 [catalog]
 apply_within = "3s"
+seeds = ["127.0.0.2:7721"]
 
 [log]
 format = "json"
--- a/settings/flowset/flowset.go
+++ b/settings/flowset/flowset.go
@@ -39,6 +39,7 @@
 	Readiness netip.AddrPort // TCP, questions of the routers
 	Beats     netip.AddrPort // UDP, beats of other VMs
 	Control   netip.AddrPort // TCP, pulls of other VMs, metrics, operators' questions
+	Metrics   netip.AddrPort // TCP, a further address for the same; invalid: none
 }
 
 // Readiness is the question of the routers.
@@ -55,6 +56,8 @@
 // Catalog says how soon changes must be in force.
 type Catalog struct {
 	ApplyWithin time.Duration // from the acknowledgement of a change to its effect
+	// Seeds are control addresses of other VMs, which may be down.
+	Seeds []netip.AddrPort
 }
 
 // MaxAge returns the age of the knowledge of the store at which a VM reads the
@@ -100,6 +103,9 @@
 	if document.Overlap(l.Packets, l.Beats) {
 		c.Add("listen.beats", "an address that listen.packets does not use", document.Show(l.Beats.String()))
 	}
+	if document.Overlap(l.Readiness, l.Metrics) || document.Overlap(l.Control, l.Metrics) {
+		c.Add("listen.metrics", "an address that no other key uses", document.Show(l.Metrics.String()))
+	}
 	if document.Overlap(l.Readiness, l.Control) {
 		c.Add("listen.control", "an address that listen.readiness does not use", document.Show(l.Control.String()))
 	}
--- a/settings/flowset/flowset_test.go
+++ b/settings/flowset/flowset_test.go
@@ -67,8 +67,9 @@
 		{"store missing", `address = "127.0.0.1:8169"`, ``, 16, "store.address"},
 		{"time without a unit", `"3s"`, `"3"`, 20, "catalog.apply_within"},
 		{"time too short", `"3s"`, `"100ms"`, 20, "catalog.apply_within"},
-		{"unknown level", `"info"`, `"loud"`, 24, "log.level"},
-		{"unknown key", `format = "json"`, `color = "red"`, 23, "log.color"},
+		{"seed without a port", `"127.0.0.2:7721"`, `"127.0.0.2"`, 21, "catalog.seeds"},
+		{"unknown level", `"info"`, `"loud"`, 25, "log.level"},
+		{"unknown key", `format = "json"`, `color = "red"`, 24, "log.color"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/settings/flowset/keys.go
+++ b/settings/flowset/keys.go
@@ -45,6 +45,9 @@
 	{Path: "listen.control", Type: document.TypeAddress, Range: document.AdvertisedRange,
 		Meaning: "TCP address for pulls of other VMs, as they reach it, for metrics and for operators' questions (HTTP). It has no authentication; use an address that only VMs and operators reach.",
 		Set:     document.Advertised(func(s *Settings) *netip.AddrPort { return &s.Listen.Control })},
+	{Path: "listen.metrics", Type: document.TypeAddress, Range: document.AddressRange, Optional: true,
+		Meaning: "A further TCP address that serves what `listen.control` serves, for collectors that expect a certain port.",
+		Set:     document.Address(func(s *Settings) *netip.AddrPort { return &s.Listen.Metrics })},
 	{Path: "readiness.path", Type: document.TypeString, Default: "/readyz", Range: "path that starts with /",
 		Meaning: "Path of the routers' question.",
 		Set:     setPath},
@@ -57,6 +60,9 @@
 	duration("catalog.apply_within", defaultApplyWithin, 500*time.Millisecond, time.Minute,
 		"Time from the acknowledgement of a change in the store until it is in force at every VM. A VM reads the store itself when what it knows is older than 70% of it; watches are held for half of it.",
 		func(s *Settings) *time.Duration { return &s.Catalog.ApplyWithin }),
+	{Path: "catalog.seeds", Type: "list of addresses", Range: "each " + document.AddressRange, Optional: true,
+		Meaning: "`listen.control` of some other VMs, which may be down. A VM that starts while the store does not answer gets its first catalog from one of them.",
+		Set:     setSeeds},
 	{Path: "log.format", Type: document.TypeString, Default: "json", Range: "one of json, text",
 		Meaning: "Form of log lines, on the standard output.",
 		Set:     setLogFormat},
@@ -110,3 +116,18 @@
 	s.Log.Level = level
 	return err == nil
 }
+
+func setSeeds(s *Settings, raw any) bool {
+	list, ok := raw.([]any)
+	if !ok {
+		return false
+	}
+	for _, item := range list {
+		addr, ok := document.ParseAddress(item)
+		if !ok {
+			return false
+		}
+		s.Catalog.Seeds = append(s.Catalog.Seeds, addr)
+	}
+	return true
+}
