--- a/decide/evidence/evidence.go
+++ b/decide/evidence/evidence.go
@@ -87,6 +87,10 @@
 	return now < t.avoidTill || now < t.probeAt+probation
 }
 
+// Suspected reports whether the target has left something unanswered since its
+// last sign of life.
+func (t *Tracker) Suspected() bool { return t.avoid > 0 }
+
 // Chosen notes that a new flow was sent to the target. After an avoidance one
 // flow probes it, and others wait for a sign of life.
 func (t *Tracker) Chosen(now time.Duration) {
--- a/decide/flood/flood.go
+++ b/decide/flood/flood.go
@@ -8,7 +8,10 @@
 // keep their service; when none is, the less urgent kinds yield.
 package flood
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// perSlot is the number of requests in progress for each slot up to which a
@@ -129,6 +132,18 @@
 	return p != nil && p.bounded
 }
 
+// BoundedServices returns the services whose requests are bounded now, sorted.
+func (l *Limiter) BoundedServices() []string {
+	var names []string
+	for name, p := range l.services {
+		if p.bounded {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
 // Note counts a request of the kind called name.
 func (l *Limiter) Note(now time.Duration, name string, priority int, service string) {
 	k := l.kinds[name]
--- a/decide/forward/domains.go
+++ b/decide/forward/domains.go
@@ -113,6 +113,10 @@
 	}
 }
 
+// BoundedServices returns the services under so much pressure that requests and
+// new flows are held or refused.
+func (f *Forwarder) BoundedServices() []string { return f.flood.BoundedServices() }
+
 // ownLoads returns the work that this VM causes, by service.
 func (f *Forwarder) ownLoads() map[string]balance.Load {
 	sums := make(map[string]balance.Load)
--- a/decide/forward/forward.go
+++ b/decide/forward/forward.go
@@ -348,6 +348,10 @@
 	if r.wasTried(t) {
 		return false
 	}
+	if !t.Listed && f.evidence[t.Slot].Suspected() {
+		// Its entry has lapsed, and it does not answer either.
+		return false
+	}
 	local := t.Domain == f.config.Domain
 	silent := f.evidence[t.Slot].Silent(now) || f.isCutOff(now, t)
 	switch rank {
--- a/decide/forward/forward_test.go
+++ b/decide/forward/forward_test.go
@@ -356,6 +356,24 @@
 	}
 }
 
+// Guards against new flows that go to a target whose entry lapsed in an outage of
+// the store and that does not answer.
+func TestLapsedAndSilentTargetsGetNoFlows(t *testing.T) {
+	r := newRig(t)
+	dead := r.f.Receive(0, syn(1, 0)).Target
+	r.f.Receive(200*ms, syn(1, 1))
+	r.f.StoreLost()
+	r.f.StoreRegained(300 * ms)
+	for id := 1; id <= 3; id++ {
+		r.apply(300*ms, catalog.Change{Gone: fmt.Sprint("i-", id)})
+	}
+	// The avoidance is over, and all entries of the domain are in doubt.
+	for caller := uint16(2); caller < 20; caller++ {
+		target := r.f.Receive(2*time.Second, syn(caller, 0)).Target
+		r.True(target != dead && target.Domain == "a")
+	}
+}
+
 // Guards against flows to live targets of another domain that are reset because one
 // target there is dead.
 func TestOneDeadTargetIsNotACutDomain(t *testing.T) {
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -315,6 +315,10 @@
 	PacketSendFailed = declare(Event{Number: "GS6203", Level: Warn, Name: "packet_send_failed", Limited: true,
 		Message: "datagram can't be sent",
 		Fields:  []string{"to", "error"}})
+	// PressureChanged is written when other services than before are bounded.
+	PressureChanged = declare(Event{Number: "GS6204", Level: Warn, Name: "pressure_changed", Limited: true,
+		Message: "requests of these services are bounded, since targets have too much work; none: no longer",
+		Fields:  []string{"services"}})
 )
 
 // all lists the events in order of declaration.
--- a/services/packets/packets.go
+++ b/services/packets/packets.go
@@ -156,6 +156,7 @@
 	forwarder *forward.Forwarder
 	inForce   chan struct{} // closed when the catalog is in force
 	reset     []byte
+	bounded   []string      // services whose requests are bounded, as logged
 	nextLoads time.Duration // of the next load report
 
 	received  atomic.Uint64
--- a/services/packets/report.go
+++ b/services/packets/report.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/netip"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/decide/catalog"
@@ -27,12 +29,23 @@
 	}
 	if in.Loads != nil {
 		s.forwarder.SetDomainLoads(now, in.Loads)
+		s.logBounded()
 		return
 	}
 	effect := s.forwarder.Apply(now, in.Change)
 	s.logEffect(in.Change, effect)
 }
 
+// logBounded logs the services whose requests begin or cease to be bounded.
+func (s *Service) logBounded() {
+	bounded := s.forwarder.BoundedServices()
+	if slices.Equal(bounded, s.bounded) {
+		return
+	}
+	s.bounded = bounded
+	s.log.Log(events.PressureChanged, events.F("services", strings.Join(bounded, ",")))
+}
+
 // checkInForce makes the VM ready once its catalog is.
 func (s *Service) checkInForce(now time.Duration) {
 	if s.ready.IsSet() || !s.forwarder.View().Ready(now) {
