--- a/flowd/flowd_test.go
+++ b/flowd/flowd_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -194,6 +196,9 @@
 		f.Equal(again, name)
 	}
 
+	f.checkMetrics(one)
+	f.checkQuestions(one, flow, name)
+
 	// Broken settings change nothing, good ones take effect.
 	good, err := os.ReadFile(one.file)
 	f.NoErr(err)
@@ -244,6 +249,64 @@
 	}
 }
 
+// get returns the body of a question to the VM's control address.
+func (f *fleet) get(v *vm, path string) []byte {
+	f.t.Helper()
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get("http://" + v.settings.Listen.Control.String() + path)
+	f.NoErr(err)
+	defer response.Body.Close()
+	f.Equal(response.StatusCode, http.StatusOK)
+	body, err := io.ReadAll(response.Body)
+	f.NoErr(err)
+	return body
+}
+
+// checkMetrics compares the metrics of a VM that has served a flow with their page.
+func (f *fleet) checkMetrics(v *vm) {
+	page, err := os.ReadFile("../docs/flow-metrics.md")
+	f.NoErr(err)
+	var documented, served []string
+	for line := range strings.Lines(string(page)) {
+		if cells := strings.Split(line, "|"); strings.HasPrefix(line, "| `") {
+			documented = append(documented, strings.Trim(cells[1], " `")+" "+strings.TrimSpace(cells[2]))
+		}
+	}
+	for line := range strings.Lines(string(f.get(v, "/metrics"))) {
+		if words := strings.Fields(line); strings.HasPrefix(line, "# TYPE") {
+			served = append(served, words[2]+" "+words[3])
+		}
+	}
+	f.Equal(served, documented)
+}
+
+// checkQuestions asks a VM about itself and about an open flow.
+func (f *fleet) checkQuestions(v *vm, flow *flowends.Flow, target string) {
+	var status struct {
+		VM      string `json:"vm"`
+		Version int    `json:"version"`
+		Ready   bool   `json:"ready"`
+		Targets []struct {
+			ID    string `json:"id"`
+			Flows int    `json:"flows"`
+		} `json:"targets"`
+	}
+	f.NoErr(json.Unmarshal(f.get(v, "/v1/status"), &status))
+	f.Equal(status.VM, v.settings.VM.Name)
+	f.True(status.Version == 4 && status.Ready && len(status.Targets) == 3)
+	var explained struct {
+		Known  bool   `json:"known"`
+		Phase  string `json:"phase"`
+		Target struct {
+			ID string `json:"id"`
+		} `json:"target"`
+	}
+	path := "/v1/explain?caller=" + flow.From.String() + "&address=" + flow.To.String()
+	f.NoErr(json.Unmarshal(f.get(v, path), &explained))
+	f.True(explained.Known && explained.Phase == "open")
+	f.Equal(explained.Target.ID, target)
+}
+
 // lastState returns the state of a target in the last line that names it.
 func lastState(v *vm, target string) string {
 	state := ""
