--- a/daemon/assemble.go
+++ b/daemon/assemble.go
@@ -55,17 +55,8 @@
 		}
 		list = append(list, further...)
 	}
-	return register(list)
-}
-
-func register(list []kernel.Service) (*kernel.Kernel, error) {
-	k := kernel.New(kernel.NewClock())
-	for _, service := range list {
-		if err := k.Register(service); err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrAssemble, err)
-		}
-	}
-	if err := k.Assemble(); err != nil {
+	k, err := kernel.Build(list...)
+	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrAssemble, err)
 	}
 	return k, nil
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -11,6 +11,7 @@
 	"os"
 	"time"
 
+	"github.com/gypsumspan/gypsumspan/daemoncmd"
 	"github.com/gypsumspan/gypsumspan/decide/message"
 	"github.com/gypsumspan/gypsumspan/events"
 	"github.com/gypsumspan/gypsumspan/kernel"
@@ -62,7 +63,7 @@
 
 func (o *Options) setDefaults() {
 	if o.Version == "" {
-		o.Version = buildVersion()
+		o.Version = daemoncmd.BuildVersion()
 	}
 	if o.Stdout == nil {
 		o.Stdout = os.Stdout
--- a/flowd/flowd.go
+++ b/flowd/flowd.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/gypsumspan/gypsumspan/daemoncmd"
 	"github.com/gypsumspan/gypsumspan/decide/forward"
 	"github.com/gypsumspan/gypsumspan/decide/relay"
 	"github.com/gypsumspan/gypsumspan/events"
@@ -60,7 +61,7 @@
 
 func (o *Options) setDefaults() {
 	if o.Version == "" {
-		o.Version = buildVersion()
+		o.Version = daemoncmd.BuildVersion()
 	}
 	if o.Stdout == nil {
 		o.Stdout = os.Stdout
@@ -70,14 +71,6 @@
 	}
 }
 
-func buildVersion() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok || info.Main.Version == "" {
-		return "unknown"
-	}
-	return info.Main.Version
-}
-
 // Run runs one VM with the settings of file until a stop signal or the end of
 // ctx. It returns nil after a planned stop, ErrAssemble, or the error of the
 // service that failed.
@@ -161,13 +154,8 @@
 		}),
 		flowmetrics.New(s.VM.Name, s.VM.Domain),
 	}
-	k := kernel.New(kernel.NewClock())
-	for _, service := range list {
-		if err := k.Register(service); err != nil {
-			return nil, fmt.Errorf("%w: %w", ErrAssemble, err)
-		}
-	}
-	if err := k.Assemble(); err != nil {
+	k, err := kernel.Build(list...)
+	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrAssemble, err)
 	}
 	return k, nil
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -46,6 +46,22 @@
 	return &Kernel{clock: clock, services: make(map[string]Service)}
 }
 
+// Build returns a kernel for Run with the given services, set up and connected. It
+// returns ErrDuplicateName, ErrUnknownService, ErrNeedCycle, or the error of the
+// service that failed.
+func Build(services ...Service) (*Kernel, error) {
+	k := New(NewClock())
+	for _, s := range services {
+		if err := k.Register(s); err != nil {
+			return nil, err
+		}
+	}
+	if err := k.Assemble(); err != nil {
+		return nil, err
+	}
+	return k, nil
+}
+
 // NewStepped returns a kernel for a Stepper; clock is usually the stepper itself.
 func NewStepped(clock Clock) *Kernel {
 	k := New(clock)
