--- a/decide/relay/relay.go
+++ b/decide/relay/relay.go
@@ -45,6 +45,8 @@
 	// maxInline bounds the keys and values in one beat, in bytes, so that it fits one
 	// datagram.
 	maxInline = 900
+	// maxComplete bounds a whole copy that is sent to a VM that has one, in bytes.
+	maxComplete = 64 << 10
 	// loadsCacheFor is how long a sum of loads is used again.
 	loadsCacheFor = 200 * time.Millisecond
 	// maxLoads bounds the loads in one beat, so that it fits one datagram.
@@ -250,7 +252,10 @@
 func (m *Machine) FromPull(now, asked time.Duration, n News) {
 	m.pull = nil
 	if n.Revision == 0 {
-		// The other VM has no copy either.
+		// The other VM has no copy, or none that it could send in part.
+		if m.replica.Revision() > 0 {
+			m.direct(now)
+		}
 		return
 	}
 	n.Confirmed.Age += now - asked
@@ -391,11 +396,7 @@
 		return
 	}
 	items, complete := m.replica.Since(after)
-	size := 0
-	for _, item := range items {
-		size += len(item.Key) + len(item.Value)
-	}
-	if complete || size > maxInline {
+	if complete || sizeOf(items) > maxInline {
 		return
 	}
 	b.HasItems, b.After, b.Items = true, after, items
@@ -410,9 +411,23 @@
 	m.out.Pull = m.pull
 }
 
-// Answer returns what was written after a revision, for another VM's pull.
+// sizeOf returns the bytes of the keys and values of items.
+func sizeOf(items []Item) int {
+	size := 0
+	for _, item := range items {
+		size += len(item.Key) + len(item.Value)
+	}
+	return size
+}
+
+// Answer returns what was written after a revision, for another VM's pull. A VM
+// that has a copy does not get a whole large one: it reads the store's history,
+// which is one call, instead. The news are empty then.
 func (m *Machine) Answer(now time.Duration, after int64) News {
 	items, complete := m.replica.Since(after)
+	if complete && after > 0 && sizeOf(items) > maxComplete {
+		return News{}
+	}
 	return News{Revision: m.replica.Revision(), Confirmed: m.confirmation(now), Items: items, Complete: complete}
 }
 
--- a/decide/relay/relay_test.go
+++ b/decide/relay/relay_test.go
@@ -341,6 +341,23 @@
 	is.True(alone.Take().Pull != nil)
 }
 
+// Guards against whole copies of a large catalog that are sent to every VM that
+// read the store a moment earlier than its relay.
+func TestLargeCopiesAreNotSentWhole(t *testing.T) {
+	is := is.New(t)
+	config := Config{Self: Member{Name: "me", Domain: "a"}, MemberPrefix: prefix, MaxAge: maxAge}
+	large := Item{Key: "servers", Value: make([]byte, maxComplete+1), Revision: 3}
+	m := New(config)
+	m.FromStore(0, News{Revision: 10, Items: []Item{large}, Complete: true})
+	is.Equal(m.Answer(0, 9), News{})              // deletions up to 10 are not known
+	is.Equal(m.Answer(0, 0).Items, []Item{large}) // a VM without a copy gets everything
+	is.Equal(m.Answer(0, 10).Revision, int64(10)) // nothing is missing
+	asker := New(config)
+	asker.FromStore(0, News{Revision: 9, Items: []Item{large}, Complete: true})
+	asker.FromPull(time.Second, time.Second, News{})
+	is.True(asker.Watching(time.Second)) // it reads the history itself
+}
+
 // Guards against entries of lost VMs that stay in the store for ever, and against
 // the removal of one that lives.
 func TestRelayForgetsOnlyLostVMs(t *testing.T) {
