--- a/decide/relay/replica.go
+++ b/decide/relay/replica.go
@@ -97,7 +97,7 @@
 // means that they are all that exist, since deletions after revision may have
 // been forgotten.
 func (r *Replica) Since(revision int64) (items []Item, complete bool) {
-	complete = revision <= r.pruned || revision == 0
+	complete = revision < r.pruned || revision == 0
 	for _, h := range r.items {
 		if complete && h.Deleted || !complete && h.Revision <= revision {
 			continue
