Split decide/forward and decide/relay by subject; unknown cookies wait as long as changes may take

Cause of the second: a VM reset flows with a cookie that it had not known for three seconds, also where operators let changes take five or twelve (found by reading).

--- a/decide/forward/forward_test.go
+++ b/decide/forward/forward_test.go
@@ -177,6 +177,11 @@
 			r.f.Receive(ms, later(1, 12345, 101, 500, 10))
 			return r.f.Receive(4*time.Second, later(1, 12345, 101, 500, 10))
 		}, Reset, UnknownForLong},
+		{"unknown cookie, changes take longer", func(r *rig) Verdict {
+			r.f.config.ApplyWithin = 12 * time.Second
+			r.f.Receive(ms, later(1, 12345, 101, 500, 10))
+			return r.f.Receive(4*time.Second, later(1, 12345, 101, 500, 10))
+		}, Drop, UnknownCookie},
 		{"unknown cookie for long, old catalog", func(r *rig) Verdict {
 			r.f.StoreLost()
 			r.f.Receive(ms, later(1, 12345, 101, 500, 10))
--- /dev/null
+++ b/decide/relay/roles.go
@@ -0,0 +1,59 @@
+package relay
+
+import "time"
+
+// chooseRole makes this VM the relay when no VM before it is alive.
+func (m *Machine) chooseRole(now time.Duration) {
+	own := rankOf(m.config.Self.Domain, m.config.Self.Name)
+	relay := m.members.relay(now, m.config.Self.Domain)
+	isRelay := (relay == nil || relay.score < own) && m.known && now-m.firstKnown >= settle
+	if isRelay && !m.isRelay {
+		m.relaySince = now
+	}
+	m.isRelay = isRelay
+}
+
+// askRelays sends the questions that are due: to the own domain's relay and the
+// dead VMs before it; a relay asks the relays of the other domains.
+func (m *Machine) askRelays(now time.Duration) time.Duration {
+	next := now + askInterval
+	own := rankOf(m.config.Self.Domain, m.config.Self.Name)
+	for _, domain := range m.members.domains() {
+		local := domain == m.config.Self.Domain
+		if !local && !m.isRelay {
+			continue
+		}
+		for _, p := range m.members.byDomain[domain] {
+			if local && p.score < own {
+				break
+			}
+			dead := p.dead(now)
+			next = min(next, m.ask(now, p, dead))
+			if !dead {
+				break
+			}
+		}
+	}
+	return next
+}
+
+// ask sends a question if it is due and returns when the next one is.
+func (m *Machine) ask(now time.Duration, p *peer, dead bool) time.Duration {
+	if now < p.nextAsk {
+		return p.nextAsk
+	}
+	p.nextAsk = now + askInterval
+	if dead {
+		p.nextAsk = now + deadAskInterval
+	}
+	if !p.waiting {
+		p.waiting = true
+		p.asked = now
+	}
+	loads := m.ownLoads
+	if p.Domain != m.config.Self.Domain {
+		loads = m.DomainLoads(now)
+	}
+	m.out.Beats = append(m.out.Beats, Outgoing{To: p.Beats, Beat: m.beat(now, false, loads)})
+	return p.nextAsk
+}
--- /dev/null
+++ b/decide/relay/types.go
@@ -0,0 +1,86 @@
+package relay
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Load is work that comes from the VMs of one failure domain to the targets of a
+// service in the same or another one.
+type Load struct {
+	Domain  string // of the VMs
+	At      string // failure domain of the targets
+	Service string
+	Flows   uint32 // open flows
+	Busy    uint32 // requests in progress
+}
+
+// Confirmation says that Revision was the newest in the store Age ago.
+type Confirmation struct {
+	Revision int64 // 0: nothing is known
+	Age      time.Duration
+	// Regained, if HasRegained, is how long ago the store came back after an outage.
+	// Entries that lapsed meanwhile may still be missing.
+	Regained    time.Duration
+	HasRegained bool
+}
+
+// Beat is one datagram between VMs.
+type Beat struct {
+	Name      string
+	Domain    string
+	Reply     bool  // the sender was asked, or tells news
+	Revision  int64 // everything up to it is in the sender's copy
+	Confirmed Confirmation
+	Loads     []Load
+	// Items, with HasItems, are what was written after After and up to Revision, when
+	// it is little. A receiver that has everything up to After needs no pull.
+	HasItems bool
+	After    int64
+	Items    []Item
+}
+
+// News is a part of another copy: the answer of the store or of a pull.
+type News struct {
+	Revision  int64
+	Confirmed Confirmation
+	Items     []Item
+	Complete  bool // Items hold every key
+}
+
+// Outgoing is a beat to send.
+type Outgoing struct {
+	To   netip.AddrPort
+	Beat Beat
+}
+
+// Pull asks for what was written after a revision.
+type Pull struct {
+	From  netip.AddrPort
+	Name  string // of the VM
+	After int64
+}
+
+// Output is what a machine wants done.
+type Output struct {
+	Beats []Outgoing
+	Pull  *Pull
+	News  []Item // changes of the copy, in order
+	// Lost and Regained say that knowledge of the store became too old or new again.
+	Lost     bool
+	Regained bool
+	// Forget is the entry of a VM that is long dead; its revision is that which may
+	// be deleted.
+	Forget *Item
+}
+
+// Config is what a machine knows of itself.
+type Config struct {
+	Self         Member
+	MemberPrefix string // of the keys of VMs
+	// Seeds are addresses for pulls of some VMs, which may be down. A VM that starts
+	// while the store does not answer gets its first copy from one of them.
+	Seeds []netip.AddrPort
+	// MaxAge is the age of the knowledge of the store at which the VM watches it.
+	MaxAge time.Duration
+}
--- a/flowd/flowd.go
+++ b/flowd/flowd.go
@@ -128,7 +128,7 @@
 			Codec:     platform.Packets{},
 			Prefix:    platform.TargetPrefix,
 			MaxPacket: platform.MaxPacket,
-			Forward:   forward.Config{Domain: s.VM.Domain, Seed: seed},
+			Forward:   forward.Config{Domain: s.VM.Domain, Seed: seed, ApplyWithin: s.Catalog.ApplyWithin},
 		}),
 		catalogwatch.New(catalogwatch.Config{
 			Store: platform.NewStore(platform.StoreConfig{
