Hold all ports of a test until the last is found

The test of gypsumflowd had guessed ports beside free ones; it failed once while the same tests ran in another folder, and not in 24 further runs beside each other, so that this is its likely cause, not a proved one.

--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -50,23 +50,35 @@
 }
 func (b *boundMachine) Left() bool { return b.leaving && !b.stays }
 
-// freeAddress returns a loopback address that is free for TCP and UDP now.
-func freeAddress(t *testing.T) string {
+// freeAddresses returns n addresses whose ports are free for TCP and UDP. All are
+// held until the last is found, so that none is returned twice.
+func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	var addresses []string
+	for len(addresses) < n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		u, err := net.ListenPacket("udp", l.Addr().String())
+		if err != nil {
+			continue // the port is free for TCP only
+		}
+		defer u.Close()
+		addresses = append(addresses, l.Addr().String())
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return addresses
 }
 
 // testSettings returns valid settings on free addresses.
 func testSettings(t *testing.T) *settings.Settings {
 	t.Helper()
 	text := settings.Example()
-	for _, fixed := range []string{"127.0.0.1:7100", "127.0.0.1:7200", "127.0.0.1:7400", "127.0.0.1:7500"} {
-		text = strings.Replace(text, fixed, freeAddress(t), 1)
+	examples := []string{"127.0.0.1:7100", "127.0.0.1:7200", "127.0.0.1:7400", "127.0.0.1:7500"}
+	free := freeAddresses(t, len(examples))
+	for i, fixed := range examples {
+		text = strings.Replace(text, fixed, free[i], 1)
 	}
 	s, err := settings.Parse("test", []byte(text))
 	if err != nil {
--- a/flowd/flowd_test.go
+++ b/flowd/flowd_test.go
@@ -58,14 +58,41 @@
 	return f
 }
 
-// freePort returns a UDP port that was free a moment ago.
+// vmIP returns the address of a VM.
+func vmIP(number int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, 1, byte(number)}) }
+
+// callerIP is the address of the callers.
+var callerIP = netip.MustParseAddr("127.0.2.1")
+
+// maxVMs is the largest number of a VM in these tests.
+const maxVMs = 4
+
+// freePort returns a UDP port that is free, with the next one, at every VM and at
+// the callers.
 func freePort(t *testing.T) uint16 {
-	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	for {
+		conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(callerIP, 0)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		port := conn.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+		free := port < 65535
+		for number := 1; number <= maxVMs && free; number++ {
+			free = isFree(vmIP(number), port) && isFree(vmIP(number), port+1)
+		}
+		conn.Close()
+		if free {
+			return port
+		}
+	}
+}
+
+func isFree(ip netip.Addr, port uint16) bool {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(ip, port)))
 	if err != nil {
-		t.Fatal(err)
+		return false
 	}
-	defer conn.Close()
-	return conn.LocalAddr().(*net.UDPAddr).AddrPort().Port()
+	return conn.Close() == nil
 }
 
 // write writes a key as the operator and the targets do.
@@ -97,12 +124,13 @@
 }
 
 func (f *fleet) startVM(number int, domain string) *vm {
-	ip := netip.AddrFrom4([4]byte{127, 0, 1, byte(number)})
-	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(ip, port) }
-	tcp, err := net.Listen("tcp4", at(0).String())
+	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(vmIP(number), port) }
+	readiness, err := net.Listen("tcp4", at(0).String())
+	f.NoErr(err)
+	control, err := net.Listen("tcp4", at(0).String())
 	f.NoErr(err)
-	free := tcp.Addr().(*net.TCPAddr).AddrPort().Port()
-	f.NoErr(tcp.Close())
+	f.NoErr(readiness.Close())
+	f.NoErr(control.Close())
 	text := fmt.Sprintf(`
 [vm]
 name = "vm-%d"
@@ -116,7 +144,7 @@
 address = %q
 [timings]
 stop_grace = "20s"
-`, number, domain, at(f.port), at(free), at(f.port+1), at(free+1), f.store)
+`, number, domain, at(f.port), readiness.Addr(), at(f.port+1), control.Addr(), f.store)
 	v := &vm{
 		file:    filepath.Join(f.t.TempDir(), "settings.toml"),
 		signals: make(chan os.Signal, 2),
@@ -163,7 +191,7 @@
 }
 
 func (f *fleet) newCaller() *flowends.Caller {
-	caller, err := flowends.NewCaller(netip.AddrPortFrom(netip.MustParseAddr("127.0.2.1"), f.port))
+	caller, err := flowends.NewCaller(netip.AddrPortFrom(callerIP, f.port))
 	f.NoErr(err)
 	f.t.Cleanup(caller.Close)
 	return caller
