Record times of targets that pass within one step

Cause: TestFlowsOnThePlatform failed in 4 of 24 runs beside each other with the race detector: on a busy machine a packet and the one that shows its answer are decided in one step, with the same time, and a time of zero was taken for none. Change: such a time is reported as one nanosecond and recorded as one microsecond.

--- a/decide/forward/forward_test.go
+++ b/decide/forward/forward_test.go
@@ -528,6 +528,18 @@
 	}
 }
 
+// Guards against times that are lost because both packets were decided in one step.
+func TestTimesWithinOneStep(t *testing.T) {
+	r := newRig(t)
+	first := r.f.Receive(ms, syn(1, 0))
+	v := r.f.Receive(ms, later(1, first.Cookie, 101, 500, 10))
+	r.True(v.Opened > 0 && v.Answered == 0)
+	v = r.f.Receive(ms, later(1, first.Cookie, 111, 600, 0))
+	r.True(v.Opened == 0 && v.Answered > 0)
+	r.f.Receive(2*ms, later(1, first.Cookie, 111, 600, 10))
+	r.Equal(r.f.Receive(7*ms, later(1, first.Cookie, 121, 700, 0)).Answered, 5*ms)
+}
+
 // BenchmarkPlaceInAPool places flows of a service with many targets in three
 // domains, which the VM's evidence is asked about.
 func BenchmarkPlaceInAPool(b *testing.B) {
--- a/decide/forward/later.go
+++ b/decide/forward/later.go
@@ -128,6 +128,10 @@
 	return answering > silent
 }
 
+// shortest is reported for what happened within one step, whose packets have the
+// same time.
+const shortest = time.Nanosecond
+
 // note learns from a packet of an open flow. It returns how long the target took
 // to accept the flow and to answer a request, when the packet shows it.
 func (f *Forwarder) note(now time.Duration, r *record, t *catalog.Target, p flow.Packet) (opened, answered time.Duration) {
@@ -136,7 +140,7 @@
 	if r.phase == opening {
 		r.phase = open
 		r.ack = p.Ack
-		opened = now - r.sentAt
+		opened = max(now-r.sentAt, shortest)
 	}
 	r.seen = now
 	if progress {
@@ -144,7 +148,7 @@
 		r.ack = p.Ack
 		r.repeats = 0
 		if r.busy {
-			answered = now - r.askedAt
+			answered = max(now-r.askedAt, shortest)
 		}
 		f.setBusy(r, t, false)
 	}
--- a/services/packets/times.go
+++ b/services/packets/times.go
@@ -48,7 +48,7 @@
 func record(h *hdrhistogram.Histogram, d time.Duration) {
 	if d > 0 {
 		// The value is within the histogram's range.
-		_ = h.RecordValue(min(d, longestTime).Microseconds())
+		_ = h.RecordValue(max(min(d, longestTime).Microseconds(), 1))
 	}
 }
 
