A slow VM, and a relay of many others, judge no target by its silence

Ruled out: copies that wait together (ignored before). Change: a VM whose steps come 100 ms late judges no target for two seconds, and a relay with more than 24 askers judges none; its flows then wait for the entry to go.

--- a/decide/forward/ending.go
+++ b/decide/forward/ending.go
@@ -43,7 +43,7 @@
 // noteDead ends the flows of a target that has just been found dead: the idle
 // ones, and those whose request may be repeated.
 func (f *Forwarder) noteDead(now time.Duration, t *catalog.Target) {
-	if !f.evidence[t.Slot].Dead(now) || !f.othersAnswer(now, t) || !f.evidence[t.Slot].Declare(now) {
+	if !f.evidence[t.Slot].Dead(now) || !f.judges(now) || !f.othersAnswer(now, t) || !f.evidence[t.Slot].Declare(now) {
 		return
 	}
 	f.endFlows(t, TargetSilent, func(r *record, route *catalog.Route) bool {
--- a/decide/forward/forward.go
+++ b/decide/forward/forward.go
@@ -39,6 +39,9 @@
 	heldFor = 150 * time.Millisecond
 	// defaultTimeLimit is the time limit of requests whose route states none.
 	defaultTimeLimit = 5 * time.Second
+	// lateFor is how long a VM that was slow does not judge targets: longer than the
+	// copies of a packet take.
+	lateFor = 2 * time.Second
 	// lifeSigns is how long after the last sign of life a target without an entry is
 	// still taken as alive for its open flows.
 	lifeSigns = time.Second
@@ -68,6 +71,10 @@
 	chosen    []*catalog.Target   // parallel to choices
 	preferred string              // failure domain of the flow that is being placed
 
+	lateAt   time.Duration // when the VM was last too slow to judge targets
+	wasLate  bool
+	burdened bool // the VM has so much other work that it doesn't judge targets
+
 	ending []*catalog.Target // whose flows are to be reset once they are lost
 	resets []Ended           // flows that ended without a packet of theirs
 
@@ -126,6 +133,22 @@
 	}
 }
 
+// SetLate notes that the VM was paused or slow: what callers have sent since then
+// may still wait at this VM, so that targets look silent that are not.
+func (f *Forwarder) SetLate(now time.Duration) {
+	f.lateAt = now
+	f.wasLate = true
+}
+
+// SetBurdened says whether the VM has so much other work, or traffic on its link,
+// that it doesn't judge targets by their silence.
+func (f *Forwarder) SetBurdened(burdened bool) { f.burdened = burdened }
+
+// judges reports whether silence at this VM says something of a target.
+func (f *Forwarder) judges(now time.Duration) bool {
+	return !f.burdened && (!f.wasLate || now >= f.lateAt+lateFor)
+}
+
 // StoreLost notes that the store can't be reached.
 func (f *Forwarder) StoreLost() { f.view.StoreLost() }
 
--- a/decide/forward/forward_test.go
+++ b/decide/forward/forward_test.go
@@ -322,6 +322,42 @@
 	}
 }
 
+// Guards against a VM that is slow, or busy with the catalogs of others, and takes
+// targets for dead whose answers it has not seen yet.
+func TestASlowVMResetsNothing(t *testing.T) {
+	cases := []struct {
+		name   string
+		set    func(f *Forwarder)
+		resets bool
+	}{
+		{"neither", func(*Forwarder) {}, true},
+		{"slow a moment ago", func(f *Forwarder) { f.SetLate(500 * ms) }, false},
+		{"slow long ago", func(f *Forwarder) { f.SetLate(-lateFor) }, true},
+		{"burdened", func(f *Forwarder) { f.SetBurdened(true) }, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t)
+			r.keepAlive(0, nil)
+			dead := r.f.View().Target("i-1")
+			c.set(r.f)
+			resets := 0
+			for at := time.Duration(0); at <= 1400*ms; at += 100 * ms {
+				r.keepAlive(at, dead)
+				for caller := uint16(1); caller <= 3; caller++ {
+					if at != 0 && at != 200*ms && at != 600*ms && at != 1400*ms {
+						continue
+					}
+					if r.f.Receive(at, later(caller, dead.Cookie, 101, 500, 10)).Action == Reset {
+						resets++
+					}
+				}
+			}
+			r.Equal(resets+len(r.f.TakeEnded()) > 0, c.resets)
+		})
+	}
+}
+
 // Guards against a VM that is cut off itself and resets the flows of live targets.
 func TestAVMThatIsCutOffResetsNothing(t *testing.T) {
 	r := newRig(t)
--- a/decide/forward/later.go
+++ b/decide/forward/later.go
@@ -100,7 +100,7 @@
 // run at most once is left alone: its caller would not repeat it, and a target
 // behind a partition may still run it.
 func (f *Forwarder) isStuck(now time.Duration, r *record, t *catalog.Target, route *catalog.Route) bool {
-	if route == nil || route.Kind == catalog.NonIdempotent {
+	if route == nil || route.Kind == catalog.NonIdempotent || !f.judges(now) {
 		return false
 	}
 	if r.repeats >= stuckRepeats && f.isCutOff(now, t) {
--- a/decide/relay/relay.go
+++ b/decide/relay/relay.go
@@ -114,6 +114,17 @@
 // IsRelay reports whether the VM watches the store for its domain.
 func (m *Machine) IsRelay() bool { return m.isRelay }
 
+// Subscribers returns the number of VMs that ask this one.
+func (m *Machine) Subscribers(now time.Duration) int {
+	n := 0
+	for _, at := range m.subscribers {
+		if now-at < subscriberFor {
+			n++
+		}
+	}
+	return n
+}
+
 // Age returns how old the knowledge of the store is; ok is false without any.
 func (m *Machine) Age(now time.Duration) (age time.Duration, ok bool) {
 	return now - m.confirmedAt, m.known
--- a/services/packets/packets.go
+++ b/services/packets/packets.go
@@ -38,6 +38,10 @@
 	// socketBuffer is the size of the socket's buffers in bytes. It holds the
 	// datagrams that arrive while the process is not scheduled.
 	socketBuffer = 1 << 20
+	// wakeInterval is the longest time between two steps, and late the delay of a step
+	// that shows that the VM is paused or slow.
+	wakeInterval = 200 * time.Millisecond
+	late         = 100 * time.Millisecond
 	// loadsInterval is the time between two load reports.
 	loadsInterval = 500 * time.Millisecond
 	// quietTime is how long no datagram may arrive before a leaving VM ends.
@@ -101,7 +105,9 @@
 	Change catalog.Change
 	Store  StoreState
 	Loads  []relay.Load // of all failure domains
-	Ask    *Question
+	// Burdened, with Loads, says that the VM serves the catalog to many others.
+	Burdened bool
+	Ask      *Question
 }
 
 // Question runs on the forwarding duty, which owns what it asks for.
@@ -158,6 +164,7 @@
 	reset     []byte
 	bounded   []string      // services whose requests are bounded, as logged
 	nextLoads time.Duration // of the next load report
+	due       time.Duration // when the next step is due at the latest
 
 	received  atomic.Uint64
 	malformed atomic.Uint64
@@ -281,14 +288,24 @@
 	}
 }
 
-// step applies changes of the catalog, then decides on waiting datagrams.
+// step does the work that is due, and notes when it comes late.
 func (s *Service) step(now time.Duration) time.Duration {
+	if s.due > 0 && now > s.due+late {
+		s.forwarder.SetLate(now)
+	}
+	next := s.work(now)
+	s.due = max(next, now)
+	return next
+}
+
+// work applies changes of the catalog, then decides on waiting datagrams.
+func (s *Service) work(now time.Duration) time.Duration {
 	more := s.applyInputs(now)
 	s.checkInForce(now)
 	for range batchSize {
 		b, ok := s.in.Take()
 		if !ok {
-			wake := min(s.forwarder.Tick(now), s.reportLoads(now))
+			wake := min(s.forwarder.Tick(now), s.reportLoads(now), now+wakeInterval)
 			s.sendEnded()
 			s.flows.Store(uint64(s.forwarder.Flows()))
 			if more {
--- a/services/packets/report.go
+++ b/services/packets/report.go
@@ -28,6 +28,7 @@
 		return
 	}
 	if in.Loads != nil {
+		s.forwarder.SetBurdened(in.Burdened)
 		s.forwarder.SetDomainLoads(now, in.Loads)
 		s.logBounded()
 		return
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -36,6 +36,9 @@
 	registerInterval = 5 * time.Second
 	// fullRetry is the wait while "packets" has no room for changes.
 	fullRetry = 2 * time.Millisecond
+	// manySubscribers is the number of VMs that a relay serves beside its packets
+	// without harm to them.
+	manySubscribers = 24
 	// loadsInterval is the time between two reports of the domains' loads.
 	loadsInterval = 500 * time.Millisecond
 )
@@ -394,7 +397,7 @@
 	}
 	s.nextLoads = now + loadsInterval
 	if loads := s.machine.DomainLoads(now); len(loads) > 0 {
-		s.packets.TryPut(packets.Input{Loads: loads})
+		s.packets.TryPut(packets.Input{Loads: loads, Burdened: s.machine.Subscribers(now) > manySubscribers})
 	}
 	return s.nextLoads
 }
