Pulls are a service of their own; sockets can be handed in; one wait on a ring

Cause: the emulator of the platform's path shall run the real services packets and relay on a stepped kernel. Both opened their sockets themselves, and relay's pulls were a blocker inside it. No change of behaviour.

--- a/flowd/flowd.go
+++ b/flowd/flowd.go
@@ -26,6 +26,7 @@
 	"github.com/gypsumspan/gypsumspan/services/flowmetrics"
 	"github.com/gypsumspan/gypsumspan/services/logs"
 	"github.com/gypsumspan/gypsumspan/services/packets"
+	"github.com/gypsumspan/gypsumspan/services/pulls"
 	"github.com/gypsumspan/gypsumspan/services/readiness"
 	relayservice "github.com/gypsumspan/gypsumspan/services/relay"
 	"github.com/gypsumspan/gypsumspan/settings/flowset"
@@ -138,6 +139,7 @@
 			}),
 			Seed: seed,
 		}),
+		pulls.New(),
 		relayservice.New(relayservice.Config{
 			Machine: relay.Config{
 				Self: relay.Member{
--- a/kernel/ring.go
+++ b/kernel/ring.go
@@ -1,6 +1,7 @@
 package kernel
 
 import (
+	"context"
 	"fmt"
 	"sync"
 )
@@ -151,6 +152,22 @@
 	return v
 }
 
+// Wait returns the oldest item, and waits for one on the ring's gate while it is
+// empty. ok is false when ctx ends first. It is for blockers that are the only
+// reader of the gate.
+func (r *Ring[T]) Wait(ctx context.Context) (v T, ok bool) {
+	for {
+		if v, ok = r.Take(); ok {
+			return v, true
+		}
+		select {
+		case <-r.gate.C():
+		case <-ctx.Done():
+			return v, false
+		}
+	}
+}
+
 // Len returns the number of waiting items.
 func (r *Ring[T]) Len() int {
 	r.mu.Lock()
--- a/services/catalogwatch/catalogwatch.go
+++ b/services/catalogwatch/catalogwatch.go
@@ -13,7 +13,6 @@
 	"github.com/gypsumspan/gypsumspan/decide/relay"
 	"github.com/gypsumspan/gypsumspan/decide/retry"
 	"github.com/gypsumspan/gypsumspan/kernel"
-	"github.com/gypsumspan/gypsumspan/services/logs"
 	"github.com/gypsumspan/gypsumspan/services/taskswitch"
 	"github.com/gypsumspan/gypsumspan/store"
 )
@@ -106,7 +105,7 @@
 func (s *Service) Name() string { return Name }
 
 // Needs implements kernel.Service.
-func (s *Service) Needs() []string { return []string{logs.Name} }
+func (s *Service) Needs() []string { return nil }
 
 // Setup implements kernel.Service.
 func (s *Service) Setup(k *kernel.Kernel) error {
@@ -250,14 +249,9 @@
 // write makes waiting writes until ctx ends.
 func (s *Service) write(ctx context.Context) error {
 	for {
-		w, ok := s.outgoing.Take()
+		w, ok := s.outgoing.Wait(ctx)
 		if !ok {
-			select {
-			case <-s.gate.C():
-				continue
-			case <-ctx.Done():
-				return nil
-			}
+			return nil
 		}
 		txn := store.Txn{Compares: []store.Compare{{Key: w.Item.Key, ModRevision: w.Item.Revision}}}
 		if w.Item.Deleted {
--- a/services/packets/packets.go
+++ b/services/packets/packets.go
@@ -62,9 +62,19 @@
 	AppendReset(dst []byte, p flow.Packet) []byte
 }
 
+// Socket is a UDP socket.
+type Socket interface {
+	ReadFromUDPAddrPort(b []byte) (n int, from netip.AddrPort, err error)
+	WriteToUDPAddrPort(b []byte, to netip.AddrPort) (n int, err error)
+	Close() error
+}
+
 // Config configures the service.
 type Config struct {
 	Listen netip.AddrPort
+	// Socket replaces the socket that Setup opens at Listen; it may be nil. A stepped
+	// kernel has one, since it reads no socket: see Deliver.
+	Socket Socket
 	Codec  Codec
 	// Prefix is the number of bytes that stand before a packet to a target, and
 	// MaxPacket the size of the largest packet, in bytes.
@@ -148,16 +158,15 @@
 type Service struct {
 	config Config
 	kernel *kernel.Kernel
-	conn   *net.UDPConn
+	conn   Socket
 	log    logs.Log
 	ready  readiness.Switch
 	loads  LoadReceiver // nil when there is none
 
-	gate     *kernel.Gate
-	in       *kernel.Ring[*buffer]
-	input    *kernel.Ring[Input]
-	freeGate *kernel.Gate
-	free     *kernel.Ring[*buffer]
+	gate  *kernel.Gate
+	in    *kernel.Ring[*buffer]
+	input *kernel.Ring[Input]
+	free  *kernel.Ring[*buffer]
 
 	forwarder *forward.Forwarder
 	inForce   chan struct{} // closed when the catalog is in force
@@ -197,20 +206,19 @@
 
 // Setup opens the socket.
 func (s *Service) Setup(k *kernel.Kernel) error {
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(s.config.Listen))
-	if err != nil {
-		return fmt.Errorf("listen on %s: %w", s.config.Listen, err)
-	}
-	// The system may grant less than socketBuffer; that is not an error.
-	_ = conn.SetReadBuffer(socketBuffer)
-	_ = conn.SetWriteBuffer(socketBuffer)
 	s.kernel = k
-	s.conn = conn
+	s.conn = s.config.Socket
+	if s.conn == nil {
+		conn, err := listen(s.config.Listen)
+		if err != nil {
+			return err
+		}
+		s.conn = conn
+	}
 	s.gate = kernel.NewGate()
 	s.in = kernel.NewRing[*buffer](k, "packets.in", buffers, kernel.Block, s.gate)
 	s.input = kernel.NewRing[Input](k, "packets.input", changes, kernel.Refuse, s.gate)
-	s.freeGate = kernel.NewGate()
-	s.free = kernel.NewRing[*buffer](k, "packets.free", buffers, kernel.Block, s.freeGate)
+	s.free = kernel.NewRing[*buffer](k, "packets.free", buffers, kernel.Block, kernel.NewGate())
 	size := s.config.Prefix + s.config.MaxPacket + 1
 	memory := make([]byte, buffers*size)
 	for i := range buffers {
@@ -221,6 +229,18 @@
 	return nil
 }
 
+// listen opens a socket with large buffers.
+func listen(at netip.AddrPort) (*net.UDPConn, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", at, err)
+	}
+	// The system may grant less than socketBuffer; that is not an error.
+	_ = conn.SetReadBuffer(socketBuffer)
+	_ = conn.SetWriteBuffer(socketBuffer)
+	return conn, nil
+}
+
 // Connect implements kernel.Service.
 func (s *Service) Connect(k *kernel.Kernel) error {
 	var err error
@@ -255,7 +275,7 @@
 		return nil
 	}
 	for {
-		b, ok := s.takeFree(ctx)
+		b, ok := s.free.Wait(ctx)
 		if !ok {
 			return nil
 		}
@@ -274,18 +294,21 @@
 	}
 }
 
-// takeFree waits for a free buffer until ctx ends.
-func (s *Service) takeFree(ctx context.Context) (*buffer, bool) {
-	for {
-		if b, ok := s.free.Take(); ok {
-			return b, true
-		}
-		select {
-		case <-s.freeGate.C():
-		case <-ctx.Done():
-			return nil, false
-		}
+// Deliver takes a datagram as the receiving duty does, for a stepped kernel. It
+// returns false while the catalog is not in force or no buffer is free: the
+// datagram then waits in the socket's buffer.
+func (s *Service) Deliver(datagram []byte) bool {
+	select {
+	case <-s.inForce:
+	default:
+		return false
+	}
+	b, ok := s.free.Take()
+	if !ok {
+		return false
 	}
+	b.n = copy(b.bytes[s.config.Prefix:], datagram)
+	return s.in.Put(b) == nil
 }
 
 // step does the work that is due, and notes when it comes late.
--- a/services/relay/pull.go
+++ b/services/relay/pull.go
@@ -1,82 +1,38 @@
 package relay
 
 import (
-	"context"
-	"errors"
-	"fmt"
-	"io"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/decide/relay"
 	"github.com/gypsumspan/gypsumspan/events"
+	"github.com/gypsumspan/gypsumspan/services/pulls"
 	"github.com/gypsumspan/gypsumspan/wire/relaywire"
 )
 
-const (
-	// pullPath is the path of pulls.
-	pullPath = "/v1/news"
-	// pullTimeout bounds one pull.
-	pullTimeout = 800 * time.Millisecond
-	// maxNews is the largest answer to a pull, in bytes.
-	maxNews = 64 << 20
-	// answerTimeout bounds the wait for the deciding duty.
-	answerTimeout = 500 * time.Millisecond
-)
+// answerTimeout bounds the wait for the deciding duty.
+const answerTimeout = 500 * time.Millisecond
 
-// ErrPull means that a pull from another VM failed.
-var ErrPull = errors.New("pull from another VM failed")
+// FromPull implements pulls.Inbox.
+func (s *Service) FromPull(a pulls.Answer) error { return s.in.Put(input{pulled: &a}) }
 
-// pullLoop performs pulls until ctx ends.
-func (s *Service) pullLoop(ctx context.Context) error {
-	for {
-		p, ok := s.pulls.Take()
-		if !ok {
-			select {
-			case <-s.pullGate.C():
-				continue
-			case <-ctx.Done():
-				return nil
-			}
-		}
-		s.pullCount.Add(1)
-		result := pulled{asked: s.kernel.Now()}
-		result.news, result.err = s.pullOnce(ctx, p.From, p.After)
-		if result.err != nil {
-			s.pullsFailed.Add(1)
-			s.log.Log(events.PullFailed, events.F("peer", p.Name), events.F("error", result.err))
-		}
-		if s.in.Put(input{pulled: &result}) != nil {
-			return nil
-		}
+// takePulled takes in the answer of another VM.
+func (s *Service) takePulled(now time.Duration, a *pulls.Answer) {
+	s.pullCount.Add(1)
+	if a.Err != nil {
+		s.pullsFailed.Add(1)
+		s.log.Log(events.PullFailed, events.F("peer", a.Peer), events.F("error", a.Err))
+		s.machine.PullFailed(now)
+		return
 	}
+	s.machine.FromPull(now, a.Asked, a.News)
 }
 
-func (s *Service) pullOnce(ctx context.Context, from netip.AddrPort, after int64) (relay.News, error) {
-	url := "http://" + from.String() + pullPath + "?after=" + strconv.FormatInt(after, 10)
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return relay.News{}, fmt.Errorf("%w: %w", ErrPull, err)
-	}
-	response, err := s.client.Do(request)
-	if err != nil {
-		return relay.News{}, fmt.Errorf("%w: %w", ErrPull, err)
-	}
-	defer response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		return relay.News{}, fmt.Errorf("status %d: %w", response.StatusCode, ErrPull)
-	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxNews))
-	if err != nil {
-		return relay.News{}, fmt.Errorf("%w: %w", ErrPull, err)
-	}
-	news, err := relaywire.DecodeNews(body)
-	if err != nil {
-		return relay.News{}, fmt.Errorf("%w: %w", ErrPull, err)
-	}
-	return news, nil
+// Ask has the deciding duty, which owns the copy, call answer with what was written
+// after a revision. It returns an error when the VM is stopping.
+func (s *Service) Ask(after int64, answer func(relay.News)) error {
+	return s.in.Put(input{asked: &question{after: after, answer: answer}})
 }
 
 // answerPull answers one pull. The deciding duty owns the copy.
@@ -86,15 +42,15 @@
 		http.Error(w, "after must be a whole number", http.StatusBadRequest)
 		return
 	}
-	q := &question{after: after, answer: make(chan relay.News, 1)}
-	if err := s.in.Put(input{asked: q}); err != nil {
+	answer := make(chan relay.News, 1)
+	if err := s.Ask(after, func(news relay.News) { answer <- news }); err != nil {
 		http.Error(w, "VM is stopping", http.StatusServiceUnavailable)
 		return
 	}
 	timer := time.NewTimer(answerTimeout)
 	defer timer.Stop()
 	select {
-	case news := <-q.answer:
+	case news := <-answer:
 		s.writeNews(w, news)
 	case <-timer.C:
 		http.Error(w, "VM is busy", http.StatusServiceUnavailable)
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -21,6 +20,7 @@
 	"github.com/gypsumspan/gypsumspan/services/control"
 	"github.com/gypsumspan/gypsumspan/services/logs"
 	"github.com/gypsumspan/gypsumspan/services/packets"
+	"github.com/gypsumspan/gypsumspan/services/pulls"
 	"github.com/gypsumspan/gypsumspan/wire/relaywire"
 )
 
@@ -62,10 +62,17 @@
 	Write(w catalogwatch.Write)
 }
 
+// Puller is the service "pulls". It gives the answer to FromPull.
+type Puller interface {
+	Pull(p relay.Pull)
+}
+
 // Config configures the service.
 type Config struct {
 	Machine relay.Config
 	Decoder Decoder
+	// Socket replaces the socket of beats that Setup opens; it may be nil.
+	Socket packets.Socket
 }
 
 // Stats counts since start.
@@ -87,7 +94,7 @@
 type input struct {
 	beat   *receivedBeat
 	answer *catalogwatch.Answer
-	pulled *pulled
+	pulled *pulls.Answer
 	asked  *question
 	loads  []relay.Load
 }
@@ -97,34 +104,26 @@
 	beat relay.Beat
 }
 
-type pulled struct {
-	asked time.Duration
-	news  relay.News
-	err   error
-}
-
 // question is another VM's pull.
 type question struct {
 	after  int64
-	answer chan relay.News
+	answer func(relay.News)
 }
 
 // Service is the service "relay".
 type Service struct {
 	config  Config
-	kernel  *kernel.Kernel
 	machine *relay.Machine
 	log     logs.Log
 	packets Packets
 	watch   Watch
 
-	conn   *net.UDPConn
-	client *http.Client
+	pulls Puller
+
+	conn packets.Socket
 
-	gate     *kernel.Gate
-	in       *kernel.Ring[input]
-	pullGate *kernel.Gate
-	pulls    *kernel.Ring[relay.Pull]
+	gate *kernel.Gate
+	in   *kernel.Ring[input]
 
 	pending      []packets.Input // changes that "packets" had no room for
 	watching     bool
@@ -149,14 +148,7 @@
 
 // New returns the service.
 func New(config Config) *Service {
-	return &Service{
-		config:  config,
-		machine: relay.New(config.Machine),
-		client: &http.Client{
-			Timeout:   pullTimeout,
-			Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
-		},
-	}
+	return &Service{config: config, machine: relay.New(config.Machine)}
 }
 
 // Name implements kernel.Service.
@@ -164,22 +156,22 @@
 
 // Needs implements kernel.Service.
 func (s *Service) Needs() []string {
-	return []string{logs.Name, packets.Name, catalogwatch.Name, control.Name}
+	return []string{logs.Name, packets.Name, catalogwatch.Name, pulls.Name, control.Name}
 }
 
-// Setup opens the sockets.
+// Setup opens the socket of beats.
 func (s *Service) Setup(k *kernel.Kernel) error {
-	self := s.config.Machine.Self
-	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(self.Beats))
-	if err != nil {
-		return fmt.Errorf("listen on %s: %w", self.Beats, err)
+	s.conn = s.config.Socket
+	if s.conn == nil {
+		at := s.config.Machine.Self.Beats
+		conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+		if err != nil {
+			return fmt.Errorf("listen on %s: %w", at, err)
+		}
+		s.conn = conn
 	}
-	s.kernel = k
-	s.conn = conn
 	s.gate = kernel.NewGate()
 	s.in = kernel.NewRing[input](k, "relay.in", inputs, kernel.Block, s.gate)
-	s.pullGate = kernel.NewGate()
-	s.pulls = kernel.NewRing[relay.Pull](k, "relay.pulls", 1, kernel.DropOldest, s.pullGate)
 	return nil
 }
 
@@ -195,14 +187,16 @@
 	if s.watch, err = kernel.Lookup[Watch](k, catalogwatch.Name); err != nil {
 		return err
 	}
+	if s.pulls, err = kernel.Lookup[Puller](k, pulls.Name); err != nil {
+		return err
+	}
 	mux, err := kernel.Lookup[control.Mux](k, control.Name)
 	if err != nil {
 		return err
 	}
-	mux.Handle("GET "+pullPath, s.answerPull)
+	mux.Handle("GET "+pulls.Path, s.answerPull)
 	k.AddDuty(kernel.Duty{Name: "relay.decide", Gate: s.gate, Step: s.step})
 	k.AddBlocker(kernel.Blocker{Name: "relay.receive", Run: s.receive, Interrupt: func() { s.conn.Close() }})
-	k.AddBlocker(kernel.Blocker{Name: "relay.pull", Run: s.pullLoop})
 	return nil
 }
 
@@ -229,19 +223,25 @@
 			// An ICMP error of an earlier datagram is reported here; the socket stays usable.
 			continue
 		}
-		beat, err := relaywire.DecodeBeat(buf[:n])
-		if err != nil {
-			s.malformed.Add(1)
-			s.log.Log(events.BeatMalformed, events.F("from", from), events.F("error", err))
-			continue
-		}
-		s.beatsReceived.Add(1)
-		if s.in.Put(input{beat: &receivedBeat{from: from, beat: beat}}) != nil {
+		if s.Deliver(from, buf[:n]) != nil {
 			return nil
 		}
 	}
 }
 
+// Deliver takes the datagram of a beat. It returns an error when the VM is stopping
+// or, in a stepped kernel, when too many wait.
+func (s *Service) Deliver(from netip.AddrPort, datagram []byte) error {
+	beat, err := relaywire.DecodeBeat(datagram)
+	if err != nil {
+		s.malformed.Add(1)
+		s.log.Log(events.BeatMalformed, events.F("from", from), events.F("error", err))
+		return nil
+	}
+	s.beatsReceived.Add(1)
+	return s.in.Put(input{beat: &receivedBeat{from: from, beat: beat}})
+}
+
 // step takes inputs in, then does what the machine wants.
 func (s *Service) step(now time.Duration) time.Duration {
 	more := true
@@ -275,12 +275,10 @@
 		s.log.Log(events.StoreCallFailed, events.F("error", in.answer.Err))
 	case in.answer != nil:
 		s.machine.FromStore(now, in.answer.News)
-	case in.pulled != nil && in.pulled.err != nil:
-		s.machine.PullFailed(now)
 	case in.pulled != nil:
-		s.machine.FromPull(now, in.pulled.asked, in.pulled.news)
+		s.takePulled(now, in.pulled)
 	case in.asked != nil:
-		in.asked.answer <- s.machine.Answer(now, in.asked.after)
+		in.asked.answer(s.machine.Answer(now, in.asked.after))
 	case in.loads != nil:
 		s.machine.SetLoads(in.loads)
 	}
@@ -301,8 +299,7 @@
 		s.send(o)
 	}
 	if out.Pull != nil {
-		// The ring drops an older pull, which the machine has given up.
-		_ = s.pulls.Put(*out.Pull)
+		s.pulls.Pull(*out.Pull)
 	}
 	if out.Forget != nil {
 		item := *out.Forget
