--- a/kernel/stepper.go
+++ b/kernel/stepper.go
@@ -57,16 +57,6 @@
 	}
 }
 
-// Next returns the time of the earliest step: now when a duty is ready, Idle when
-// none is due. A simulation with events of its own advances to the earlier of both.
-func (s *Stepper) Next() time.Duration {
-	s.collectReady()
-	if len(s.ready) > 0 {
-		return s.now
-	}
-	return s.nextWake()
-}
-
 // Advance runs everything that is due until d has passed on the virtual clock.
 func (s *Stepper) Advance(d time.Duration) {
 	end := s.now + d
--- /dev/null
+++ b/lab/day/report.go
@@ -0,0 +1,215 @@
+package day
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"text/tabwriter"
+	"time"
+)
+
+// Report is the result of one day.
+type Report struct {
+	Day    string  `json:"day"`
+	Policy Policy  `json:"policy"`
+	Seed   uint64  `json:"seed"`
+	VMs    int     `json:"vms"`
+	Length float64 `json:"seconds"`
+
+	Service     float64         `json:"service"`      // part of the worth that was earned, 0 to 1
+	WorstWindow float64         `json:"worst_window"` // of two seconds
+	WorstDomain float64         `json:"worst_domain"`
+	Total       counts          `json:"total"`
+	Kinds       []KindReport    `json:"kinds"`
+	Services    []ServiceReport `json:"services"`
+	Windows     []float64       `json:"windows"` // service in each two seconds
+
+	BrokenFlows int            `json:"broken_flows"` // ended though their target lived and had them
+	Broken      int            `json:"broken"`       // promises
+	Breaks      []Break        `json:"breaks,omitempty"`
+	StoreCalls  int            `json:"store_calls"`
+	BeatBytes   float64        `json:"beat_bytes"` // a VM and second
+	Events      map[string]int `json:"events,omitempty"`
+}
+
+// KindReport is what callers got of one kind of request.
+type KindReport struct {
+	Name string `json:"name"`
+	counts
+}
+
+// ServiceReport is how the work was spread over the targets of a service.
+type ServiceReport struct {
+	Name    string  `json:"name"`
+	Targets int     `json:"targets"`
+	Busiest float64 `json:"busiest"` // busiest target's requests over the mean of those that lived all day
+	Peak    int     `json:"peak"`    // most requests at one target, waiting ones included
+}
+
+func (w *world) report() *Report {
+	t := w.tally
+	r := &Report{
+		Day:         w.day.Name,
+		Policy:      w.fleet.policy,
+		Seed:        w.seed,
+		VMs:         len(w.fleet.vms),
+		Length:      w.day.Length.D().Seconds(),
+		Service:     t.total.service(),
+		WorstWindow: 1,
+		WorstDomain: 1,
+		Total:       t.total.counts,
+		BrokenFlows: w.oracle.brokenFlows,
+		Broken:      w.oracle.broken,
+		Breaks:      w.oracle.breaks,
+		StoreCalls:  w.store.calls,
+		Events:      w.oracle.events,
+	}
+	for _, window := range t.windows {
+		r.Windows = append(r.Windows, window.service())
+		r.WorstWindow = min(r.WorstWindow, window.service())
+	}
+	for _, domain := range t.domains {
+		r.WorstDomain = min(r.WorstDomain, domain.service())
+	}
+	for i := range w.day.Site.Kinds {
+		k := &w.day.Site.Kinds[i]
+		r.Kinds = append(r.Kinds, KindReport{Name: k.Name, counts: *t.kind(k)})
+	}
+	for _, s := range w.day.Site.Services {
+		r.Services = append(r.Services, w.serviceReport(s.Name))
+	}
+	bytes := 0
+	for _, v := range w.fleet.vms {
+		bytes += v.sent.beatBytes
+	}
+	r.BeatBytes = float64(bytes) / float64(len(w.fleet.vms)) / w.stepper.Now().Seconds()
+	return r
+}
+
+// serviceReport compares the targets that lived through the whole day.
+func (w *world) serviceReport(name string) ServiceReport {
+	r := ServiceReport{Name: name}
+	var work []int
+	for _, t := range w.targets.all {
+		if t.service.Name != name {
+			continue
+		}
+		r.Targets++
+		r.Peak = max(r.Peak, t.peak)
+		if t.up && !t.draining && !t.late {
+			work = append(work, t.worked)
+		}
+	}
+	sum := 0
+	for _, n := range work {
+		sum += n
+	}
+	if sum > 0 {
+		r.Busiest = float64(slices.Max(work)) * float64(len(work)) / float64(sum)
+	}
+	return r
+}
+
+// Verdict returns ErrPromise when a promise was broken.
+func (r *Report) Verdict() error {
+	if r.Broken == 0 {
+		return nil
+	}
+	return fmt.Errorf("%s, seed %d: %d times: %w", r.Day, r.Seed, r.Broken, ErrPromise)
+}
+
+// WriteJSON writes the report as one JSON document. It returns ErrReport.
+func (r *Report) WriteJSON(w io.Writer) error {
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	if err := encoder.Encode(r); err != nil {
+		return fmt.Errorf("%w: %w", ErrReport, err)
+	}
+	return nil
+}
+
+// WriteFile writes the report into a file for ReadReport. It returns ErrReport.
+func (r *Report) WriteFile(path string) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrReport, err)
+	}
+	if err := r.WriteJSON(f); err != nil {
+		_ = f.Close() // the first error is told
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return fmt.Errorf("%w: %w", ErrReport, err)
+	}
+	return nil
+}
+
+// ReadReport reads a report from a file of WriteJSON. It returns ErrReport.
+func ReadReport(path string) (*Report, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrReport, err)
+	}
+	r := &Report{}
+	if err := json.Unmarshal(data, r); err != nil {
+		return nil, fmt.Errorf("%s: %w: %w", path, ErrReport, err)
+	}
+	return r, nil
+}
+
+// WriteTable writes the report for people. It returns ErrReport.
+func (r *Report) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "%s, %s, seed %d, %d VMs, %.0f s\n", r.Day, r.Policy, r.Seed, r.VMs, r.Length)
+	fmt.Fprintf(t, "service %.3f, worst two seconds %.3f, worst domain %.3f\n", r.Service, r.WorstWindow, r.WorstDomain)
+	fmt.Fprintf(t, "broken flows %d, broken promises %d, store calls %d, beats %.0f B a VM and second\n\n",
+		r.BrokenFlows, r.Broken, r.StoreCalls, r.BeatBytes)
+	fmt.Fprintln(t, "kind\tasked\tin goal\tlate\tfailed")
+	for _, k := range r.Kinds {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\n", k.Name, k.Asked, k.InGoal, k.Late, k.Failed)
+	}
+	fmt.Fprintln(t, "\nservice\ttargets\tbusiest/mean\tpeak")
+	for _, s := range r.Services {
+		fmt.Fprintf(t, "%s\t%d\t%.2f\t%d\n", s.Name, s.Targets, s.Busiest, s.Peak)
+	}
+	for _, b := range r.Breaks {
+		fmt.Fprintf(t, "%s: %s: %s\n", b.At.Round(time.Millisecond), b.Promise, b.Text)
+	}
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("%w: %w", ErrReport, err)
+	}
+	return nil
+}
+
+// Compare writes the differences between reports of the same day and seed, the
+// second relative to the first. It returns ErrReport when they are not comparable.
+func Compare(w io.Writer, a, b *Report) error {
+	if a.Day != b.Day || a.Seed != b.Seed {
+		return fmt.Errorf("%w: %w", ErrReport, errors.New("reports are of different days or seeds"))
+	}
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(t, "%s, seed %d\t%s\t%s\tdifference\n", a.Day, a.Seed, a.Policy, b.Policy)
+	for _, row := range []struct {
+		name string
+		x, y float64
+	}{
+		{"service", a.Service, b.Service},
+		{"worst two seconds", a.WorstWindow, b.WorstWindow},
+		{"worst domain", a.WorstDomain, b.WorstDomain},
+		{"in goal", float64(a.Total.InGoal), float64(b.Total.InGoal)},
+		{"late", float64(a.Total.Late), float64(b.Total.Late)},
+		{"failed", float64(a.Total.Failed), float64(b.Total.Failed)},
+		{"broken flows", float64(a.BrokenFlows), float64(b.BrokenFlows)},
+		{"broken promises", float64(a.Broken), float64(b.Broken)},
+		{"store calls", float64(a.StoreCalls), float64(b.StoreCalls)},
+	} {
+		fmt.Fprintf(t, "%s\t%.4g\t%.4g\t%+.4g\n", row.name, row.x, row.y, row.y-row.x)
+	}
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("%w: %w", ErrReport, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/lab/day/report_test.go
@@ -0,0 +1,90 @@
+package day
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against reports that lose what they hold on their way through a file, and
+// against a comparison of different days.
+func TestReportsCompare(t *testing.T) {
+	is := is.New(t)
+	d := dayOf(small(t), 4*time.Second, Trouble{Kind: "target_crash", At: seconds(1)})
+	own := play(t, d, Options{Seed: 2})
+	other := play(t, d, Options{Seed: 2, Policy: Modulo})
+	file := filepath.Join(t.TempDir(), "report.json")
+	is.NoErr(own.WriteFile(file))
+	read, err := ReadReport(file)
+	is.NoErr(err)
+	is.Equal(read, own)
+
+	var out bytes.Buffer
+	is.NoErr(Compare(&out, own, other))
+	is.True(strings.Contains(out.String(), "service"))
+	other.Seed++
+	is.True(errors.Is(Compare(&out, own, other), ErrReport))
+
+	out.Reset()
+	is.NoErr(own.WriteTable(&out))
+	is.True(strings.Contains(out.String(), "tracker-checkin"))
+}
+
+// Guards against a plot that can't be written.
+func TestPlot(t *testing.T) {
+	is := is.New(t)
+	r := &Report{Day: "test", Policy: Gypsumspan, Windows: []float64{1, 0.5, 1}}
+	file := filepath.Join(t.TempDir(), "plot.svg")
+	is.NoErr(Plot(file, r, r))
+	data, err := os.ReadFile(file)
+	is.NoErr(err)
+	is.True(bytes.Contains(data, []byte("<svg")))
+	is.True(errors.Is(Plot(filepath.Join(t.TempDir(), "plot.bad"), r), ErrReport))
+}
+
+// Guards against a count or a worth that goes to the wrong sum.
+func TestTally(t *testing.T) {
+	is := is.New(t)
+	site := small(t)
+	tally := newTally(site, 10*time.Second)
+	checkin := &site.Kinds[1]
+	goal := checkin.Goal.D()
+	for i, c := range []struct {
+		took     time.Duration
+		answered bool
+	}{{goal, true}, {goal + 1, true}, {goal, false}} {
+		r := &request{kind: checkin, domain: i, started: 10*time.Second + time.Duration(i)*tallyWindow}
+		tally.asked(r)
+		tally.ended(r.started+c.took, r, c.answered)
+	}
+	is.Equal(*tally.kind(checkin), counts{Asked: 3, InGoal: 1, Late: 1, Failed: 1})
+	is.Equal(tally.total.Owed, 3*checkin.Worth)
+	is.Equal(tally.total.Earned, checkin.Worth+checkin.Late)
+	is.Equal(tally.windows[0].service(), 1.0)
+	is.Equal(tally.windows[1].service(), checkin.Late/checkin.Worth)
+	is.Equal(tally.domains[2].service(), 0.0)
+}
+
+// Guards against measures that a policy can't be told apart by, and a table that
+// mixes up their columns.
+func TestMeasure(t *testing.T) {
+	is := is.New(t)
+	site := small(t)
+	figures, err := Measure(site, 10*time.Second, 1)
+	is.NoErr(err)
+	is.Equal(len(figures), len(measures(site))*len(Policies()))
+	for _, f := range figures {
+		if f.Policy == Gypsumspan && strings.HasPrefix(f.Measure, "broken flows") {
+			is.Equal(f.Value, 0.0)
+		}
+	}
+	var out bytes.Buffer
+	is.NoErr(WriteFigures(&out, figures))
+	is.Equal(strings.Count(out.String(), "\n"), 1+len(measures(site)))
+}
