Outlier detection: targets that serve worse than others get no new flows

Cause: targets that are slow, or fail part of their requests behind a good health answer, got as many new flows as others, and those that fail fast even more, since they look idle. Ruled out: health checks (a slot each, and false at times); each VM by itself (a VM of 145 sees a request at a target every few seconds); means instead of medians (two bad targets of five hide each other). GS6205, metric, status.

--- a/decide/forward/domains.go
+++ b/decide/forward/domains.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -160,6 +161,7 @@
 		names[r.Name] = true
 	}
 	f.flood.Forget(func(name string) bool { return names[name] })
+	maps.DeleteFunc(f.usual, func(name string, _ *usual) bool { return !names[name] })
 }
 
 // domainFor returns the failure domain whose targets a new flow shall use.
--- a/decide/forward/explain.go
+++ b/decide/forward/explain.go
@@ -24,6 +24,7 @@
 	Busy      int    `json:"busy"`  // requests in progress of this VM
 	Silent    bool   `json:"silent"`
 	Dead      bool   `json:"dead"`
+	Outlier   bool   `json:"outlier"`  // it serves worse than others and gets no new flows
 	AliveMS   int64  `json:"alive_ms"` // age of the last sign of life; -1 without one
 	CutOff    bool   `json:"cut_off"`  // its failure domain is out of reach
 	TakesFlow bool   `json:"takes_flows"`
@@ -85,7 +86,7 @@
 		ID: t.ID, Service: t.Service, Address: t.Address.String(), Domain: t.Domain, State: t.State.String(),
 		Listed: t.Listed, Gone: t.Gone(now), Cold: now < t.ColdTill, Revision: t.Revision,
 		Flows: f.loads[t.Slot].Flows, Busy: f.loads[t.Slot].Busy,
-		Silent: seen.Silent(now), Dead: seen.Dead(now), AliveMS: age,
+		Silent: seen.Silent(now), Dead: seen.Dead(now), Outlier: f.conduct[t.Slot].aside, AliveMS: age,
 		CutOff: f.isCutOff(now, t), TakesFlow: t.TakesFlows(now),
 	}
 }
--- a/decide/forward/forward.go
+++ b/decide/forward/forward.go
@@ -65,7 +65,11 @@
 
 	serviceLoads map[string]*balance.Load // sums of loads
 	cuts         map[place]cut
-	evidence     []evidence.Tracker // by slot of the target
+	evidence     []evidence.Tracker       // by slot of the target
+	conduct      []conduct                // by slot of the target
+	usual        map[string]*usual        // by name of the route
+	suspects     map[*catalog.Target]bool // those with bad requests lately
+	aside        []*catalog.Target        // those that are put aside
 
 	choices   []balance.Candidate // reused
 	chosen    []*catalog.Target   // parallel to choices
@@ -97,6 +101,8 @@
 
 		serviceLoads: make(map[string]*balance.Load),
 		cuts:         make(map[place]cut),
+		usual:        make(map[string]*usual),
+		suspects:     make(map[*catalog.Target]bool),
 		flood:        flood.New(),
 	}
 }
@@ -121,6 +127,7 @@
 		t := f.view.Target(c.Target.ID)
 		f.loads[t.Slot] = balance.Load{}
 		f.evidence[t.Slot] = evidence.Tracker{}
+		f.conduct[t.Slot] = conduct{}
 	}
 	return effect
 }
@@ -130,6 +137,7 @@
 	for len(f.loads) < f.view.Slots() {
 		f.loads = append(f.loads, balance.Load{})
 		f.evidence = append(f.evidence, evidence.Tracker{})
+		f.conduct = append(f.conduct, conduct{})
 	}
 }
 
@@ -249,6 +257,9 @@
 			f.forget(k)
 			continue
 		}
+		if r.busy {
+			f.judgeWaiting(now, k, r)
+		}
 		if r.busy && now-r.askedAt >= f.timeLimit(k) {
 			// The caller has given up, perhaps with the whole flow.
 			f.setBusy(r, r.target, false)
--- a/decide/forward/later.go
+++ b/decide/forward/later.go
@@ -37,6 +37,7 @@
 		return Verdict{Action: Drop, Reason: Held, Target: t, Route: route}
 	}
 	opened, answered := f.note(now, r, t, p)
+	f.judge(now, r, t, route, p, answered)
 	f.noteDead(now, t)
 	if r.busy && f.isStuck(now, r, t, route) {
 		f.forget(p.Flow)
--- a/decide/forward/place.go
+++ b/decide/forward/place.go
@@ -139,7 +139,7 @@
 
 // answers reports whether nothing speaks against a target.
 func (f *Forwarder) answers(now time.Duration, t *catalog.Target) bool {
-	return !f.evidence[t.Slot].Silent(now) && !f.isCutOff(now, t)
+	return !f.evidence[t.Slot].Silent(now) && !f.conduct[t.Slot].aside && !f.isCutOff(now, t)
 }
 
 func (r *record) wasTried(t *catalog.Target) bool {
--- a/decide/forward/table.go
+++ b/decide/forward/table.go
@@ -43,6 +43,11 @@
 	ack       uint32        // highest acknowledgement seen
 	busy      bool          // a request is in progress
 
+	askedAck uint32 // highest acknowledgement at that data
+	asked    bool   // a request was seen from its beginning
+	judged   bool   // the request in progress was counted as a bad one
+	usual    *usual // of the route
+
 	repeats int // repeated packets since the caller's last progress
 }
 
--- a/decide/relay/members.go
+++ b/decide/relay/members.go
@@ -51,6 +51,7 @@
 	waiting  bool          // a question has no answer yet
 	nextAsk  time.Duration
 	load     []Load // of its own, as its beats say
+	samples  []Sample
 }
 
 // rankOf returns the place of a VM among the relays of its domain.
--- a/decide/relay/relay.go
+++ b/decide/relay/relay.go
@@ -83,6 +83,10 @@
 	tellDue  bool
 	toldAt   time.Duration
 
+	ownSamples      []Sample
+	domainSamples   []Sample // as the relay has told at domainSamplesAt
+	domainSamplesAt time.Duration
+
 	ownLoads []Load
 	loads    map[Load]loadReport // by domains and service, the counts 0
 	cached   []Load              // of DomainLoads
@@ -305,9 +309,13 @@
 		p.heard, p.everHear, p.waiting = now, true, false
 	}
 	m.noteLoads(now, p, b)
+	m.noteSamples(now, p, b)
 	if !b.Reply {
 		m.subscribers[key] = now
 		answer := m.beat(now, true, m.DomainLoads(now))
+		if b.Domain == m.config.Self.Domain {
+			answer.Samples = m.DomainSamples(now)
+		}
 		m.inline(&answer, b.Revision)
 		m.out.Beats = append(m.out.Beats, Outgoing{To: from, Beat: answer})
 	}
@@ -331,6 +339,7 @@
 		return
 	}
 	b.HasItems, b.After, b.Items = true, after, items
+	b.Samples = nil
 }
 
 func (m *Machine) startPull(now time.Duration, p *peer) {
--- a/decide/relay/roles.go
+++ b/decide/relay/roles.go
@@ -50,10 +50,12 @@
 		p.waiting = true
 		p.asked = now
 	}
-	loads := m.ownLoads
-	if p.Domain != m.config.Self.Domain {
-		loads = m.DomainLoads(now)
+	question := m.beat(now, false, m.ownLoads)
+	if p.Domain == m.config.Self.Domain {
+		question.Samples = m.ownSamples
+	} else {
+		question.Loads = busiest(m.DomainLoads(now))
 	}
-	m.out.Beats = append(m.out.Beats, Outgoing{To: p.Beats, Beat: m.beat(now, false, loads)})
+	m.out.Beats = append(m.out.Beats, Outgoing{To: p.Beats, Beat: question})
 	return p.nextAsk
 }
--- /dev/null
+++ b/decide/relay/samples_test.go
@@ -0,0 +1,53 @@
+package relay
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against samples that are counted twice, lost, or taken to VMs of another
+// failure domain, and against old ones after the relay has died.
+func TestSamplesOfADomainReachItsVMs(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(5, 2, 4)
+	f.write("op", false)
+	for _, v := range f.vms {
+		target := uint32(7)
+		if v.member.Domain == "d1" {
+			target = 9
+		}
+		v.machine.SetSamples([]Sample{{Target: target, Asked: 10, Bad: 2}})
+	}
+	f.advance(8 * time.Second)
+	want := map[string][]Sample{
+		"d0": {{Target: 7, Asked: 40, Bad: 8}},
+		"d1": {{Target: 9, Asked: 40, Bad: 8}},
+	}
+	for _, v := range f.vms {
+		is.Equal(v.machine.DomainSamples(f.now), want[v.member.Domain])
+	}
+	for _, v := range f.vms {
+		v.machine.SetSamples(nil)
+	}
+	f.advance(2 * time.Second)
+	for _, v := range f.vms {
+		is.Equal(len(v.machine.DomainSamples(f.now)), 0)
+	}
+}
+
+// Guards against a beat above the size of a datagram: only the worst targets are told.
+func TestSamplesAreBounded(t *testing.T) {
+	is := is.New(t)
+	m := New(Config{Self: Member{Name: "me", Domain: "a"}, MemberPrefix: prefix, MaxAge: maxAge})
+	var many []Sample
+	for i := range uint32(100) {
+		many = append(many, Sample{Target: i, Asked: 50, Bad: float32(i)})
+	}
+	m.SetSamples(many)
+	got := m.DomainSamples(0)
+	is.Equal(len(got), maxSamples)
+	is.Equal(got[0], Sample{Target: 99, Asked: 50, Bad: 99})
+	is.Equal(got[maxSamples-1].Target, uint32(100-maxSamples))
+}
--- a/decide/relay/types.go
+++ b/decide/relay/types.go
@@ -15,6 +15,13 @@
 	Busy    uint32 // requests in progress
 }
 
+// Sample is what VMs have seen of requests at one target lately.
+type Sample struct {
+	Target uint32 // its cookie
+	Asked  float32
+	Bad    float32
+}
+
 // Confirmation says that Revision was the newest in the store Age ago.
 type Confirmation struct {
 	Revision int64 // 0: nothing is known
@@ -33,6 +40,9 @@
 	Revision  int64 // everything up to it is in the sender's copy
 	Confirmed Confirmation
 	Loads     []Load
+	// Samples are of the sender or, in an answer, of its failure domain. A beat with
+	// items has none.
+	Samples []Sample
 	// Items, with HasItems, are what was written after After and up to Revision, when
 	// it is little. A receiver that has everything up to After needs no pull.
 	HasItems bool
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -319,6 +319,10 @@
 	PressureChanged = declare(Event{Number: "GS6204", Level: Warn, Name: "pressure_changed", Limited: true,
 		Message: "requests of these services are bounded, since targets have too much work; none: no longer",
 		Fields:  []string{"services"}})
+	// OutliersChanged is written when other targets than before are put aside.
+	OutliersChanged = declare(Event{Number: "GS6205", Level: Warn, Name: "outliers_changed", Limited: true,
+		Message: "these targets serve worse than others of their service and get no new flows; none: no longer",
+		Fields:  []string{"targets"}})
 )
 
 // all lists the events in order of declaration.
--- a/lab/day/day_test.go
+++ b/lab/day/day_test.go
@@ -115,3 +115,16 @@
 	d = dayOf(small(t), shortDay, Trouble{Kind: "vm_roll", At: seconds(3)})
 	is.True(play(t, d, Options{Seed: 1, Policy: RoundRobin}).BrokenFlows > 0)
 }
+
+// Guards against outlier detection that finds nothing, or something on a calm day.
+func TestOutliersAreFound(t *testing.T) {
+	const outliersChanged = "GS6205"
+	is := is.New(t)
+	site, err := LoadSite(sites + "wales.site.toml")
+	is.NoErr(err)
+	is.Equal(play(t, dayOf(site, 15*time.Second), Options{Seed: 1}).Events[outliersChanged], 0)
+	for _, how := range []string{greyErrors, greyHang, greySlow} {
+		d := dayOf(site, 10*time.Second, Trouble{Kind: "target_grey", At: seconds(5), Of: "trackhub", How: how, X: 0.6})
+		is.True(play(t, d, Options{Seed: 1}).Events[outliersChanged] > 0)
+	}
+}
--- a/services/flowmetrics/flowmetrics.go
+++ b/services/flowmetrics/flowmetrics.go
@@ -121,6 +121,7 @@
 func (s *Service) readPackets(scope tally.Scope) {
 	stats := s.packets.Stats()
 	scope.Gauge("flows_remembered").Update(float64(stats.Flows))
+	scope.Gauge("targets_put_aside").Update(float64(stats.Aside))
 	exposition.Count(scope, map[string]uint64{
 		"packets_received_total":  stats.Received,
 		"packets_malformed_total": stats.Malformed,
--- a/services/packets/packets.go
+++ b/services/packets/packets.go
@@ -42,8 +42,8 @@
 	// that shows that the VM is paused or slow.
 	wakeInterval = 200 * time.Millisecond
 	late         = 100 * time.Millisecond
-	// loadsInterval is the time between two load reports.
-	loadsInterval = 500 * time.Millisecond
+	// reportInterval is the time between two reports to the service "relay".
+	reportInterval = 500 * time.Millisecond
 	// quietTime is how long no datagram may arrive before a leaving VM ends.
 	quietTime = time.Second
 	// routersNotice is the time in which routers notice that a VM is not ready: two
@@ -83,13 +83,14 @@
 	Forward   forward.Config
 }
 
-// LoadReceiver takes reports of the work that this VM causes.
-type LoadReceiver interface {
-	SetLoads(loads []relay.Load)
+// ReportReceiver takes reports of the work that this VM causes, and of what it has
+// seen of targets.
+type ReportReceiver interface {
+	SetReport(loads []relay.Load, samples []relay.Sample)
 }
 
-// loadReceiverName is the name of the service that takes load reports.
-const loadReceiverName = "relay"
+// reportReceiverName is the name of the service that takes reports.
+const reportReceiverName = "relay"
 
 // Stats counts since start.
 type Stats struct {
@@ -100,6 +101,7 @@
 	Dropped   uint64
 	Failed    uint64 // not sent because of an error
 	Flows     uint64 // remembered now
+	Aside     uint64 // targets that are put aside now
 	// ByReason counts packets by the reason of their verdict.
 	ByReason [forward.Reasons]uint64
 }
@@ -115,7 +117,9 @@
 	Change catalog.Change
 	Store  StoreState
 	Loads  []relay.Load // of all failure domains
-	// Burdened, with Loads, says that the VM serves the catalog to many others.
+	// Samples, with Loads, are what the VMs of the own domain have seen of targets, and
+	// Burdened says that the VM serves the catalog to many others.
+	Samples  []relay.Sample
 	Burdened bool
 	Ask      *Question
 }
@@ -156,24 +160,25 @@
 
 // Service is the service "packets".
 type Service struct {
-	config Config
-	kernel *kernel.Kernel
-	conn   Socket
-	log    logs.Log
-	ready  readiness.Switch
-	loads  LoadReceiver // nil when there is none
+	config  Config
+	kernel  *kernel.Kernel
+	conn    Socket
+	log     logs.Log
+	ready   readiness.Switch
+	reports ReportReceiver // nil when there is none
 
 	gate  *kernel.Gate
 	in    *kernel.Ring[*buffer]
 	input *kernel.Ring[Input]
 	free  *kernel.Ring[*buffer]
 
-	forwarder *forward.Forwarder
-	inForce   chan struct{} // closed when the catalog is in force
-	reset     []byte
-	bounded   []string      // services whose requests are bounded, as logged
-	nextLoads time.Duration // of the next load report
-	due       time.Duration // when the next step is due at the latest
+	forwarder  *forward.Forwarder
+	inForce    chan struct{} // closed when the catalog is in force
+	reset      []byte
+	bounded    []string // services whose requests are bounded, as logged
+	aside      []string // targets that are put aside, as logged
+	nextReport time.Duration
+	due        time.Duration // when the next step is due at the latest
 
 	received  atomic.Uint64
 	malformed atomic.Uint64
@@ -182,6 +187,7 @@
 	dropped   atomic.Uint64
 	failed    atomic.Uint64
 	flows     atomic.Uint64
+	asideNow  atomic.Uint64
 	byReason  [forward.Reasons]atomic.Uint64
 	times     Times        // of the forwarding duty
 	lastSeen  atomic.Int64 // time of the last datagram, in ns since start
@@ -251,7 +257,7 @@
 		return err
 	}
 	// The service "relay" is not needed to forward packets.
-	s.loads, _ = kernel.Lookup[LoadReceiver](k, loadReceiverName)
+	s.reports, _ = kernel.Lookup[ReportReceiver](k, reportReceiverName)
 	k.AddBlocker(kernel.Blocker{
 		Name:      "packets.receive",
 		Run:       s.receive,
@@ -328,7 +334,7 @@
 	for range batchSize {
 		b, ok := s.in.Take()
 		if !ok {
-			wake := min(s.forwarder.Tick(now), s.reportLoads(now), now+wakeInterval)
+			wake := min(s.forwarder.Tick(now), s.report(now), now+wakeInterval)
 			s.sendEnded()
 			s.flows.Store(uint64(s.forwarder.Flows()))
 			if more {
@@ -344,17 +350,17 @@
 	return now
 }
 
-// reportLoads reports the work that this VM causes and returns the time of the
-// next report.
-func (s *Service) reportLoads(now time.Duration) time.Duration {
-	if s.loads == nil {
+// report reports the work that this VM causes and what it has seen of targets, and
+// returns the time of the next report.
+func (s *Service) report(now time.Duration) time.Duration {
+	if s.reports == nil {
 		return kernel.Idle
 	}
-	if now >= s.nextLoads {
-		s.nextLoads = now + loadsInterval
-		s.loads.SetLoads(s.forwarder.Loads())
+	if now >= s.nextReport {
+		s.nextReport = now + reportInterval
+		s.reports.SetReport(s.forwarder.Loads(), s.forwarder.Samples(now))
 	}
-	return s.nextLoads
+	return s.nextReport
 }
 
 // applyInputs reports whether inputs are left.
@@ -455,6 +461,7 @@
 		Dropped:   s.dropped.Load(),
 		Failed:    s.failed.Load(),
 		Flows:     s.flows.Load(),
+		Aside:     s.asideNow.Load(),
 		ByReason:  s.reasonCounts(),
 	}
 }
--- a/services/packets/report.go
+++ b/services/packets/report.go
@@ -30,7 +30,9 @@
 	if in.Loads != nil {
 		s.forwarder.SetBurdened(in.Burdened)
 		s.forwarder.SetDomainLoads(now, in.Loads)
+		s.forwarder.SetSamples(now, in.Samples)
 		s.logBounded()
+		s.logAside()
 		return
 	}
 	effect := s.forwarder.Apply(now, in.Change)
@@ -47,6 +49,17 @@
 	s.log.Log(events.PressureChanged, events.F("services", strings.Join(bounded, ",")))
 }
 
+// logAside logs the targets that are put aside, when these change.
+func (s *Service) logAside() {
+	aside := s.forwarder.Aside()
+	if slices.Equal(aside, s.aside) {
+		return
+	}
+	s.aside = aside
+	s.asideNow.Store(uint64(len(aside)))
+	s.log.Log(events.OutliersChanged, events.F("targets", strings.Join(aside, ",")))
+}
+
 // checkInForce makes the VM ready once its catalog is.
 func (s *Service) checkInForce(now time.Duration) {
 	if s.ready.IsSet() || !s.forwarder.View().Ready(now) {
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -96,7 +96,13 @@
 	answer *catalogwatch.Answer
 	pulled *pulls.Answer
 	asked  *question
-	loads  []relay.Load
+	report *report
+}
+
+// report is what the service "packets" tells.
+type report struct {
+	loads   []relay.Load
+	samples []relay.Sample
 }
 
 type receivedBeat struct {
@@ -203,11 +209,12 @@
 // FromStore implements catalogwatch.Inbox.
 func (s *Service) FromStore(a catalogwatch.Answer) error { return s.in.Put(input{answer: &a}) }
 
-// SetLoads takes the work that comes from this VM's callers, by service.
-func (s *Service) SetLoads(loads []relay.Load) {
+// SetReport takes the work that comes from this VM's callers, by service, and what it
+// has seen of targets.
+func (s *Service) SetReport(loads []relay.Load, samples []relay.Sample) {
 	if s.in.Room() > inputs/2 {
 		// The next report replaces one that is left out.
-		_ = s.in.Put(input{loads: loads})
+		_ = s.in.Put(input{report: &report{loads: loads, samples: samples}})
 	}
 }
 
@@ -279,8 +286,9 @@
 		s.takePulled(now, in.pulled)
 	case in.asked != nil:
 		in.asked.answer(s.machine.Answer(now, in.asked.after))
-	case in.loads != nil:
-		s.machine.SetLoads(in.loads)
+	case in.report != nil:
+		s.machine.SetLoads(in.report.loads)
+		s.machine.SetSamples(in.report.samples)
 	}
 }
 
@@ -394,7 +402,11 @@
 	}
 	s.nextLoads = now + loadsInterval
 	if loads := s.machine.DomainLoads(now); len(loads) > 0 {
-		s.packets.TryPut(packets.Input{Loads: loads, Burdened: s.machine.Subscribers(now) > manySubscribers})
+		s.packets.TryPut(packets.Input{
+			Loads:    loads,
+			Samples:  s.machine.DomainSamples(now),
+			Burdened: s.machine.Subscribers(now) > manySubscribers,
+		})
 	}
 	return s.nextLoads
 }
--- a/wire/relaywire/relaywire.go
+++ b/wire/relaywire/relaywire.go
@@ -35,6 +35,9 @@
 	for _, l := range b.Loads {
 		m.Loads = append(m.Loads, &relaypb.Load{Domain: l.Domain, At: l.At, Service: l.Service, Flows: l.Flows, Busy: l.Busy})
 	}
+	for _, s := range b.Samples {
+		m.Samples = append(m.Samples, &relaypb.Sample{Target: s.Target, Asked: s.Asked, Bad: s.Bad})
+	}
 	out, err := proto.MarshalOptions{}.MarshalAppend(dst, m)
 	if err != nil {
 		return dst, fmt.Errorf("%w: %w", ErrMalformed, err)
@@ -69,6 +72,9 @@
 	for _, l := range m.GetLoads() {
 		b.Loads = append(b.Loads, relay.Load{Domain: l.GetDomain(), At: l.GetAt(), Service: l.GetService(), Flows: l.GetFlows(), Busy: l.GetBusy()})
 	}
+	for _, s := range m.GetSamples() {
+		b.Samples = append(b.Samples, relay.Sample{Target: s.GetTarget(), Asked: s.GetAsked(), Bad: s.GetBad()})
+	}
 	return b, nil
 }
 
--- /dev/null
+++ b/wire/relaywire/relaywire_test.go
@@ -0,0 +1,65 @@
+package relaywire
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gypsumspan/gypsumspan/decide/relay"
+)
+
+// Guards against a field that is lost or mixed up on its way between VMs.
+func TestBeatsKeepTheirFields(t *testing.T) {
+	is := is.New(t)
+	b := relay.Beat{
+		Name:     "vm-1",
+		Domain:   "west-a",
+		Reply:    true,
+		Revision: 40,
+		Confirmed: relay.Confirmation{
+			Revision: 40, Age: 1200 * time.Millisecond, Regained: 5 * time.Second, HasRegained: true,
+		},
+		Loads:    []relay.Load{{Domain: "west-a", At: "west-b", Service: "s", Flows: 3, Busy: 2}},
+		Samples:  []relay.Sample{{Target: 0xfedcba98, Asked: 20.5, Bad: 4}},
+		HasItems: true,
+		After:    39,
+		Items:    []relay.Item{{Key: "targets/a", Value: []byte("x"), Revision: 40}, {Key: "targets/b", Revision: 40, Deleted: true}},
+	}
+	data, err := AppendBeat(nil, b)
+	is.NoErr(err)
+	got, err := DecodeBeat(data)
+	is.NoErr(err)
+	got.Items[1].Value = nil // empty and absent values are alike
+	is.Equal(got, b)
+}
+
+// Guards against news that lose a field.
+func TestNewsKeepTheirFields(t *testing.T) {
+	is := is.New(t)
+	n := relay.News{
+		Revision:  7,
+		Confirmed: relay.Confirmation{Revision: 7, Age: time.Millisecond},
+		Complete:  true,
+		Items:     []relay.Item{{Key: "config", Value: []byte("{}"), Revision: 7}},
+	}
+	data, err := EncodeNews(n)
+	is.NoErr(err)
+	got, err := DecodeNews(data)
+	is.NoErr(err)
+	is.Equal(got, n)
+}
+
+// Guards against datagrams of strangers that are taken as beats, and beats that no
+// datagram holds.
+func TestMalformedBeats(t *testing.T) {
+	is := is.New(t)
+	for _, data := range [][]byte{nil, {0xff, 0xff}, []byte("GET / HTTP/1.1\r\n")} {
+		_, err := DecodeBeat(data)
+		is.True(errors.Is(err, ErrMalformed))
+	}
+	_, err := AppendBeat(nil, relay.Beat{Name: strings.Repeat("x", MaxBeat), Domain: "a"})
+	is.True(errors.Is(err, ErrMalformed))
+}
