--- a/decide/relay/relay.go
+++ b/decide/relay/relay.go
@@ -322,6 +322,7 @@
 	switch {
 	case b.Revision <= m.replica.Revision():
 		m.confirm(now, b.Confirmed)
+		m.leaveToRelay(now, p, b)
 	case b.HasItems && b.After <= m.replica.Revision() && m.replica.Revision() > 0:
 		m.merge(now, News{Revision: b.Revision, Confirmed: b.Confirmed, Items: b.Items})
 	case p != nil:
@@ -329,6 +330,16 @@
 	}
 }
 
+// leaveToRelay ends an own watch that was begun because the relay knew nothing new,
+// when it does again.
+func (m *Machine) leaveToRelay(now time.Duration, p *peer, b Beat) {
+	const fresh = 2 // times younger than MaxAge
+	fromRelay := p != nil && b.Reply && p.Domain == m.config.Self.Domain
+	if fromRelay && m.Patient() && b.Confirmed.Revision > 0 && b.Confirmed.Age < m.config.MaxAge/fresh {
+		m.directTill = min(m.directTill, now)
+	}
+}
+
 // inline adds what was written after a revision to a beat, when it is little.
 func (m *Machine) inline(b *Beat, after int64) {
 	if after <= 0 || after >= m.replica.Revision() {
--- a/decide/relay/relay_test.go
+++ b/decide/relay/relay_test.go
@@ -15,7 +15,7 @@
 	prefix      = "vms/"
 	applyWithin = 3 * time.Second
 	maxAge      = applyWithin * 7 / 10
-	watchWait   = applyWithin / 2
+	watchWait   = applyWithin * 45 / 100
 	callTimeout = 700 * time.Millisecond
 	simStep     = 10 * time.Millisecond
 	beatDelay   = 2 * time.Millisecond
--- a/decide/relay/roles.go
+++ b/decide/relay/roles.go
@@ -13,6 +13,27 @@
 	m.isRelay = isRelay
 }
 
+// helpers is the number of VMs of a domain, beside its relay, that try again soon when
+// the store fails. One that is served again tells the relay, and the relay the others.
+const helpers = 3
+
+// Patient reports whether the VM leaves frequent attempts at a failing store to its
+// relay and the helpers: calls then do not grow with the VMs.
+func (m *Machine) Patient() bool {
+	if m.isRelay {
+		return false
+	}
+	own := rankOf(m.config.Self.Domain, m.config.Self.Name)
+	before := 0
+	for _, p := range m.members.byDomain[m.config.Self.Domain] {
+		if p.score < own {
+			break
+		}
+		before++
+	}
+	return before >= helpers
+}
+
 // askRelays sends the questions that are due: to the own domain's relay and the
 // dead VMs before it; a relay asks the relays of the other domains.
 func (m *Machine) askRelays(now time.Duration) time.Duration {
--- a/flowd/flowd.go
+++ b/flowd/flowd.go
@@ -136,6 +136,7 @@
 				Address:   s.Store.Address.String(),
 				Timeout:   s.Store.Timeout,
 				WatchWait: s.Catalog.WatchWait(),
+				FirstWait: s.Catalog.FirstWait(),
 			}),
 			Seed: seed,
 		}),
--- a/lab/day/storeclient.go
+++ b/lab/day/storeclient.go
@@ -14,7 +14,10 @@
 	callTimeout = 700 * time.Millisecond
 	firstRetry  = 200 * time.Millisecond
 	lastRetry   = time.Second
-	eventPause  = 200 * time.Millisecond
+
+	firstPatientRetry = 2 * time.Second
+	lastPatientRetry  = 6 * time.Second
+	eventPause        = 200 * time.Millisecond
 )
 
 // errStore is the error of every failed call.
@@ -23,23 +26,27 @@
 // storeClient is the fake of service "catalogwatch" on one VM.
 type storeClient struct {
 	part
-	vm      *vm
-	store   *store
-	backoff *retry.Backoff
-	retries int
+	vm       *vm
+	store    *store
+	backoff  *retry.Backoff
+	patience *retry.Backoff
+	patient  bool
+	retries  int
 
 	watching bool
 	from     int64
 	call     int // number of the present call; answers of earlier ones are ignored
 	polling  bool
+	first    bool // the next call is the first of a watch
 }
 
 func newStoreClient(v *vm, seed uint64) *storeClient {
 	return &storeClient{
-		part:    part{catalogwatch.Name},
-		vm:      v,
-		store:   v.fleet.store,
-		backoff: retry.NewBackoff(retry.BackoffConfig{Base: firstRetry, Max: lastRetry}, seed),
+		part:     part{catalogwatch.Name},
+		vm:       v,
+		store:    v.fleet.store,
+		backoff:  retry.NewBackoff(retry.BackoffConfig{Base: firstRetry, Max: lastRetry}, seed),
+		patience: retry.NewBackoff(retry.BackoffConfig{Base: firstPatientRetry, Max: lastPatientRetry}, seed),
 	}
 }
 
@@ -52,6 +59,7 @@
 		return
 	}
 	c.watching = on
+	c.first = on
 	if on && !c.polling {
 		c.next(0)
 	}
@@ -61,6 +69,9 @@
 	}
 }
 
+// SetPatient implements the service's interface towards "relay".
+func (c *storeClient) SetPatient(patient bool) { c.patient = patient }
+
 // Write implements the service's interface towards "relay".
 func (c *storeClient) Write(w catalogwatch.Write) {
 	c.store.calls++
@@ -99,7 +110,12 @@
 		c.finish(call, c.store.answerTime(), c.readAll)
 		return
 	}
-	c.poll(call, c.store.timeline.now()+c.vm.fleet.site.Bounds.ApplyWithin.D()/2)
+	wait := c.vm.fleet.site.Bounds.ApplyWithin.D() * 45 / 100
+	if c.first {
+		wait /= 4
+	}
+	c.first = false
+	c.poll(call, c.store.timeline.now()+wait)
 }
 
 // poll answers a watch at the next write, or at till.
@@ -179,6 +195,13 @@
 	_ = c.vm.relay.FromStore(catalogwatch.Answer{Err: errStore}) // a full ring: the next failure follows
 	if c.watching || c.from == 0 {
 		c.retries++
-		c.next(c.backoff.Delay(c.retries, firstRetry))
+		c.next(c.delay())
+	}
+}
+
+func (c *storeClient) delay() time.Duration {
+	if c.patient {
+		return c.patience.Delay(c.retries, firstPatientRetry)
 	}
+	return c.backoff.Delay(c.retries, firstRetry)
 }
--- a/services/catalogwatch/catalogwatch.go
+++ b/services/catalogwatch/catalogwatch.go
@@ -25,6 +25,10 @@
 	// seconds after the store's return to be up to date.
 	firstRetry = 200 * time.Millisecond
 	lastRetry  = time.Second
+	// firstPatientRetry and lastPatientRetry bound the delay at a VM that leaves
+	// frequent attempts to others of its failure domain.
+	firstPatientRetry = 2 * time.Second
+	lastPatientRetry  = 6 * time.Second
 	// eventPause is the wait after an answer with events. Changes come in groups, and
 	// each answer costs a call; the pause is small against the seconds in which a
 	// change must be in force.
@@ -83,6 +87,8 @@
 	tasks    *taskswitch.Switch[task]
 	from     atomic.Int64 // revision from which a watch continues; 0: read everything
 	backoff  *retry.Backoff
+	patience *retry.Backoff
+	patient  atomic.Bool
 	retries  int
 	gate     *kernel.Gate
 	outgoing *kernel.Ring[Write]
@@ -97,6 +103,7 @@
 func New(config Config) *Service {
 	s := &Service{config: config, tasks: taskswitch.New[task]()}
 	s.backoff = retry.NewBackoff(retry.BackoffConfig{Base: firstRetry, Max: lastRetry}, config.Seed)
+	s.patience = retry.NewBackoff(retry.BackoffConfig{Base: firstPatientRetry, Max: lastPatientRetry}, config.Seed)
 	s.tasks.Set(readOnce)
 	return s
 }
@@ -140,6 +147,9 @@
 	s.tasks.Set(watchTask)
 }
 
+// SetPatient says whether failed calls are repeated after seconds only.
+func (s *Service) SetPatient(patient bool) { s.patient.Store(patient) }
+
 // Write makes one write in the background. It is dropped when too many wait; the
 // outcome shows in what is read later.
 func (s *Service) Write(w Write) {
@@ -173,8 +183,16 @@
 			return nil
 		}
 		s.retries++
-		sleep(taskCtx, s.backoff.Delay(s.retries, firstRetry))
+		sleep(taskCtx, s.delay())
+	}
+}
+
+// delay returns the wait before the next attempt.
+func (s *Service) delay() time.Duration {
+	if s.patient.Load() {
+		return s.patience.Delay(s.retries, firstPatientRetry)
 	}
+	return s.backoff.Delay(s.retries, firstRetry)
 }
 
 func (s *Service) work(ctx context.Context, t task) error {
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -59,6 +59,8 @@
 // Watch is the service "catalogwatch".
 type Watch interface {
 	Watch(on bool, revision int64)
+	// SetPatient says whether failed calls are repeated after seconds only.
+	SetPatient(patient bool)
 	Write(w catalogwatch.Write)
 }
 
@@ -326,6 +328,7 @@
 		return
 	}
 	watching := s.machine.Watching(now)
+	s.watch.SetPatient(s.machine.Patient())
 	if watching != s.watching {
 		s.watching = watching
 		s.watch.Watch(watching, revision)
--- a/settings/flowset/flowset.go
+++ b/settings/flowset/flowset.go
@@ -64,9 +64,15 @@
 // store itself. The rest of the time is for that reading, one retry included.
 func (c Catalog) MaxAge() time.Duration { return c.ApplyWithin * 7 / 10 }
 
-// WatchWait returns how long the store may hold a watch without events. Half the
-// time leaves room for a beat that is lost before MaxAge is reached.
-func (c Catalog) WatchWait() time.Duration { return c.ApplyWithin / 2 }
+// WatchWait returns how long the store may hold a watch without events. Together with
+// the pause after events and the time between two beats it is less than MaxAge, so
+// that a VM without news never takes its relay for a dead one.
+func (c Catalog) WatchWait() time.Duration { return c.ApplyWithin * 45 / 100 }
+
+// FirstWait returns how long the store may hold the first call of a watch. VMs that
+// start together read the store at once; their relay then knows that it is unchanged
+// before what they know is older than MaxAge.
+func (c Catalog) FirstWait() time.Duration { return c.WatchWait() / 4 }
 
 // Log is the form of the log.
 type Log struct {
--- a/settings/flowset/flowset_test.go
+++ b/settings/flowset/flowset_test.go
@@ -48,7 +48,7 @@
 	is.Equal(s.VM, VM{Name: "vm-1", Domain: "north"})
 	is.Equal(s.Log, Log{Format: events.JSON, Level: events.Info})
 	is.Equal(s.Catalog.MaxAge(), 2100*time.Millisecond)
-	is.Equal(s.Catalog.WatchWait(), 1500*time.Millisecond)
+	is.Equal(s.Catalog.WatchWait(), 1350*time.Millisecond)
 }
 
 // Guards against faults that are missed, or reported at the wrong line or key.
--- a/settings/flowset/keys.go
+++ b/settings/flowset/keys.go
@@ -58,7 +58,7 @@
 		"Time-out of one call to the store, beside the time for which a watch is held.",
 		func(s *Settings) *time.Duration { return &s.Store.Timeout }),
 	duration("catalog.apply_within", defaultApplyWithin, 500*time.Millisecond, time.Minute,
-		"Time from the acknowledgement of a change in the store until it is in force at every VM. A VM reads the store itself when what it knows is older than 70% of it; watches are held for half of it.",
+		"Time from the acknowledgement of a change in the store until it is in force at every VM. A VM reads the store itself when what it knows is older than 70% of it; watches are held for 45% of it.",
 		func(s *Settings) *time.Duration { return &s.Catalog.ApplyWithin }),
 	{Path: "catalog.seeds", Type: "list of addresses", Range: "each " + document.AddressRange, Optional: true,
 		Meaning: "`listen.control` of some other VMs, which may be down. A VM that starts while the store does not answer gets its first catalog from one of them.",
