--- a/cmd/gypsumflowd/main.go
+++ b/cmd/gypsumflowd/main.go
@@ -5,6 +5,7 @@
 import (
 	"os"
 
+	_ "github.com/gypsumspan/gypsumspan/daemoncmd/earlysignal"
 	"github.com/gypsumspan/gypsumspan/flowd"
 )
 
--- a/cmd/gypsumspand/main.go
+++ b/cmd/gypsumspand/main.go
@@ -5,6 +5,7 @@
 	"os"
 
 	"github.com/gypsumspan/gypsumspan/daemon"
+	_ "github.com/gypsumspan/gypsumspan/daemoncmd/earlysignal"
 )
 
 func main() {
--- a/flowd/flowd_test.go
+++ b/flowd/flowd_test.go
@@ -96,17 +96,19 @@
 }
 
 // write writes a key as the operator and the targets do.
-func (f *fleet) write(key, value string) {
-	_, err := f.engine.Txn(store.Txn{Puts: []store.Put{{Key: key, Value: []byte(value)}}})
+func (f *fleet) write(p store.Put) {
+	_, err := f.engine.Txn(store.Txn{Puts: []store.Put{p}})
 	f.NoErr(err)
 }
 
-func (f *fleet) configure(version int, ports ...int) {
-	var routes []string
+func (f *fleet) configure(version int, ports ...uint16) {
+	c := kvstore.Configuration{Version: version, Services: []string{"s"}, IdleTimeout: 15 * time.Second}
 	for _, port := range ports {
-		routes = append(routes, fmt.Sprintf(`{"name":"r%d","host":"198.18.0.1","prefix":"/%d/","route_type":"safe","service":"s"}`, port, port))
+		c.Routes = append(c.Routes, kvstore.Route{
+			Name: fmt.Sprintf("r%d", port), Address: netip.AddrPortFrom(route.Addr(), port), Service: "s",
+		})
 	}
-	f.write("op/config", fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"s"}],"limits":{"idle_timeout_ms":15000}}`, version, strings.Join(routes, ",")))
+	f.write(c.Put())
 }
 
 func (f *fleet) startTarget(number int, domain string) *flowends.Target {
@@ -114,13 +116,14 @@
 	target, err := flowends.NewTarget(fmt.Sprintf("i-%x", number), uint64(number), addr, f.port)
 	f.NoErr(err)
 	f.t.Cleanup(target.Close)
-	f.announce(target, domain, "ready")
+	f.announce(target, domain, false)
 	return target
 }
 
-func (f *fleet) announce(target *flowends.Target, domain, state string) {
-	f.write("servers/"+target.Name, fmt.Sprintf(`{"service":"s","address":%q,"zone":%q,"version":"v1","slots":3,"state":%q,"cold_remaining_ms":0,"seq_no":1}`,
-		target.Address(), domain, state))
+func (f *fleet) announce(target *flowends.Target, domain string, draining bool) {
+	f.write(kvstore.Target{
+		ID: target.Name, Service: "s", Address: target.Address(), Domain: domain, Slots: 3, Draining: draining,
+	}.Put())
 }
 
 func (f *fleet) startVM(number int, domain string) *vm {
@@ -208,7 +211,9 @@
 	first := f.startTarget(1, "a")
 	second := f.startTarget(2, "a")
 	remote := f.startTarget(3, "b")
-	f.write("servers/i-dead", "\x00 no entry")
+	unreadable := kvstore.Target{ID: "i-dead"}.Put()
+	unreadable.Value = []byte("\x00 no entry")
+	f.write(unreadable)
 	one, two, three := f.startVM(1, "a"), f.startVM(2, "a"), f.startVM(3, "b")
 	caller := f.newCaller()
 
@@ -251,7 +256,7 @@
 	f.Equal(again, name)
 
 	// A target that leaves gets no new flow.
-	f.announce(first, "a", "draining")
+	f.announce(first, "a", true)
 	f.eventually("draining known", func() bool { return lastState(two, first.Name) == "draining" })
 	opened, _, _ := first.Stats()
 	for range 5 {
--- a/lab/command.go
+++ b/lab/command.go
@@ -35,7 +35,7 @@
 	}
 	root.AddCommand(targetCommand(), vmListCommand(), storeCommand(), tableCommand())
 	root.AddCommand(callCommand(), loadCommand(), httpCommand(), awaitCommand(), ownerCommand())
-	root.AddCommand(measureCommand(), capacityCommand(), relayCommand(), certsCommand(), dayCommand())
+	root.AddCommand(measureCommand(), capacityCommand(), relayCommand(), certsCommand(), dayCommand(), soakCommand())
 	return root
 }
 
--- /dev/null
+++ b/lab/soak/caller.go
@@ -0,0 +1,170 @@
+package soak
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/standin/flowends"
+)
+
+const (
+	// flowsPerCaller is the number of flows that a caller keeps open.
+	flowsPerCaller = 5
+	// thinkTime is the longest pause between two requests of a caller.
+	thinkTime = 15 * time.Millisecond
+	// closeShare is the part of the answered requests after which a flow is given up.
+	closeShare = 0.1
+	// stallExcuse is how long after this process was held up resets are not judged:
+	// VMs then take its targets for dead.
+	stallExcuse = 3 * time.Second
+)
+
+// openFlow is a flow with what its caller knows of it.
+type openFlow struct {
+	*flowends.Flow
+	service  string
+	target   *target // nil until the first answer
+	answered int
+}
+
+// caller uses flows, one request at a time.
+type caller struct {
+	fleet  *fleet
+	name   string
+	domain int
+	ends   *flowends.Caller
+	rng    *rand.Rand
+	flows  []*openFlow
+	asked  int
+}
+
+func (f *fleet) addCallers() error {
+	for d := range domains {
+		for i := range callersPerDomain {
+			number := d*callersPerDomain + i
+			ends, err := flowends.NewCaller(netip.AddrPortFrom(f.ip(callerKind+d, 1+i), packetsPort))
+			if err != nil {
+				return fmt.Errorf("%w: %w", ErrSetup, err)
+			}
+			c := &caller{
+				fleet:  f,
+				name:   fmt.Sprintf("caller-%d", number),
+				domain: d,
+				ends:   ends,
+				rng:    rand.New(rand.NewPCG(f.seed, uint64(number+1))),
+			}
+			f.callers = append(f.callers, c)
+		}
+	}
+	return nil
+}
+
+// run uses flows until the run ends.
+func (c *caller) run(stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(c.rng.Int64N(int64(thinkTime)))):
+		}
+		c.step()
+	}
+}
+
+// step opens a flow or makes a request on one.
+func (c *caller) step() {
+	if len(c.flows) < flowsPerCaller {
+		c.open()
+		return
+	}
+	i := c.rng.IntN(len(c.flows))
+	if !c.ask(c.flows[i]) {
+		c.flows = append(c.flows[:i], c.flows[i+1:]...)
+	}
+}
+
+func (c *caller) route(flow *flowends.Flow) netip.AddrPort { return c.fleet.pick(c.domain, flow) }
+
+func (c *caller) open() {
+	service := streams
+	if c.rng.IntN(2) == 0 {
+		service = checkins
+	}
+	flow, err := c.ends.OpenBy(c.route, address(service))
+	c.fleet.mu.Lock()
+	defer c.fleet.mu.Unlock()
+	if err != nil {
+		c.fleet.counts.Silent++
+		return
+	}
+	c.fleet.counts.Opened++
+	c.flows = append(c.flows, &openFlow{Flow: flow, service: service})
+}
+
+// ask makes one request. It returns false when the flow is of no use any more.
+func (c *caller) ask(o *openFlow) bool {
+	c.asked++
+	request := fmt.Sprintf("%s-%d", c.name, c.asked)
+	name, err := o.AskBy(c.route, request)
+	switch {
+	case errors.Is(err, flowends.ErrReset):
+		c.fleet.judgeReset(o, errors.Is(err, flowends.ErrSystemReset))
+		return false
+	case errors.Is(err, flowends.ErrChanged):
+		c.fleet.broken("a packet to %s was changed on its way", c.name)
+		return false
+	case err != nil:
+		c.fleet.mu.Lock()
+		c.fleet.counts.Silent++
+		c.fleet.mu.Unlock()
+		o.Abort(c.route)
+		return false
+	}
+	c.fleet.judgeAnswer(o, name)
+	if c.rng.Float64() < closeShare {
+		o.Abort(c.route)
+		return false
+	}
+	return true
+}
+
+// judgeAnswer checks who has answered.
+func (f *fleet) judgeAnswer(o *openFlow, name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts.Answered++
+	t := f.byName[name]
+	switch {
+	case t == nil:
+		f.breaks = append(f.breaks, fmt.Sprintf("flow %s was answered by %q", o.From, name))
+	case t.service != o.service:
+		f.breaks = append(f.breaks, fmt.Sprintf("flow %s of %s was answered by %s of %s", o.From, o.service, name, t.service))
+	case o.target != nil && o.target != t:
+		f.breaks = append(f.breaks, fmt.Sprintf("flow %s was answered by %s, before by %s", o.From, name, o.target.Name))
+	}
+	o.target = t
+	o.answered++
+}
+
+// judgeReset checks a reset of an open flow: the target must have gone, unless this
+// machine was held up.
+func (f *fleet) judgeReset(o *openFlow, bySystem bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := o.target
+	switch {
+	case t == nil || !t.up || !t.Holds(o.From):
+		f.counts.Resets++
+	case time.Since(f.stalled) < stallExcuse:
+		f.counts.Excused++
+	default:
+		by := "another target"
+		if bySystem {
+			by = "a VM"
+		}
+		f.breaks = append(f.breaks, fmt.Sprintf("flow %s to %s was reset by %s while its target has it", o.From, t.Name, by))
+	}
+}
--- /dev/null
+++ b/lab/soak/soak_test.go
@@ -0,0 +1,215 @@
+package soak
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gypsumspan/gypsumspan/standin/flowends"
+)
+
+// Networks of the tests, apart from those of the command.
+const (
+	targetsNetwork = 38
+	proxyNetwork   = 39
+)
+
+// judged returns a fleet with two targets, which runs no VM, and a flow whose first
+// target is given.
+func judged(t *testing.T) (f *fleet, here, other *target) {
+	t.Helper()
+	f = &fleet{seed: 1, net: targetsNetwork, byName: make(map[string]*target), ran: make(map[string]int)}
+	for i, service := range []string{streams, checkins} {
+		ends, err := flowends.NewTarget(fmt.Sprint("i-", i+1), uint64(i+1), netip.AddrPortFrom(f.ip(targetKind, i+1), 0), packetsPort)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(ends.Close)
+		x := &target{Target: ends, service: service, up: true}
+		f.targets = append(f.targets, x)
+		f.byName[x.Name] = x
+	}
+	return f, f.targets[0], f.targets[1]
+}
+
+// Guards against a soak that takes a wrong answer for a right one.
+func TestJudgeAnswer(t *testing.T) {
+	cases := []struct {
+		name   string
+		answer func(here, other *target) string
+		before bool // the flow was answered by the first target before
+		broken string
+	}{
+		{"right", func(here, _ *target) string { return here.Name }, true, ""},
+		{"of no target", func(_, _ *target) string { return "i-9" }, false, "answered by \"i-9\""},
+		{"of another service", func(_, other *target) string { return other.Name }, false, "of checkins"},
+		{"of another target", func(_, other *target) string { other.service = streams; return other.Name }, true, "before by"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f, here, other := judged(t)
+			o := &openFlow{Flow: &flowends.Flow{}, service: streams}
+			if c.before {
+				o.target = here
+			}
+			f.judgeAnswer(o, c.answer(here, other))
+			checkBreaks(is, f, c.broken)
+		})
+	}
+}
+
+func checkBreaks(is *is.I, f *fleet, want string) {
+	is.Helper()
+	if want == "" {
+		is.Equal(len(f.breaks), 0)
+		return
+	}
+	is.Equal(len(f.breaks), 1)
+	is.True(strings.Contains(f.breaks[0], want))
+}
+
+// Guards against a soak that excuses the reset of a flow whose target has it, or
+// that blames VMs for targets that have gone.
+func TestJudgeReset(t *testing.T) {
+	is := is.New(t)
+	f, here, _ := judged(t)
+	caller, err := flowends.NewCaller(netip.AddrPortFrom(f.ip(callerKind, 1), packetsPort))
+	is.NoErr(err)
+	defer caller.Close()
+	o := &openFlow{Flow: &flowends.Flow{From: netip.MustParseAddrPort("127.38.30.1:2000")}, service: streams, target: here}
+	f.judgeReset(o, true) // the target does not have the flow
+	is.Equal(f.counts.Resets, 1)
+	checkBreaks(is, f, "")
+
+	send(is, here, flowends.Packet{From: o.From, To: address(streams), Flags: flowends.SYN, Seq: 1})
+	eventually(t, func() bool { return here.Holds(o.From) })
+	f.stalled = time.Now()
+	f.judgeReset(o, true)
+	is.Equal(f.counts.Excused, 1)
+	checkBreaks(is, f, "")
+
+	f.stalled = time.Time{}
+	f.judgeReset(o, true)
+	checkBreaks(is, f, "reset by a VM")
+}
+
+// send sends a packet to a target as a VM does.
+func send(is *is.I, t *target, p flowends.Packet) {
+	conn, err := net.Dial("udp4", t.Address().String())
+	is.NoErr(err)
+	defer conn.Close()
+	const anyTarget = "\x00\x00\x00\x00\x00\x00\x00\x00"
+	_, err = conn.Write(append([]byte(anyTarget), p.Encode()...))
+	is.NoErr(err)
+}
+
+// eventually waits for a state that another goroutine reaches.
+func eventually(t *testing.T, reached func() bool) {
+	t.Helper()
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	for deadline := time.Now().Add(patience); !reached(); <-tick.C {
+		if time.Now().After(deadline) {
+			t.Fatal("not reached")
+		}
+	}
+}
+
+// Guards against a soak that does not see a request that was executed twice.
+func TestCheckExecutions(t *testing.T) {
+	is := is.New(t)
+	f, here, _ := judged(t)
+	f.counts.Answered = 1
+	one := netip.MustParseAddrPort("127.38.30.1:2000")
+	two := netip.MustParseAddrPort("127.38.30.1:2001")
+	for _, from := range []netip.AddrPort{one, two} {
+		send(is, here, flowends.Packet{From: from, To: address(streams), Flags: flowends.SYN, Seq: 1})
+		eventually(t, func() bool { return here.Holds(from) })
+		data := flowends.Packet{From: from, To: address(streams), Flags: flowends.ACK, Seq: 2, Data: []byte("request")}
+		send(is, here, data)
+		send(is, here, data) // a repeated packet is not executed again
+	}
+	eventually(t, func() bool { return here.Executions()["request"] == 2 })
+	f.collect(here)
+	f.checkExecutions()
+	checkBreaks(is, f, "executed 2 times")
+}
+
+// Guards against a proxy that passes bytes in a mode in which they are lost.
+func TestProxyModes(t *testing.T) {
+	store, err := net.Listen("tcp4", "127.39.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer store.Close()
+	asked := make(chan string, 8)
+	go echo(store, asked)
+	p, err := newProxy("127.39.0.2:0", store.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.close()
+	cases := []struct {
+		mode     proxyMode
+		asks     bool // the store gets the request
+		answered bool
+	}{{passing, true, true}, {slow, true, true}, {oneWay, true, false}, {silent, false, false}, {refusing, false, false}}
+	for _, c := range cases {
+		t.Run(fmt.Sprint(c.mode), func(t *testing.T) {
+			is := is.New(t)
+			p.set(c.mode)
+			conn, err := net.Dial("tcp4", p.listener.Addr().String())
+			if err != nil {
+				is.Equal(c.mode, refusing)
+				return
+			}
+			defer conn.Close()
+			_, _ = conn.Write([]byte("question")) // a reset connection shows below
+			if c.asks {
+				is.Equal(<-asked, "question")
+			}
+			if c.answered {
+				answer := make([]byte, len("question"))
+				_, err = io.ReadFull(conn, answer)
+				is.NoErr(err)
+				return
+			}
+			const quiet = 50 * time.Millisecond
+			is.NoErr(conn.SetReadDeadline(time.Now().Add(quiet)))
+			n, _ := conn.Read(make([]byte, 1))
+			is.Equal(n, 0)
+		})
+	}
+	is.New(t).Equal(len(asked), 0)
+}
+
+// echo answers each request with itself.
+func echo(listener net.Listener, asked chan<- string) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			buf := make([]byte, 64)
+			for {
+				n, err := conn.Read(buf)
+				if err != nil {
+					return
+				}
+				asked <- string(buf[:n])
+				if _, err := conn.Write(buf[:n]); err != nil {
+					return
+				}
+			}
+		}()
+	}
+}
--- a/standin/flowends/flowends.go
+++ b/standin/flowends/flowends.go
@@ -8,6 +8,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
 	"sync"
@@ -22,6 +23,8 @@
 	ErrChanged = errors.New("packet was changed on its way")
 	// ErrReset means that a flow was reset.
 	ErrReset = errors.New("flow was reset")
+	// ErrSystemReset means that a VM reset a flow, not a target.
+	ErrSystemReset = fmt.Errorf("by a VM: %w", ErrReset)
 	// ErrNoAnswer means that nothing arrived in time.
 	ErrNoAnswer = errors.New("no answer")
 )
@@ -47,6 +50,8 @@
 	Flags    byte
 	Seq, Ack uint32
 	Data     []byte
+	// System means that the packet is a reset without a sum, as VMs send them.
+	System bool
 }
 
 // sumKey is the key of the sums of both ends.
@@ -92,13 +97,20 @@
 		Data:  b[headerSize:],
 	}
 	sum := binary.BigEndian.Uint32(b[20:])
-	if p.sum() != sum && !(p.Flags == RST && sum == 0) {
+	p.System = p.Flags == RST && sum == 0
+	if p.sum() != sum && !p.System {
 		return Packet{}, ErrChanged
 	}
 	return p, nil
 }
 
-// Target answers flows: it accepts each, and answers data with its own name.
+// targetFlow is a flow at a target.
+type targetFlow struct {
+	expect uint32 // next byte of the caller
+}
+
+// Target answers flows: it accepts each, and answers data with its own name. Data
+// that was seen before is answered again and not executed.
 type Target struct {
 	Name   string
 	Number uint64 // by which it recognises datagrams that are meant for it
@@ -108,10 +120,11 @@
 	done       chan struct{}
 
 	mu      sync.Mutex
-	flows   map[netip.AddrPort]bool
+	flows   map[netip.AddrPort]*targetFlow
 	opened  int
 	changed int
 	foreign int
+	ran     map[string]int // executions by the data of the request
 }
 
 // NewTarget starts a target at addr that answers callers at callerPort.
@@ -120,7 +133,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("target %s: %w", name, err)
 	}
-	t := &Target{Name: name, Number: number, conn: conn, callerPort: callerPort, done: make(chan struct{}), flows: make(map[netip.AddrPort]bool)}
+	t := &Target{Name: name, Number: number, conn: conn, callerPort: callerPort, done: make(chan struct{}), flows: make(map[netip.AddrPort]*targetFlow), ran: make(map[string]int)}
 	go t.run()
 	return t, nil
 }
@@ -138,6 +151,20 @@
 	return t.opened, t.changed, t.foreign
 }
 
+// Executions returns how often each request was executed, by its data.
+func (t *Target) Executions() map[string]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return maps.Clone(t.ran)
+}
+
+// Holds reports whether the target has the flow of a caller's end.
+func (t *Target) Holds(from netip.AddrPort) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.flows[from] != nil
+}
+
 // Close ends the target. It says nothing to its callers.
 func (t *Target) Close() {
 	t.conn.Close()
@@ -171,17 +198,25 @@
 		return
 	}
 	answer := Packet{Echo: p.Echo, From: p.To, To: p.From, Seq: 1000, Ack: p.Seq + uint32(len(p.Data))}
+	f := t.flows[p.From]
 	switch {
 	case p.Flags&SYN != 0:
-		if !t.flows[p.From] {
+		if f == nil {
 			t.opened++
+			t.flows[p.From] = &targetFlow{expect: p.Seq + 1}
 		}
-		t.flows[p.From] = true
 		answer.Flags = SYN | ACK
 		answer.Ack = p.Seq + 1
-	case !t.flows[p.From]:
+	case p.Flags&RST != 0:
+		delete(t.flows, p.From)
+		return
+	case f == nil:
 		answer.Flags = RST
 	case len(p.Data) > 0:
+		if p.Seq == f.expect {
+			f.expect += uint32(len(p.Data))
+			t.ran[string(p.Data)]++
+		}
 		answer.Flags = ACK
 		answer.Seq = p.Ack
 		answer.Data = []byte(t.Name)
@@ -219,14 +254,25 @@
 	seq, ack uint32
 }
 
-// Open opens a flow to address through the VM at vm, with copies of the first
-// packet after 200 and 600 ms. It returns ErrReset or ErrNoAnswer.
+// Route returns the VM that gets the next packet of a flow.
+type Route func(f *Flow) netip.AddrPort
+
+// through returns the route through one VM.
+func through(vm netip.AddrPort) Route { return func(*Flow) netip.AddrPort { return vm } }
+
+// Open opens a flow to address through the VM at vm; see OpenBy.
 func (c *Caller) Open(vm, address netip.AddrPort) (*Flow, error) {
+	return c.OpenBy(through(vm), address)
+}
+
+// OpenBy opens a flow to address, with copies of the first packet after 200 and 600
+// ms. It returns ErrReset, ErrSystemReset or ErrNoAnswer.
+func (c *Caller) OpenBy(route Route, address netip.AddrPort) (*Flow, error) {
 	c.next++
 	ip := c.conn.LocalAddr().(*net.UDPAddr).AddrPort().Addr()
 	f := &Flow{caller: c, From: netip.AddrPortFrom(ip, c.next), To: address, seq: 100}
 	for copies, wait := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond} {
-		f.send(vm, Packet{Flags: SYN, Seq: f.seq, Ack: uint32(copies)})
+		f.send(route, Packet{Flags: SYN, Seq: f.seq, Ack: uint32(copies)})
 		answer, err := f.receive(wait, f.seq+1)
 		if errors.Is(err, ErrNoAnswer) {
 			continue
@@ -236,19 +282,23 @@
 		}
 		f.seq++
 		f.ack = answer.Seq + 1
-		f.send(vm, Packet{Flags: ACK, Seq: f.seq, Ack: f.ack})
+		f.send(route, Packet{Flags: ACK, Seq: f.seq, Ack: f.ack})
 		return f, nil
 	}
 	return nil, ErrNoAnswer
 }
 
-// Ask sends data through the VM at vm and returns the name of the target that
-// answers. It repeats the packet as a caller does, and returns ErrReset or
-// ErrNoAnswer.
+// Ask sends a request through the VM at vm; see AskBy.
 func (f *Flow) Ask(vm netip.AddrPort) (string, error) {
-	data := []byte("hello")
+	return f.AskBy(through(vm), "hello")
+}
+
+// AskBy sends a request and returns the name of the target that answers. It repeats
+// the packet as a caller does, and returns ErrReset, ErrSystemReset or ErrNoAnswer.
+func (f *Flow) AskBy(route Route, request string) (string, error) {
+	data := []byte(request)
 	for _, wait := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond} {
-		f.send(vm, Packet{Flags: ACK, Seq: f.seq, Ack: f.ack, Data: data})
+		f.send(route, Packet{Flags: ACK, Seq: f.seq, Ack: f.ack, Data: data})
 		answer, err := f.receive(wait, f.seq+uint32(len(data)))
 		if errors.Is(err, ErrNoAnswer) {
 			continue
@@ -258,12 +308,22 @@
 		}
 		f.seq += uint32(len(data))
 		f.ack = answer.Seq + uint32(len(answer.Data))
+		f.send(route, Packet{Flags: ACK, Seq: f.seq, Ack: f.ack})
 		return string(answer.Data), nil
 	}
 	return "", ErrNoAnswer
 }
 
-func (f *Flow) send(vm netip.AddrPort, p Packet) {
+// Abort gives the flow up; its target forgets it.
+func (f *Flow) Abort(route Route) {
+	f.send(route, Packet{Flags: RST, Seq: f.seq, Ack: f.ack})
+}
+
+func (f *Flow) send(route Route, p Packet) {
+	vm := route(f)
+	if !vm.IsValid() {
+		return // no VM is in rotation
+	}
 	p.From, p.To, p.Echo = f.From, f.To, f.echo
 	// What is lost shows as a missing answer.
 	_, _ = f.caller.conn.WriteToUDPAddrPort(p.Encode(), vm)
@@ -289,6 +349,9 @@
 		if p.To != f.From || p.From != f.To {
 			continue
 		}
+		if p.System {
+			return Packet{}, ErrSystemReset
+		}
 		if p.Flags&RST != 0 {
 			return Packet{}, ErrReset
 		}
