--- a/daemon/command.go
+++ b/daemon/command.go
@@ -8,18 +8,15 @@
 	"github.com/gypsumspan/gypsumspan/settings"
 )
 
-// Exit codes of gypsumspand.
+// Exit codes of gypsumspand besides those that the daemons share.
 const (
-	ExitOK       = 0 // the planned leave is complete, or the command succeeded
-	ExitFailed   = 1 // a service failed, for example because an address is in use
-	ExitSettings = 2 // the settings have faults, or the command line is wrong
-	ExitAtOnce   = 3 // a second signal cut the planned leave short
-	ExitOverran  = 4 // the planned leave did not end within the stop grace
+	ExitAtOnce  = 3 // a second signal cut the planned leave short
+	ExitOverran = 4 // the planned leave did not end within the stop grace
 )
 
 // Main runs the command line args and returns the exit code.
 func Main(args []string, o Options) int {
-	o.setDefaults()
+	o.SetDefaults()
 	return daemoncmd.Program{
 		Name:  "gypsumspand",
 		Short: "Entry daemon: one VM of the load balancer",
@@ -48,15 +45,11 @@
 
 func exitCode(err error) int {
 	switch {
-	case err == nil:
-		return ExitOK
-	case errors.Is(err, settings.ErrInvalid), errors.Is(err, settings.ErrFile), errors.Is(err, daemoncmd.ErrUsage):
-		return ExitSettings
 	case errors.Is(err, ErrStoppedAtOnce):
 		return ExitAtOnce
 	case errors.Is(err, ErrLeaveOverran):
 		return ExitOverran
 	default:
-		return ExitFailed
+		return daemoncmd.ExitCode(err)
 	}
 }
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -6,9 +6,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"os"
+	"syscall"
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/daemoncmd"
@@ -50,34 +49,15 @@
 	Machine MachineFactory
 	// Services creates further services; it may be nil. They may need "core".
 	Services ServiceFactory
-	// Version appears in logs and in the output of the command "version".
-	Version string
-	// Signals delivers stop signals. nil means SIGTERM and SIGINT of the process.
-	Signals <-chan os.Signal
-	// Logger replaces the logger that the settings describe; it may be nil.
-	Logger *events.Logger
-	// Stdout and Stderr default to those of the process.
-	Stdout io.Writer
-	Stderr io.Writer
-}
-
-func (o *Options) setDefaults() {
-	if o.Version == "" {
-		o.Version = daemoncmd.BuildVersion()
-	}
-	if o.Stdout == nil {
-		o.Stdout = os.Stdout
-	}
-	if o.Stderr == nil {
-		o.Stderr = os.Stderr
-	}
+	// Process is what the daemon uses of its process.
+	daemoncmd.Process
 }
 
 // Run runs one entry VM until the first signal or the end of ctx, then performs
 // the planned leave. It returns nil after a complete leave, ErrStoppedAtOnce,
 // ErrLeaveOverran, ErrAssemble, or the error of the service that failed.
 func Run(ctx context.Context, s *settings.Settings, o Options) error {
-	o.setDefaults()
+	o.SetDefaults()
 	logger := o.Logger
 	if logger == nil {
 		logger = events.New(o.Stderr, s.Log.Format, s.Log.Level)
@@ -88,7 +68,7 @@
 }
 
 func run(ctx context.Context, s *settings.Settings, o Options, logger *events.Logger) error {
-	signals, stopSignals := o.signals()
+	signals, stopSignals := o.Notify(syscall.SIGTERM, syscall.SIGINT)
 	defer stopSignals()
 	ctx, leave := context.WithCancel(ctx)
 	defer leave()
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -19,6 +19,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/goleak"
 
+	"github.com/gypsumspan/gypsumspan/daemoncmd"
 	"github.com/gypsumspan/gypsumspan/decide/message"
 	"github.com/gypsumspan/gypsumspan/events"
 	"github.com/gypsumspan/gypsumspan/kernel"
@@ -105,8 +106,7 @@
 		p.result <- Run(context.Background(), s, Options{
 			Machine:  func(MachineConfig) (core.Machine, error) { return m, nil },
 			Services: further,
-			Signals:  p.signals,
-			Logger:   logger,
+			Process:  daemoncmd.Process{Signals: p.signals, Logger: logger},
 		})
 	}()
 	return p
@@ -234,7 +234,7 @@
 	})
 	err := p.wait()
 	is.True(errors.Is(err, cause))
-	is.Equal(exitCode(err), ExitFailed)
+	is.Equal(exitCode(err), daemoncmd.ExitFailed)
 	is.Equal(p.recorder.Count(events.DaemonFailed), 1)
 }
 
@@ -245,8 +245,7 @@
 	_, logger := events.NewRecorder(nil)
 	err := Run(context.Background(), testSettings(t), Options{
 		Machine: func(MachineConfig) (core.Machine, error) { return nil, cause },
-		Logger:  logger,
-		Signals: make(chan os.Signal),
+		Process: daemoncmd.Process{Logger: logger, Signals: make(chan os.Signal)},
 	})
 	is.True(errors.Is(err, ErrAssemble))
 	is.True(errors.Is(err, cause))
@@ -270,23 +269,23 @@
 		code int
 		out  []string // on standard output or standard error
 	}{
-		{"check valid", []string{"check", "--config", valid}, ExitOK, []string{"settings are valid"}},
-		{"check faulty", []string{"check", "--config", faulty}, ExitSettings, []string{faulty + ":4: vm.name", faulty + ":11: listen.admin"}},
-		{"run faulty", []string{"run", "--config", faulty}, ExitSettings, []string{"vm.name"}},
-		{"no file", []string{"check", "--config", filepath.Join(dir, "none")}, ExitSettings, []string{"can't be read"}},
-		{"no flag", []string{"run"}, ExitSettings, []string{"--config FILE is required"}},
-		{"unknown flag", []string{"run", "--fast"}, ExitSettings, []string{"--fast"}},
-		{"unknown command", []string{"fly"}, ExitSettings, []string{"fly"}},
-		{"no command", nil, ExitSettings, []string{"a command is required"}},
-		{"settings", []string{"settings"}, ExitOK, []string{settings.Example()}},
-		{"version", []string{"version"}, ExitOK, []string{"gypsumspand v1.2"}},
-		{"help", []string{"--help"}, ExitOK, []string{"Exit codes: 0", "run", "check", "settings", "version"}},
+		{"check valid", []string{"check", "--config", valid}, daemoncmd.ExitOK, []string{"settings are valid"}},
+		{"check faulty", []string{"check", "--config", faulty}, daemoncmd.ExitSettings, []string{faulty + ":4: vm.name", faulty + ":11: listen.admin"}},
+		{"run faulty", []string{"run", "--config", faulty}, daemoncmd.ExitSettings, []string{"vm.name"}},
+		{"no file", []string{"check", "--config", filepath.Join(dir, "none")}, daemoncmd.ExitSettings, []string{"can't be read"}},
+		{"no flag", []string{"run"}, daemoncmd.ExitSettings, []string{"--config FILE is required"}},
+		{"unknown flag", []string{"run", "--fast"}, daemoncmd.ExitSettings, []string{"--fast"}},
+		{"unknown command", []string{"fly"}, daemoncmd.ExitSettings, []string{"fly"}},
+		{"no command", nil, daemoncmd.ExitSettings, []string{"a command is required"}},
+		{"settings", []string{"settings"}, daemoncmd.ExitOK, []string{settings.Example()}},
+		{"version", []string{"version"}, daemoncmd.ExitOK, []string{"gypsumspand v1.2"}},
+		{"help", []string{"--help"}, daemoncmd.ExitOK, []string{"Exit codes: 0", "run", "check", "settings", "version"}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			var out bytes.Buffer
-			code := Main(c.args, Options{Version: "v1.2", Stdout: &out, Stderr: &out})
+			code := Main(c.args, Options{Process: daemoncmd.Process{Version: "v1.2", Stdout: &out, Stderr: &out}})
 			is.Equal(code, c.code)
 			for _, text := range c.out {
 				is.True(strings.Contains(out.String(), text))
@@ -306,7 +305,7 @@
 		documented = append(documented, c[1])
 	}
 	var declared []string
-	for _, code := range []int{ExitOK, ExitFailed, ExitSettings, ExitAtOnce, ExitOverran} {
+	for _, code := range []int{daemoncmd.ExitOK, daemoncmd.ExitFailed, daemoncmd.ExitSettings, ExitAtOnce, ExitOverran} {
 		declared = append(declared, strconv.Itoa(code))
 	}
 	is.Equal(documented, declared)
--- a/daemon/signals.go
+++ b/daemon/signals.go
@@ -4,8 +4,6 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/gypsumspan/gypsumspan/events"
 	"github.com/gypsumspan/gypsumspan/kernel"
@@ -13,19 +11,6 @@
 	"github.com/gypsumspan/gypsumspan/settings"
 )
 
-// signalCapacity holds the signals that arrive before the service starts.
-const signalCapacity = 2
-
-// signals returns the channel of stop signals and a function that releases it.
-func (o *Options) signals() (<-chan os.Signal, func()) {
-	if o.Signals != nil {
-		return o.Signals, func() {}
-	}
-	ch := make(chan os.Signal, signalCapacity)
-	signal.Notify(ch, syscall.SIGTERM, syscall.SIGINT)
-	return ch, func() { signal.Stop(ch) }
-}
-
 // signalService is the service "signals". The first signal starts the planned
 // leave, the second fails the service and so ends all others at once.
 type signalService struct {
--- a/decide/flood/flood.go
+++ b/decide/flood/flood.go
@@ -186,7 +186,7 @@
 		return true
 	}
 	levels := p.least - k.priority
-	if l.anyFloods(service) || k.priority < p.least && levels > 0 && l.mostUrgent(k) {
+	if l.anyFloods(service) || levels > 0 && l.mostUrgent(k) {
 		// Its usual work goes on.
 		return true
 	}
--- /dev/null
+++ b/decide/forward/loads_test.go
@@ -0,0 +1,43 @@
+package forward
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/decide/relay"
+)
+
+// Guards against a domain that keeps flows that others could serve.
+func TestFlowsLeaveADomainUnderPressure(t *testing.T) {
+	r := newRig(t)
+	loads := []relay.Load{{Domain: "a", At: "a", Service: "s", Busy: 30}, {Domain: "b", At: "b", Service: "s", Busy: 1}}
+	for range 20 {
+		r.f.SetDomainLoads(0, loads)
+	}
+	domains := make(map[string]int)
+	for caller := range uint16(300) {
+		domains[r.f.Receive(0, syn(caller, 0)).Target.Domain]++
+	}
+	r.True(domains["a"] > 30 && domains["b"] > 150)
+	// Old reports say nothing.
+	for caller := range uint16(50) {
+		r.Equal(r.f.Receive(4*time.Second, syn(1000+caller, 0)).Target.Domain, "a")
+	}
+}
+
+// Guards against loads that drift from the flows that are remembered.
+func TestLoadsFollowFlows(t *testing.T) {
+	r := newRig(t)
+	for caller := range uint16(20) {
+		target := r.openFlow(0, caller)
+		if caller%2 == 0 {
+			r.f.Receive(3*ms, later(caller, target.Cookie, 101, 500, 10))
+		}
+	}
+	r.Equal(r.f.Loads(), []relay.Load{{At: "a", Service: "s", Flows: 20, Busy: 10}})
+	r.f.Tick(time.Minute)
+	r.Equal(len(r.f.Loads()), 0)
+	for _, load := range r.f.loads {
+		r.True(load.Flows == 0 && load.Busy == 0)
+	}
+}
--- /dev/null
+++ b/decide/forward/silence_test.go
@@ -0,0 +1,228 @@
+package forward
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/decide/catalog"
+	"github.com/gypsumspan/gypsumspan/decide/relay"
+)
+
+// Guards against a VM that was paused and takes the copies that have waited at it
+// for the silence of a target.
+func TestAPausedVMBlamesNoTarget(t *testing.T) {
+	r := newRig(t)
+	r.keepAlive(0, nil)
+	dead := r.f.View().Target("i-1")
+	const woke = 3 * time.Second
+	r.keepAlive(woke, dead)
+	for copies := range uint32(3) {
+		for caller := uint16(1); caller <= 5; caller++ {
+			v := r.f.Receive(woke+time.Duration(copies)*ms, later(caller, dead.Cookie, 101, 500, 10))
+			r.Equal(v.Action, Forward)
+		}
+	}
+	first := r.f.Receive(woke, syn(50, 0))
+	for copies := uint32(1); copies <= 2; copies++ {
+		v := r.f.Receive(woke+time.Duration(copies)*ms, syn(50, copies))
+		r.Equal(v.Target, first.Target)
+	}
+	r.Equal(len(r.f.TakeEnded()), 0)
+	r.True(!r.f.evidence[first.Target.Slot].Silent(woke + 10*ms))
+}
+
+// keepAlive lets a flow make progress at every target of the domain but one.
+func (r *rig) keepAlive(now time.Duration, dead *catalog.Target) {
+	for id := 1; id <= 3; id++ {
+		target := r.f.View().Target(fmt.Sprint("i-", id))
+		if target == dead {
+			continue
+		}
+		caller := uint16(1000 + id)
+		r.f.Receive(now, later(caller, target.Cookie, 1, uint32(now/ms), 0))
+	}
+}
+
+// Guards against flows that wait for a dead target until their time limit, and
+// against flows that are reset though their request may not be repeated.
+func TestFlowsOfADeadTarget(t *testing.T) {
+	cases := []struct {
+		name  string
+		kind  catalog.Kind
+		reset bool // of a flow whose request is in progress
+	}{
+		{"idempotent", catalog.Idempotent, true},
+		{"download", catalog.Download, true},
+		{"non-idempotent", catalog.NonIdempotent, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t)
+			r.configure(c.kind, "s")
+			r.keepAlive(0, nil)
+			dead := r.f.View().Target("i-1")
+			r.f.Receive(0, later(3, dead.Cookie, 101, 500, 0)) // stays idle
+			var verdicts []Verdict
+			for at := time.Duration(0); at <= 1400*ms; at += 100 * ms {
+				r.keepAlive(at, dead)
+				for caller := uint16(1); caller <= 2; caller++ {
+					if at == 0 || at == 200*ms || at == 600*ms || at == 1400*ms {
+						verdicts = append(verdicts, r.f.Receive(at, later(caller, dead.Cookie, 101, 500, 10)))
+					}
+				}
+			}
+			resets := 0
+			for _, v := range verdicts {
+				if v.Action == Reset {
+					r.Equal(v.Reason, TargetSilent)
+					resets++
+				}
+			}
+			var idle, busy int
+			for _, e := range r.f.TakeEnded() {
+				r.Equal(e.Target, dead)
+				if e.Packet.Flow == key(3) || e.Packet.Flow == key(1001) {
+					idle++
+				} else {
+					busy++
+				}
+			}
+			r.Equal(idle, 2) // of caller 3 and of keepAlive
+			r.Equal(resets+busy > 0, c.reset)
+			r.True(r.f.Receive(1410*ms, syn(7, 0)).Target != dead)
+		})
+	}
+}
+
+// Guards against a VM that is slow, or busy with the catalogs of others, and takes
+// targets for dead whose answers it has not seen yet.
+func TestASlowVMResetsNothing(t *testing.T) {
+	cases := []struct {
+		name   string
+		set    func(f *Forwarder)
+		resets bool
+	}{
+		{"neither", func(*Forwarder) {}, true},
+		{"slow a moment ago", func(f *Forwarder) { f.SetLate(500 * ms) }, false},
+		{"slow long ago", func(f *Forwarder) { f.SetLate(-lateFor) }, true},
+		{"burdened", func(f *Forwarder) { f.SetBurdened(true) }, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t)
+			r.keepAlive(0, nil)
+			dead := r.f.View().Target("i-1")
+			c.set(r.f)
+			resets := 0
+			for at := time.Duration(0); at <= 1400*ms; at += 100 * ms {
+				r.keepAlive(at, dead)
+				for caller := uint16(1); caller <= 3; caller++ {
+					if at != 0 && at != 200*ms && at != 600*ms && at != 1400*ms {
+						continue
+					}
+					if r.f.Receive(at, later(caller, dead.Cookie, 101, 500, 10)).Action == Reset {
+						resets++
+					}
+				}
+			}
+			r.Equal(resets+len(r.f.TakeEnded()) > 0, c.resets)
+		})
+	}
+}
+
+// Guards against a VM that is cut off itself and resets the flows of live targets.
+func TestAVMThatIsCutOffResetsNothing(t *testing.T) {
+	r := newRig(t)
+	for id := 1; id <= 3; id++ {
+		cookie := r.f.View().Target(fmt.Sprint("i-", id)).Cookie
+		for caller := uint16(0); caller < 4; caller++ {
+			for _, at := range []time.Duration{0, 200 * ms, 600 * ms, 1400 * ms} {
+				v := r.f.Receive(at, later(100*uint16(id)+caller, cookie, 101, 500, 10))
+				r.Equal(v.Action, Forward)
+			}
+		}
+	}
+	r.Equal(len(r.f.TakeEnded()), 0)
+}
+
+// Guards against flows that wait for a failure domain that is cut off, one flow at
+// each of its targets.
+func TestFlowsToADomainThatIsCutOff(t *testing.T) {
+	r := newRig(t)
+	r.keepAlive(0, nil)
+	resets := 0
+	for at := time.Duration(0); at <= 1400*ms; at += 100 * ms {
+		r.keepAlive(at, nil)
+		for id := 4; id <= 5; id++ {
+			if at == 0 || at == 200*ms || at == 600*ms || at == 1400*ms {
+				cookie := r.f.View().Target(fmt.Sprint("i-", id)).Cookie
+				if r.f.Receive(at, later(uint16(id), cookie, 101, 500, 10)).Action == Reset {
+					resets++
+				}
+			}
+		}
+	}
+	r.Equal(resets, 2)
+	r.f.SetDomainLoads(1400*ms, []relay.Load{{At: "a", Service: "s", Busy: 900}})
+	for caller := range uint16(50) {
+		r.Equal(r.f.Receive(1410*ms, syn(2000+caller, 0)).Target.Domain, "a")
+	}
+}
+
+// Guards against new flows that go to a target whose entry lapsed in an outage of
+// the store and that does not answer.
+func TestLapsedAndSilentTargetsGetNoFlows(t *testing.T) {
+	r := newRig(t)
+	dead := r.f.Receive(0, syn(1, 0)).Target
+	r.f.Receive(200*ms, syn(1, 1))
+	r.f.StoreLost()
+	r.f.StoreRegained(300 * ms)
+	for id := 1; id <= 3; id++ {
+		r.apply(300*ms, catalog.Change{Gone: fmt.Sprint("i-", id)})
+	}
+	// The avoidance is over, and all entries of the domain are in doubt.
+	for caller := uint16(2); caller < 20; caller++ {
+		target := r.f.Receive(2*time.Second, syn(caller, 0)).Target
+		r.True(target != dead && target.Domain == "a")
+	}
+}
+
+// Guards against flows to live targets of another domain that are reset because one
+// target there is dead.
+func TestOneDeadTargetIsNotACutDomain(t *testing.T) {
+	r := newRig(t)
+	r.keepAlive(0, nil)
+	dead, alive := r.f.View().Target("i-4"), r.f.View().Target("i-5")
+	r.f.Receive(0, later(30, alive.Cookie, 101, 500, 0))
+	r.f.Receive(50*ms, later(30, alive.Cookie, 101, 600, 0)) // the last sign of life
+	for at := time.Duration(0); at <= 1400*ms; at += 100 * ms {
+		r.keepAlive(at, nil)
+		for caller := uint16(1); caller <= 3; caller++ {
+			if at == 0 || at == 200*ms || at == 600*ms || at == 1400*ms {
+				r.f.Receive(at, later(caller, dead.Cookie, 101, 500, 10))
+			}
+		}
+		if at == 1100*ms || at == 1300*ms {
+			// A request that takes long.
+			r.Equal(r.f.Receive(at, later(30, alive.Cookie, 101, 600, 10)).Action, Forward)
+		}
+	}
+	for _, e := range r.f.TakeEnded() {
+		r.Equal(e.Target, dead)
+	}
+}
+
+// Guards against idle flows of a target that has left: their next request would be lost.
+func TestIdleFlowsOfAGoneTargetAreReset(t *testing.T) {
+	r := newRig(t)
+	target := r.openFlow(0, 1)
+	r.put(ms, entry(int(target.Number), "s", "a", catalog.Draining))
+	r.apply(5*time.Second, catalog.Change{Gone: target.ID})
+	r.f.Tick(5 * time.Second)
+	ended := r.f.TakeEnded()
+	r.Equal(len(ended), 1)
+	r.Equal(ended[0].Packet.Flow, key(1))
+	r.Equal(ended[0].Reason, TargetGone)
+	r.Equal(r.f.Flows(), 0)
+}
--- /dev/null
+++ b/decide/forward/table_test.go
@@ -0,0 +1,109 @@
+package forward
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/gypsumspan/gypsumspan/decide/catalog"
+	"github.com/gypsumspan/gypsumspan/decide/flow"
+	"github.com/gypsumspan/gypsumspan/decide/relay"
+)
+
+// Guards against a table of flows that grows without bound.
+func TestTableOfFlowsIsBounded(t *testing.T) {
+	r := newRig(t)
+	r.f.flows.capacity = 100
+	for caller := range uint16(1000) {
+		r.Equal(r.f.Receive(0, syn(caller, 0)).Action, Forward)
+	}
+	r.Equal(r.f.Flows(), 100)
+	r.Equal(r.f.Loads(), []relay.Load{{At: "a", Service: "s", Flows: 100}})
+}
+
+// Guards against a decision that allocates on the path of every packet.
+func TestOpenFlowsAllocateNothing(t *testing.T) {
+	r := newRig(t)
+	target := r.openFlow(0, 1)
+	ack := uint32(500)
+	allocations := testing.AllocsPerRun(1000, func() {
+		ack++
+		r.f.Receive(ms, later(1, target.Cookie, ack, ack, 10))
+	})
+	r.Equal(allocations, 0.0)
+}
+
+func benchmarkForwarder(targets int) *Forwarder {
+	f := New(Config{Domain: "a"})
+	var routes []catalog.Route
+	for i := range targets / 9 {
+		name := fmt.Sprint("s", i)
+		routes = append(routes, catalog.Route{
+			Address: flow.Endpoint{IP: [4]byte{10, 9, byte(i >> 8), byte(i)}, Port: 443},
+			Shares:  []catalog.Share{{Service: name, Weight: 1}},
+		})
+		for j := range 9 {
+			e := entry(i*9+j, name, "a", catalog.Ready)
+			f.Apply(0, catalog.Change{Revision: int64(i*9 + j + 1), Target: e})
+		}
+	}
+	f.Apply(0, catalog.Change{Revision: 1 << 30, Configuration: &catalog.Configuration{Version: 1, Routes: routes}})
+	f.Apply(0, catalog.Change{Revision: 1 << 30, Synced: true})
+	return f
+}
+
+func BenchmarkContinue(b *testing.B) {
+	for _, targets := range []int{18, 999, 9999} {
+		b.Run(fmt.Sprint("targets=", targets), func(b *testing.B) {
+			f := benchmarkForwarder(targets)
+			p := syn(1, 0)
+			p.Flow.Address = flow.Endpoint{IP: [4]byte{10, 9, 0, 0}, Port: 443}
+			v := f.Receive(0, p)
+			p.Flags, p.Cookie, p.Len = flow.ACK, v.Cookie, 10
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Seq += 10
+				p.Ack += 10
+				f.Receive(ms, p)
+			}
+		})
+	}
+}
+
+func BenchmarkPlace(b *testing.B) {
+	for _, targets := range []int{18, 999, 9999} {
+		b.Run(fmt.Sprint("targets=", targets), func(b *testing.B) {
+			f := benchmarkForwarder(targets)
+			p := syn(1, 0)
+			p.Flow.Address = flow.Endpoint{IP: [4]byte{10, 9, 0, 0}, Port: 443}
+			b.ReportAllocs()
+			for b.Loop() {
+				p.Flow.Caller.Port++
+				f.Receive(0, p)
+			}
+		})
+	}
+}
+
+// BenchmarkPlaceInAPool places flows of a service with many targets in three
+// domains, which the VM's evidence is asked about.
+func BenchmarkPlaceInAPool(b *testing.B) {
+	for _, targets := range []int{30, 300, 3000} {
+		b.Run(fmt.Sprint("targets=", targets), func(b *testing.B) {
+			r := &rig{I: is.New(b), f: New(Config{Domain: "a", Seed: 1})}
+			r.configure(catalog.Idempotent, "s")
+			for id := range targets {
+				r.put(0, entry(id+1, "s", string(rune('a'+id%3)), catalog.Ready))
+			}
+			r.apply(0, catalog.Change{Synced: true})
+			b.ReportAllocs()
+			caller := uint16(0)
+			for b.Loop() {
+				caller++
+				r.f.Receive(time.Duration(caller)*ms, syn(caller, 0))
+			}
+		})
+	}
+}
--- a/decide/vm/answers.go
+++ b/decide/vm/answers.go
@@ -125,7 +125,7 @@
 		v.counters.StrayAnswers++
 		return
 	}
-	t.reached = true
+	v.noteReached(t)
 	t.answered = v.now
 	complete := t.log.RecordPart(v.now, p.key, m.Attempt, m)
 	v.sendAnswer(t, p.caller, m)
@@ -218,7 +218,9 @@
 	if t == nil {
 		return
 	}
-	t.reached = t.reached || m.Reached
+	if m.Reached {
+		v.noteReached(t)
+	}
 	if !m.Reached && v.silent(t) {
 		t.health.Outcome(v.now, health.Unreachable)
 	}
--- a/decide/vm/target.go
+++ b/decide/vm/target.go
@@ -37,6 +37,8 @@
 	queue    *admission.Queue
 	health   *health.Tracker
 	reached  bool          // the target has answered a health check or a request
+	taken    time.Duration // when this VM took the target over
+	heldTill time.Duration // no dispatch until then, see noteReached
 	answered time.Duration // last answer to a request
 	ejected  bool          // out of service for health
 	pending  map[message.RequestKey]*pending
@@ -137,9 +139,35 @@
 	v.setLimit(t)
 }
 
+const (
+	// lateReach is the time after a takeover from which a target that is reached for
+	// the first time was behind a partition: health checks reach others within it.
+	lateReach = 4 * time.Second
+	// sidesMeet is the time that the VMs of both sides of a healed partition need to
+	// know of each other, and so of the one owner of each target.
+	sidesMeet = 3 * time.Second
+)
+
 // setLimit applies the table's limit and the target's health to the slots.
 func (v *VM) setLimit(t *target) {
-	t.queue.SetLimit(t.health.Concurrency(v.now, int(t.row.Limit)))
+	limit := t.health.Concurrency(v.now, int(t.row.Limit))
+	if v.now < t.heldTill || !t.reached && v.now-t.taken >= lateReach {
+		limit = 0
+	}
+	t.queue.SetLimit(limit)
+}
+
+// noteReached notes that the target has answered. One that is reached long after its
+// takeover was behind a partition, where another VM owns it: both would dispatch to it,
+// each up to the limit, until they know of each other.
+func (v *VM) noteReached(t *target) {
+	if t.reached {
+		return
+	}
+	t.reached = true
+	if v.now-t.taken >= lateReach {
+		t.heldTill = v.now + sidesMeet
+	}
 }
 
 // activate takes the ownership. Kept state stays valid: its stamps were issued
@@ -153,6 +181,7 @@
 	if len(t.epochs) == 0 {
 		t.epochs = []message.Epoch{v.newEpoch()}
 		v.inheritLoad(t)
+		t.taken = v.now
 		v.counters.Takeovers++
 		v.noteTarget(notice.TakenOver, t, 0, t.flows.Len())
 	}
--- a/flowd/command.go
+++ b/flowd/command.go
@@ -2,23 +2,14 @@
 
 import (
 	"context"
-	"errors"
 
 	"github.com/gypsumspan/gypsumspan/daemoncmd"
-	"github.com/gypsumspan/gypsumspan/settings"
 	"github.com/gypsumspan/gypsumspan/settings/flowset"
 )
 
-// Exit codes of gypsumflowd.
-const (
-	ExitOK       = 0 // the planned stop is complete, or the command succeeded
-	ExitFailed   = 1 // a service failed, for example because an address is in use
-	ExitSettings = 2 // the settings have faults, or the command line is wrong
-)
-
 // Main runs the command line args and returns the exit code.
 func Main(args []string, o Options) int {
-	o.setDefaults()
+	o.SetDefaults()
 	return daemoncmd.Program{
 		Name:     "gypsumflowd",
 		Short:    "Forwards packets of opaque flows: one VM of the load balancer",
@@ -37,19 +28,8 @@
 			}
 			return Run(ctx, file, s, o)
 		},
-		ExitCode: exitCode,
+		ExitCode: daemoncmd.ExitCode,
 		Stdout:   o.Stdout,
 		Stderr:   o.Stderr,
 	}.Main(args)
 }
-
-func exitCode(err error) int {
-	switch {
-	case err == nil:
-		return ExitOK
-	case errors.Is(err, settings.ErrInvalid), errors.Is(err, settings.ErrFile), errors.Is(err, daemoncmd.ErrUsage):
-		return ExitSettings
-	default:
-		return ExitFailed
-	}
-}
--- a/flowd/flowd.go
+++ b/flowd/flowd.go
@@ -7,10 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"os"
-	"os/signal"
 	"runtime/debug"
 	"syscall"
 	"time"
@@ -43,46 +40,22 @@
 	collectorPercent = 30
 	// memberPrefix is the prefix of the VMs' own entries in the store.
 	memberPrefix = "gypsumspan/vms/"
-	// signalCapacity holds the signals that arrive before the service starts.
-	signalCapacity = 4
 )
 
 // Options are the parts of the daemon that its caller chooses.
-type Options struct {
-	// Version appears in logs and in the output of the command "version".
-	Version string
-	// Signals delivers signals. nil means those of the process.
-	Signals <-chan os.Signal
-	// Logger replaces the logger that the settings describe; it may be nil.
-	Logger *events.Logger
-	// Stdout and Stderr default to those of the process.
-	Stdout io.Writer
-	Stderr io.Writer
-}
-
-func (o *Options) setDefaults() {
-	if o.Version == "" {
-		o.Version = daemoncmd.BuildVersion()
-	}
-	if o.Stdout == nil {
-		o.Stdout = os.Stdout
-	}
-	if o.Stderr == nil {
-		o.Stderr = os.Stderr
-	}
-}
+type Options = daemoncmd.Process
 
 // Run runs one VM with the settings of file until a stop signal or the end of
 // ctx. It returns nil after a planned stop, ErrAssemble, or the error of the
 // service that failed.
 func Run(ctx context.Context, file string, s *flowset.Settings, o Options) error {
-	o.setDefaults()
+	o.SetDefaults()
 	debug.SetGCPercent(collectorPercent)
 	logger := o.Logger
 	if logger == nil {
 		logger = events.New(o.Stdout, s.Log.Format, s.Log.Level)
 	}
-	signals, stopSignals := o.signals()
+	signals, stopSignals := o.Notify(syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer stopSignals()
 	ctx, leave := context.WithCancel(ctx)
 	defer leave()
@@ -106,16 +79,6 @@
 	return nil
 }
 
-// signals returns the channel of signals and a function that releases it.
-func (o *Options) signals() (<-chan os.Signal, func()) {
-	if o.Signals != nil {
-		return o.Signals, func() {}
-	}
-	ch := make(chan os.Signal, signalCapacity)
-	signal.Notify(ch, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	return ch, func() { signal.Stop(ch) }
-}
-
 // assemble returns a kernel whose sockets are open and whose duties wait for Run.
 func assemble(s *flowset.Settings, log *logs.Service, signals kernel.Service) (*kernel.Kernel, error) {
 	seed := rand.Uint64()
--- a/flowd/flowd_test.go
+++ b/flowd/flowd_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/gypsumspan/gypsumspan/daemoncmd"
 	"github.com/gypsumspan/gypsumspan/events"
 	"github.com/gypsumspan/gypsumspan/settings/flowset"
 	"github.com/gypsumspan/gypsumspan/standin/flowends"
@@ -387,16 +388,16 @@
 		code int
 		want string
 	}{
-		{"no command", nil, ExitSettings, "a command is required"},
-		{"unknown flag", []string{"run", "--speed"}, ExitSettings, "unknown flag"},
-		{"no file", []string{"check"}, ExitSettings, "--config FILE"},
-		{"missing file", []string{"check", "--config", good + "x"}, ExitSettings, "no such file"},
-		{"variable is not set", []string{"check", "--config-env", "GYPSUMSPAN_NOT_SET"}, ExitSettings, "--config FILE"},
-		{"valid", []string{"check", "--config", good}, ExitOK, "settings are valid"},
-		{"valid, by variable", []string{"check", "--config-env", "GYPSUMSPAN_TEST_SETTINGS"}, ExitOK, "settings are valid"},
-		{"all faults", []string{"check", "--config", bad}, ExitSettings, "listen.packets"},
-		{"example", []string{"settings"}, ExitOK, "[listen]"},
-		{"version", []string{"version"}, ExitOK, "gypsumflowd"},
+		{"no command", nil, daemoncmd.ExitSettings, "a command is required"},
+		{"unknown flag", []string{"run", "--speed"}, daemoncmd.ExitSettings, "unknown flag"},
+		{"no file", []string{"check"}, daemoncmd.ExitSettings, "--config FILE"},
+		{"missing file", []string{"check", "--config", good + "x"}, daemoncmd.ExitSettings, "no such file"},
+		{"variable is not set", []string{"check", "--config-env", "GYPSUMSPAN_NOT_SET"}, daemoncmd.ExitSettings, "--config FILE"},
+		{"valid", []string{"check", "--config", good}, daemoncmd.ExitOK, "settings are valid"},
+		{"valid, by variable", []string{"check", "--config-env", "GYPSUMSPAN_TEST_SETTINGS"}, daemoncmd.ExitOK, "settings are valid"},
+		{"all faults", []string{"check", "--config", bad}, daemoncmd.ExitSettings, "listen.packets"},
+		{"example", []string{"settings"}, daemoncmd.ExitOK, "[listen]"},
+		{"version", []string{"version"}, daemoncmd.ExitOK, "gypsumflowd"},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
