Branches of relays in large domains; questions follow the bound of changes

Cause: at the size in two years the relay of 1,875 VMs has 3,750 questions a second, 160 times the budget of bytes and twice that of processor time (docs/CAPACITY.md). Ruled out: several relays that watch the store (calls grow with VMs), a deeper tree (what a VM knows is older by a question for each step). Answers carry samples always: beats about news had cleared them.

--- a/decide/relay/loads.go
+++ b/decide/relay/loads.go
@@ -50,7 +50,7 @@
 		list = append(list, m.ownDomain(now)...)
 	}
 	for key, r := range m.loads {
-		if m.isRelay && key.Domain == m.config.Self.Domain || now-r.at >= loadFor {
+		if m.isRelay && key.Domain == m.config.Self.Domain || now-r.at >= m.times.loadFor {
 			continue
 		}
 		list = append(list, r.Load)
@@ -76,7 +76,7 @@
 	}
 	add(m.ownLoads)
 	for _, p := range m.members.byDomain[m.config.Self.Domain] {
-		if p.everHear && now-p.heard < loadFor {
+		if p.everHear && now-p.heard < m.times.loadFor {
 			add(p.load)
 		}
 	}
--- a/decide/relay/members.go
+++ b/decide/relay/members.go
@@ -59,9 +59,9 @@
 	return rendezvous.Mix(xxhash.Sum64String(domain), xxhash.Sum64String(name))
 }
 
-// dead reports whether the peer left questions unanswered for too long.
-func (p *peer) dead(now time.Duration) bool {
-	return p.waiting && now-p.asked >= deadAfter
+// dead reports whether the peer left questions unanswered for longer than after.
+func (p *peer) dead(now, after time.Duration) bool {
+	return p.waiting && now-p.asked >= after
 }
 
 // members are the known VMs by domain, each domain by falling rank.
@@ -123,9 +123,9 @@
 }
 
 // relay returns the first peer of a domain that is not dead, or nil.
-func (ms *members) relay(now time.Duration, domain string) *peer {
+func (ms *members) relay(now, deadAfter time.Duration, domain string) *peer {
 	for _, p := range ms.byDomain[domain] {
-		if !p.dead(now) {
+		if !p.dead(now, deadAfter) {
 			return p
 		}
 	}
--- a/decide/relay/relay.go
+++ b/decide/relay/relay.go
@@ -7,6 +7,9 @@
 // knowledge is older than a bound watches the store itself, whatever the reason:
 // a relay that is dead, paused, cut off or refused by the store.
 //
+// In a large domain the first VMs of the ranking are branches: they ask the relay, and
+// each other VM asks one of them, so that no VM has more than about a hundred askers.
+//
 // The relay of a domain is the first live VM by rendezvous hashing (D. Thaler,
 // C. Ravishankar, 1998). VMs know each other from one entry each in the store,
 // written once at the start.
@@ -19,19 +22,14 @@
 )
 
 const (
-	// askInterval is the time between two questions to a relay.
-	askInterval = 500 * time.Millisecond
-	// deadAfter is how long a relay may leave questions unanswered: two questions
-	// and the answer to the second may be lost.
-	deadAfter = 1200 * time.Millisecond
+	// leastAskInterval is the shortest time between two questions to a relay, and
+	// agePerAsk the part of MaxAge that makes up a longer one: with a bound of 12 s
+	// questions cost less than with 3 s.
+	leastAskInterval = 500 * time.Millisecond
+	agePerAsk        = 7
 	// settle is how long a VM that has just read the store leaves the relay's role to
 	// others: VMs that start together learn of each other meanwhile.
 	settle = time.Second
-	// deadAskInterval is the time between two questions to a dead VM that would be
-	// relay if it lived.
-	deadAskInterval = 3 * time.Second
-	// subscriberFor is how long after its last question a VM is told of news.
-	subscriberFor = 1600 * time.Millisecond
 	// directFor is how long a VM that had to watch the store itself goes on.
 	directFor = 4 * time.Second
 	// pullTimeout is the time after which a pull without an answer is given up.
@@ -51,13 +49,12 @@
 	loadsCacheFor = 200 * time.Millisecond
 	// maxLoads bounds the loads in one beat, so that it fits one datagram.
 	maxLoads = 8
-	// loadFor is how long a reported load counts.
-	loadFor = 3 * time.Second
 )
 
 // Machine keeps the copy of one VM. It is not safe for concurrent use.
 type Machine struct {
 	config  Config
+	times   times
 	key     string // of the own entry
 	replica *Replica
 	members members
@@ -81,7 +78,9 @@
 
 	tellFrom int64 // revision after which subscribers were not told
 	tellDue  bool
-	toldAt   time.Duration
+	// tellBranches says that the branches shall learn of a newer confirmation.
+	tellBranches bool
+	toldAt       time.Duration
 
 	ownSamples      []Sample
 	domainSamples   []Sample // as the relay has told at domainSamplesAt
@@ -95,6 +94,26 @@
 	out Output
 }
 
+// times are the machine's intervals, which follow from the bound of changes.
+type times struct {
+	ask time.Duration // between two questions to a relay
+	// deadAfter is how long a relay may leave questions unanswered: two questions and
+	// the answer to the second may be lost.
+	deadAfter time.Duration
+	// deadAsk is the time between two questions to a dead VM that would be asked if it
+	// lived.
+	deadAsk time.Duration
+	// subscriberFor is how long after its last question a VM is told of news.
+	subscriberFor time.Duration
+	// loadFor is how long a report of load counts.
+	loadFor time.Duration
+}
+
+func timesOf(maxAge time.Duration) times {
+	ask := max(maxAge/agePerAsk, leastAskInterval)
+	return times{ask: ask, deadAfter: 12 * ask / 5, deadAsk: 6 * ask, subscriberFor: 16 * ask / 5, loadFor: 6 * ask}
+}
+
 type loadReport struct {
 	Load
 	at time.Duration
@@ -106,6 +125,7 @@
 		config:      config,
 		key:         config.Self.Key(config.MemberPrefix),
 		replica:     NewReplica(),
+		times:       timesOf(config.MaxAge),
 		members:     newMembers(),
 		subscribers: make(map[string]time.Duration),
 		loads:       make(map[Load]loadReport),
@@ -122,7 +142,7 @@
 func (m *Machine) Subscribers(now time.Duration) int {
 	n := 0
 	for _, at := range m.subscribers {
-		if now-at < subscriberFor {
+		if now-at < m.times.subscriberFor {
 			n++
 		}
 	}
@@ -242,6 +262,7 @@
 	}
 	m.confirmed = c.Revision
 	m.confirmedAt = at
+	m.tellBranches = true
 	if !m.known {
 		m.known = true
 		m.firstKnown = now
@@ -288,7 +309,7 @@
 
 // beat returns a beat of this VM with the given loads.
 func (m *Machine) beat(now time.Duration, reply bool, loads []Load) Beat {
-	return Beat{
+	b := Beat{
 		Name:      m.config.Self.Name,
 		Domain:    m.config.Self.Domain,
 		Reply:     reply,
@@ -296,6 +317,10 @@
 		Confirmed: m.confirmation(now),
 		Loads:     busiest(loads),
 	}
+	if reply {
+		b.Samples = m.DomainSamples(now)
+	}
+	return b
 }
 
 // Receive takes in a beat that came from the given address.
@@ -313,9 +338,6 @@
 	if !b.Reply {
 		m.subscribers[key] = now
 		answer := m.beat(now, true, m.DomainLoads(now))
-		if b.Domain == m.config.Self.Domain {
-			answer.Samples = m.DomainSamples(now)
-		}
 		m.inline(&answer, b.Revision)
 		m.out.Beats = append(m.out.Beats, Outgoing{To: from, Beat: answer})
 	}
@@ -393,7 +415,7 @@
 	m.inline(&beat, m.tellFrom)
 	keys := make([]string, 0, len(m.subscribers))
 	for key, at := range m.subscribers {
-		if now-at < subscriberFor {
+		if now-at < m.times.subscriberFor {
 			keys = append(keys, key)
 		}
 	}
@@ -409,7 +431,8 @@
 func (m *Machine) Tick(now time.Duration) time.Duration {
 	m.chooseRole(now)
 	m.tellSubscribers(now)
-	next := now + askInterval
+	m.confirmToBranches(now)
+	next := now + m.times.ask
 	if m.tellDue {
 		next = m.toldAt + tellInterval
 	}
@@ -442,16 +465,22 @@
 		}
 	}
 	for key, r := range m.loads {
-		if now-r.at >= loadFor {
+		if now-r.at >= m.times.loadFor {
 			delete(m.loads, key)
 		}
 	}
-	if !m.isRelay || now-m.relaySince < forgetAfter || m.lost {
+	m.forgetDead(now)
+}
+
+// forgetDead has the entry of a VM removed that should ask this one, and has not for
+// long.
+func (m *Machine) forgetDead(now time.Duration) {
+	if !m.known || now-m.firstKnown < forgetAfter || m.lost || m.isRelay && now-m.relaySince < forgetAfter {
 		return
 	}
 	for _, p := range m.members.byDomain[m.config.Self.Domain] {
 		_, asks := m.subscribers[p.key]
-		if !asks && (!p.everHear || now-p.heard >= forgetAfter) {
+		if !asks && (!p.everHear || now-p.heard >= forgetAfter) && m.isAskedBy(p) {
 			m.out.Forget = &Item{Key: p.key, Revision: p.revision}
 			return
 		}
--- a/decide/relay/relay_test.go
+++ b/decide/relay/relay_test.go
@@ -55,18 +55,29 @@
 	calls    int
 	seeds    []netip.AddrPort
 	lossRate float64
+	// perBranch is that of VMs that start.
+	perBranch int
+	// forgotten holds the keys of entries that VMs wanted removed.
+	forgotten map[string]bool
 	// writes holds the time of each revision.
 	writes map[int64]time.Duration
 }
 
 func newFleet(seed uint64, domains, each int) *fleet {
+	return newBranchedFleet(seed, domains, each, 0)
+}
+
+func newBranchedFleet(seed uint64, domains, each, perBranch int) *fleet {
 	f := &fleet{
-		rng:     rand.New(rand.NewPCG(seed, 1)),
-		store:   &written{items: make(map[string]Item)},
-		byBeats: make(map[netip.AddrPort]*vm),
-		byPulls: make(map[netip.AddrPort]*vm),
-		cut:     make(map[string]bool),
-		writes:  make(map[int64]time.Duration),
+		perBranch: perBranch,
+		rng:       rand.New(rand.NewPCG(seed, 1)),
+		store:     &written{items: make(map[string]Item)},
+		byBeats:   make(map[netip.AddrPort]*vm),
+		byPulls:   make(map[netip.AddrPort]*vm),
+		cut:       make(map[string]bool),
+		writes:    make(map[int64]time.Duration),
+
+		forgotten: make(map[string]bool),
 	}
 	for d := range domains {
 		for i := range each {
@@ -87,7 +98,7 @@
 }
 
 func (f *fleet) start(v *vm) {
-	v.machine = New(Config{Self: v.member, MemberPrefix: prefix, MaxAge: maxAge, Seeds: f.seeds})
+	v.machine = New(Config{Self: v.member, MemberPrefix: prefix, MaxAge: maxAge, Seeds: f.seeds, PerBranch: f.perBranch})
 	v.up, v.started, v.watching, v.nextTick = true, f.now, false, f.now
 }
 
@@ -158,6 +169,9 @@
 			f.arrivals = append(f.arrivals, arrival{at: f.now + beatDelay, from: v, to: to, beat: o.Beat})
 		}
 	}
+	if out.Forget != nil {
+		f.forgotten[out.Forget.Key] = true
+	}
 	if out.Pull == nil {
 		return
 	}
@@ -243,7 +257,8 @@
 // relays, to domains and to the store's connections.
 func TestChangesReachEveryVMInTime(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		f := newFleet(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 4).Draw(t, "domains"), rapid.IntRange(1, 6).Draw(t, "each"))
+		f := newBranchedFleet(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(1, 4).Draw(t, "domains"),
+			rapid.IntRange(1, 8).Draw(t, "each"), rapid.SampledFrom([]int{0, 2, 3}).Draw(t, "per branch"))
 		f.lossRate = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss")
 		f.write("op", false)
 		f.advance(5 * time.Second)
--- a/decide/relay/samples.go
+++ b/decide/relay/samples.go
@@ -33,7 +33,7 @@
 	if m.isRelay {
 		return m.sumSamples(now)
 	}
-	if m.domainSamples != nil && now-m.domainSamplesAt < loadFor {
+	if m.domainSamples != nil && now-m.domainSamplesAt < m.times.loadFor {
 		return m.domainSamples
 	}
 	return m.ownSamples
@@ -50,7 +50,7 @@
 	}
 	add(m.ownSamples)
 	for _, p := range m.members.byDomain[m.config.Self.Domain] {
-		if p.everHear && now-p.heard < loadFor {
+		if p.everHear && now-p.heard < m.times.loadFor {
 			add(p.samples)
 		}
 	}
--- a/decide/relay/types.go
+++ b/decide/relay/types.go
@@ -91,6 +91,9 @@
 	// Seeds are addresses for pulls of some VMs, which may be down. A VM that starts
 	// while the store does not answer gets its first copy from one of them.
 	Seeds []netip.AddrPort
+	// PerBranch is the number of VMs of a domain for each branch; 0 is 64. A domain with
+	// fewer has its relay only.
+	PerBranch int
 	// MaxAge is the age of the knowledge of the store at which the VM watches it.
 	MaxAge time.Duration
 }
