--- a/lab/day/oracle_test.go
+++ b/lab/day/oracle_test.go
@@ -83,7 +83,7 @@
 		}},
 		{Drained, func(t *testing.T, w *world) {
 			x := w.targets.all[0]
-			x.drain(func() {})
+			x.drain()
 			w.stepper.Advance(w.day.Site.Bounds.Drain.D() + 500*time.Millisecond)
 			f := w.openFlow(t)
 			k := f.key
--- a/lab/day/targets.go
+++ b/lab/day/targets.go
@@ -187,8 +187,8 @@
 	})
 }
 
-// drain lets the target leave as planned, and calls after when it has.
-func (t *target) drain(after func()) {
+// drain lets the target leave as planned.
+func (t *target) drain() {
 	if !t.up || t.draining {
 		return
 	}
@@ -201,7 +201,6 @@
 		t.targets.timeline.after(drainTime, func() {
 			t.halt()
 			t.remove()
-			after()
 		})
 		return false
 	})
@@ -226,8 +225,8 @@
 	t.queue = nil
 }
 
-// rise starts the target's process again, under the same id.
-func (t *target) rise() {
+// restart starts the target's process again, under the same id.
+func (t *target) restart() {
 	if t.up || t.draining {
 		return
 	}
--- a/lab/day/troubles.go
+++ b/lab/day/troubles.go
@@ -337,7 +337,7 @@
 		s.timeline.after(time.Duration(i)*t.Gap.D(), func() {
 			if x.up {
 				s.newTarget(x.service, x.end.domain)
-				x.drain(func() {})
+				x.drain()
 			}
 		})
 	}
@@ -349,7 +349,7 @@
 
 func (s *troubles) drainTargets(t Trouble) {
 	for _, x := range s.chooseTargets(t) {
-		x.drain(func() {})
+		x.drain()
 	}
 }
 
@@ -389,7 +389,7 @@
 func (s *troubles) flapTargets(t Trouble) {
 	till := s.timeline.now() + t.For.D()
 	for _, x := range s.chooseTargets(t) {
-		s.during(&x.trouble, t.For.D(), func() { x.rise() })
+		s.during(&x.trouble, t.For.D(), func() { x.restart() })
 		s.timeline.every(t.Gap.D(), func() bool {
 			if s.timeline.now() >= till {
 				return false
@@ -397,7 +397,7 @@
 			if x.up {
 				x.halt()
 			} else {
-				x.rise()
+				x.restart()
 			}
 			return true
 		})
