Remove unread state of the emulator and the soak; times of VMs from their settings

Found in the read-through: the emulator repeated the ratios of settings/flowset (MaxAge, WatchWait, FirstWait), which could drift from it: it calls them now. Fields that nothing read are gone (idle flows, sums of work, counts of beats, VMs by name, the network of three parts, the pause of a process of the soak), as is a copy of slices.Contains; kinds are compared as catalog.Kind instead of by their names in files.

--- a/lab/day/callers.go
+++ b/lab/day/callers.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/gypsumspan/gypsumspan/decide/catalog"
 	"github.com/gypsumspan/gypsumspan/decide/flow"
 	"github.com/gypsumspan/gypsumspan/kernel"
 )
@@ -62,7 +63,6 @@
 	usedAt    time.Duration
 	life      time.Duration
 	open      bool
-	idle      bool
 	target    *target // of an open flow
 	handshake bool    // its target knows that it is open
 	cookie    flow.Cookie
@@ -83,7 +83,6 @@
 	part
 	site     *Site
 	timeline *timeline
-	network  *network
 	fleet    *fleet
 	operator *operator
 	oracle   *oracle
@@ -115,7 +114,7 @@
 
 // Connect implements kernel.Service.
 func (c *callers) Connect(k *kernel.Kernel) error {
-	if err := connect(k, &c.timeline, &c.network, &c.fleet, &c.operator, &c.oracle); err != nil {
+	if err := connect(k, &c.timeline, &c.fleet, &c.operator, &c.oracle); err != nil {
 		return err
 	}
 	c.arrivals, c.rng = c.timeline.stream("arrivals"), c.timeline.stream(callersName)
@@ -192,7 +191,6 @@
 		list := c.pools[p]
 		f := list[len(list)-1]
 		c.pools[p] = list[:len(list)-1]
-		f.idle = false
 		if c.flows[f.key] != f {
 			continue
 		}
@@ -299,12 +297,10 @@
 	f.cookie = a.cookie
 	switch {
 	case a.flags.Has(flow.RST):
-		if f.target == t || !f.open {
-			c.end(f)
-		} else {
+		if f.open && f.target != t {
 			c.oracle.strayReset(f)
-			c.end(f)
 		}
+		c.end(f)
 	case a.flags.Has(flow.SYN):
 		c.opened(t, f, a)
 	case f.open && f.target == t:
@@ -371,26 +367,20 @@
 // answered ends an attempt with an answer; the flow is idle then, or ends.
 func (c *callers) answered(f *flowState, a answer) {
 	f.timer++
-	closed := a.flags.Has(flow.FIN)
 	switch {
-	case closed:
+	case a.flags.Has(flow.FIN):
 		delete(c.flows, f.key)
 	case !f.kind.LongFlows:
 		c.send(f, flow.Packet{Flags: flow.FIN | flow.ACK, Seq: f.seq, Ack: f.ack})
 		delete(c.flows, f.key)
 	default:
-		f.idle = true
 		p := pool{f.kind, f.domain}
 		c.pools[p] = append(c.pools[p], f)
 	}
-	r := f.request
-	if r == nil {
-		return
-	}
-	c.attemptEndedBy(f, a.outcome)
+	c.attemptEnded(f, a.outcome)
 }
 
-// attemptEnded ends an attempt whose flow is of no use any more.
+// attemptEnded ends the attempt or the probe that a flow was used for.
 func (c *callers) attemptEnded(f *flowState, o outcome) {
 	if f.kind == nil {
 		c.oracle.probeRefused(f)
@@ -416,7 +406,7 @@
 	if notRun {
 		c.oracle.notRun(r)
 	}
-	repeat := notRun || r.kind.Idempotency != "non_idempotent"
+	repeat := notRun || r.kind.kind() != catalog.NonIdempotent
 	switch {
 	case o == served:
 		r.done = true
--- a/lab/day/fleet.go
+++ b/lab/day/fleet.go
@@ -35,13 +35,12 @@
 	callers  *callers
 	oracle   *oracle
 
-	rng    *rand.Rand
-	vms    []*vm
-	byName map[string]*vm
+	rng *rand.Rand
+	vms []*vm
 }
 
 func newFleet(site *Site, stepper *kernel.Stepper, policy Policy) *fleet {
-	return &fleet{part: part{fleetName}, site: site, stepper: stepper, policy: policy, byName: make(map[string]*vm)}
+	return &fleet{part: part{fleetName}, site: site, stepper: stepper, policy: policy}
 }
 
 // Connect implements kernel.Service.
@@ -75,7 +74,6 @@
 	v := &vm{fleet: f, name: fmt.Sprintf("vm-%s-%d", f.site.Domains[domain], number+1), ip: vmIP(domain, number+1)}
 	v.end.domain = domain
 	f.vms = append(f.vms, v)
-	f.byName[v.name] = v
 	f.timeline.after(uniform(f.rng, 0, checkInterval), func() {
 		f.timeline.every(checkInterval, func() bool { v.check(); return !v.removed })
 	})
--- a/lab/day/oracle.go
+++ b/lab/day/oracle.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/gypsumspan/gypsumspan/decide/catalog"
 	"github.com/gypsumspan/gypsumspan/decide/flow"
 	"github.com/gypsumspan/gypsumspan/events"
 	"github.com/gypsumspan/gypsumspan/kernel"
@@ -69,7 +70,6 @@
 	part
 	site     *Site
 	timeline *timeline
-	network  *network
 	fleet    *fleet
 	operator *operator
 	tally    *tally
@@ -98,7 +98,7 @@
 
 // Connect implements kernel.Service.
 func (o *oracle) Connect(k *kernel.Kernel) error {
-	return connect(k, &o.timeline, &o.network, &o.fleet, &o.operator)
+	return connect(k, &o.timeline, &o.fleet, &o.operator)
 }
 
 func (o *oracle) now() time.Duration { return o.timeline.now() }
@@ -139,7 +139,7 @@
 // executed notes that a target began to work on a request.
 func (o *oracle) executed(t *target, r *request) {
 	r.ran++
-	if r.ran > 1 && r.kind.Idempotency == "non_idempotent" {
+	if r.ran > 1 && r.kind.kind() == catalog.NonIdempotent {
 		o.note(RanTwice, "request of %s ran again, at %s", r.kind.Name, t.id)
 	}
 }
--- a/lab/day/report.go
+++ b/lab/day/report.go
@@ -83,7 +83,7 @@
 	}
 	bytes := 0
 	for _, v := range w.fleet.vms {
-		bytes += v.sent.beatBytes
+		bytes += v.beatBytes
 	}
 	r.BeatBytes = float64(bytes) / float64(len(w.fleet.vms)) / w.stepper.Now().Seconds()
 	return r
--- a/lab/day/site.go
+++ b/lab/day/site.go
@@ -12,6 +12,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"github.com/gypsumspan/gypsumspan/decide/catalog"
+	"github.com/gypsumspan/gypsumspan/settings/flowset"
 )
 
 // Duration is a time.Duration that TOML files write as in "250ms".
@@ -214,6 +215,11 @@
 	return faults
 }
 
+// catalog returns the settings of VMs from which their times follow.
+func (s *Site) catalog() flowset.Catalog {
+	return flowset.Catalog{ApplyWithin: s.Bounds.ApplyWithin.D()}
+}
+
 // service returns the service called name.
 func (s *Site) service(name string) *Service {
 	i := slices.IndexFunc(s.Services, func(service Service) bool { return service.Name == name })
--- a/lab/day/store.go
+++ b/lab/day/store.go
@@ -25,7 +25,6 @@
 type store struct {
 	part
 	timeline *timeline
-	network  *network
 	site     *Site
 	end      end
 
@@ -45,7 +44,7 @@
 }
 
 // Connect implements kernel.Service.
-func (s *store) Connect(k *kernel.Kernel) error { return connect(k, &s.timeline, &s.network) }
+func (s *store) Connect(k *kernel.Kernel) error { return connect(k, &s.timeline) }
 
 // put writes a change of the catalog. The operator and targets are not subject to
 // the troubles of VMs; while the store is down they write nothing.
--- a/lab/day/storeclient.go
+++ b/lab/day/storeclient.go
@@ -110,9 +110,10 @@
 		c.finish(call, c.store.answerTime(), c.readAll)
 		return
 	}
-	wait := c.vm.fleet.site.Bounds.ApplyWithin.D() * 45 / 100
+	times := c.vm.fleet.site.catalog()
+	wait := times.WatchWait()
 	if c.first {
-		wait /= 4
+		wait = times.FirstWait()
 	}
 	c.first = false
 	c.poll(call, c.store.timeline.now()+wait)
--- a/lab/day/targets.go
+++ b/lab/day/targets.go
@@ -57,10 +57,9 @@
 	slow float64 // factor of the time of work; 0: 1
 	grey grey
 
-	worked     int           // requests that were begun
-	workedTime time.Duration // sum of their times
-	late       bool          // it started after the load
-	peak       int           // of requests in progress or waiting
+	worked int  // requests that were begun
+	late   bool // it started after the load
+	peak   int  // of requests in progress or waiting
 }
 
 // grey is how a target fails part of its requests.
@@ -313,7 +312,6 @@
 	t.worked++
 	failing := t.grey.rate > 0 && t.targets.rng.Float64() < t.grey.rate
 	duration := t.duration(w.request.kind, failing)
-	t.workedTime += duration
 	life := t.life
 	tl.after(duration, func() {
 		if life != t.life {
--- a/lab/day/vm.go
+++ b/lab/day/vm.go
@@ -52,13 +52,8 @@
 	client   *storeClient
 	ready    *readySwitch
 	baseline *baseline // instead of the services, for other policies
-	sent     sent
-}
 
-// sent counts what a VM has sent to other VMs.
-type sent struct {
-	beats     int
-	beatBytes int
+	beatBytes int // sent to other VMs
 }
 
 func (v *vm) number() uint64 {
@@ -91,14 +86,14 @@
 func (v *vm) startServices() {
 	f := v.fleet
 	seed := f.rng.Uint64()
-	apply := f.site.Bounds.ApplyWithin.D()
+	times := f.site.catalog()
 	v.packets = packets.New(packets.Config{
 		Listen:    v.address(vmPort),
 		Socket:    packetSocket{vm: v},
 		Codec:     codec{},
 		Prefix:    prefixSize,
 		MaxPacket: headerSize,
-		Forward:   forward.Config{Domain: f.site.Domains[v.end.domain], Seed: seed, ApplyWithin: apply},
+		Forward:   forward.Config{Domain: f.site.Domains[v.end.domain], Seed: seed, ApplyWithin: times.ApplyWithin},
 	})
 	v.relay = relay.New(relay.Config{
 		Machine: decide.Config{
@@ -109,7 +104,7 @@
 				Pulls:  v.address(pullsPort),
 			},
 			MemberPrefix: memberPrefix,
-			MaxAge:       apply * 7 / 10,
+			MaxAge:       times.MaxAge(),
 			Seeds:        f.seeds(),
 		},
 		Decoder: decoder{},
--- a/lab/day/vmservices.go
+++ b/lab/day/vmservices.go
@@ -60,8 +60,7 @@
 
 // WriteToUDPAddrPort implements packets.Socket.
 func (s beatSocket) WriteToUDPAddrPort(b []byte, to netip.AddrPort) (int, error) {
-	s.vm.sent.beats++
-	s.vm.sent.beatBytes += len(b)
+	s.vm.beatBytes += len(b)
 	data := append([]byte(nil), b...)
 	from := s.vm.address(beatsPort)
 	if other := s.vm.fleet.byIP(to.Addr()); other != nil {
--- a/lab/soak/faults.go
+++ b/lab/soak/faults.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"cmp"
 	"fmt"
 	"net/netip"
 	"syscall"
@@ -224,7 +223,7 @@
 		f.mu.Unlock()
 		f.configure()
 	}
-	return fmt.Sprintf("%d changes of routes", cmp.Or(n, 1))
+	return fmt.Sprintf("%d changes of routes", n)
 }
 
 // heal ends every disturbance.
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -40,7 +40,6 @@
 	mu       sync.Mutex
 	process  *exec.Cmd
 	expected bool // the end of the process is ours
-	paused   bool
 	closing  bool
 	ready    bool // as the routers see it
 	misses   int
@@ -87,7 +86,7 @@
 	}
 	ended := make(chan struct{})
 	v.mu.Lock()
-	v.process, v.expected, v.paused, v.ended = cmd, false, false, ended
+	v.process, v.expected, v.ended = cmd, false, ended
 	v.mu.Unlock()
 	go v.wait(cmd, log, ended)
 	return nil
@@ -131,12 +130,6 @@
 	if end {
 		v.expected = true
 	}
-	switch s {
-	case syscall.SIGSTOP:
-		v.paused = true
-	case syscall.SIGCONT:
-		v.paused = false
-	}
 	// A process that has just ended takes no signal.
 	_ = v.process.Process.Signal(s)
 }
--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -131,7 +132,7 @@
 		if mode == slow {
 			time.Sleep(slowness)
 		}
-		if contains(lost, mode) {
+		if slices.Contains(lost, mode) {
 			continue
 		}
 		if _, err := to.Write(buf[:n]); err != nil {
@@ -139,12 +140,3 @@
 		}
 	}
 }
-
-func contains(list []proxyMode, mode proxyMode) bool {
-	for _, m := range list {
-		if m == mode {
-			return true
-		}
-	}
-	return false
-}
