--- a/decide/flowtable/flowtable.go
+++ b/decide/flowtable/flowtable.go
@@ -34,9 +34,36 @@
 			f.Epochs = append(f.Epochs, e)
 		}
 	}
-	if extra := len(f.Epochs) - MaxEpochs; extra > 0 {
-		f.Epochs = slices.Delete(f.Epochs, 0, extra)
+	f.Epochs = newest(f.Epochs)
+}
+
+// mergeEpochs adds the epochs of a record, the newest last. Those that the record lists
+// before an epoch that the flow accepts are older than it. A record that is merged again
+// changes nothing, also after newer epochs were added.
+func (f *Flow) mergeEpochs(record []message.Epoch) {
+	record = newest(record)
+	known := -1
+	for i, e := range record {
+		if f.Accepts(e) {
+			known = i
+		}
+	}
+	if known < 0 {
+		f.AddEpochs(record)
+		return
 	}
+	var older []message.Epoch
+	for _, e := range record[:known] {
+		if !f.Accepts(e) {
+			older = append(older, e)
+		}
+	}
+	f.Epochs = newest(slices.Concat(older, f.Epochs, record[known+1:]))
+}
+
+// newest returns the last MaxEpochs of epochs.
+func newest(epochs []message.Epoch) []message.Epoch {
+	return epochs[max(0, len(epochs)-MaxEpochs):]
 }
 
 // Table stores the flows of one target. It is not safe for concurrent use.
@@ -164,16 +191,19 @@
 	}
 }
 
-// Import adds a flow from a handover, even if it was recently closed here, or merges it
-// into an existing one.
+// Import adds a flow from a handover or merges it into an existing one. It returns nil for
+// a recently closed flow: the record is a repeated one, or the Close overtook it.
 func (t *Table) Import(now time.Duration, r message.FlowRecord) *Flow {
 	f := t.flows[r.Flow]
 	if f == nil {
+		if t.RecentlyClosed(r.Flow) {
+			return nil
+		}
 		f = &Flow{ID: r.Flow, Service: r.Service, Fresh: r.Fresh}
 		t.flows[r.Flow] = f
 	}
 	f.LastSeen = max(f.LastSeen, now-r.Idle)
 	f.Fresh = f.Fresh && r.Fresh
-	f.AddEpochs(r.Epochs)
+	f.mergeEpochs(r.Epochs)
 	return f
 }
--- a/decide/flowtable/flowtable_test.go
+++ b/decide/flowtable/flowtable_test.go
@@ -1,6 +1,7 @@
 package flowtable
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -56,3 +57,22 @@
 	is.True(f.Accepts(5) && f.Accepts(11))
 	is.Equal(f.Export(time.Minute, f.Epochs).Epochs, []message.Epoch{5, 7, 9, 11})
 }
+
+// Guards against a move whose ack is lost: its record arrives again, and must neither replace
+// the epochs that callers use now by older ones nor bring back a closed flow.
+func TestRepeatedImport(t *testing.T) {
+	is := is.New(t)
+	table := New(time.Hour)
+	record := message.FlowRecord{Flow: id, Service: service, Epochs: []message.Epoch{1, 2, 3, 4, 5, 6, 7, 8}}
+	for range 3 {
+		is.Equal(table.Import(0, record).Epochs, []message.Epoch{5, 6, 7, 8})
+	}
+	table.Get(id).AddEpochs([]message.Epoch{9})
+	is.Equal(table.Import(0, record).Epochs, []message.Epoch{6, 7, 8, 9})
+	longer := record
+	longer.Epochs = append(slices.Clone(record.Epochs), 9, 10)
+	is.Equal(table.Import(0, longer).Epochs, []message.Epoch{7, 8, 9, 10})
+	is.True(table.Close(time.Second, id))
+	is.True(table.Import(2*time.Second, record) == nil)
+	is.True(table.Get(id) == nil)
+}
--- a/decide/vm/handoverreceive.go
+++ b/decide/vm/handoverreceive.go
@@ -173,7 +173,11 @@
 func (v *VM) importFlows(t *target, c *message.Handover) {
 	for _, r := range c.Flows {
 		delete(t.moved, r.Flow)
-		t.flows.Import(v.now, r)
+		if t.flows.Import(v.now, r) == nil {
+			// The target may still hold the flow for its previous owner.
+			v.send(message.TargetAddress(t.id, t.row.Addr), &message.FlowEnd{Target: t.id, Flow: r.Flow})
+			continue
+		}
 		t.log.RaiseFloor(r.Flow, r.Floor)
 	}
 	t.log.Import(v.now, c.Log)
