--- a/decide/admission/queue_test.go
+++ b/decide/admission/queue_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -187,6 +188,38 @@
 	is.Equal(one.ClosedFor(0, 0), time.Duration(0))
 }
 
+// Guards against refusal of all callers of a kind because two of them fill the queue,
+// equally or not, whatever buckets they have; and against a kind that never closes.
+func TestClosedForByCallers(t *testing.T) {
+	cases := []struct {
+		name   string
+		items  []int // of each caller
+		closes bool
+	}{
+		{"two equal callers", []int{32, 32}, false},
+		{"two callers, one twice as many", []int{43, 21}, false},
+		{"twenty equal callers", slices.Repeat([]int{3}, 21), true},
+		{"two callers beside many others", append([]int{12, 12}, slices.Repeat([]int{1}, 40)...), true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(200) {
+				q := New(Config{Limit: 1, QueueCapacity: 64, Seed: seed, Kinds: []KindConfig{{table.Urgent, 1}}})
+				q.Offer(0, item(0, 0, 1000, 0))
+				id := 0
+				for caller, n := range c.items {
+					for range n {
+						id++
+						q.Offer(0, item(id, 0, uint64(caller), far))
+					}
+				}
+				is.Equal(q.ClosedFor(0, 0) > 0, c.closes)
+			}
+		})
+	}
+}
+
 // Guards a handover against lost items, and against a drain order that favours one kind.
 func TestDrain(t *testing.T) {
 	is := is.New(t)
