--- a/decide/forward/fuzz_test.go
+++ b/decide/forward/fuzz_test.go
@@ -17,6 +17,7 @@
 	revision int64
 	changes  []catalog.Change // by ascending revision
 	service  map[string]string
+	entries  map[string]*catalog.Entry // as first written
 	alive    map[string]bool
 	allowed  map[string]bool // services that the route has ever had
 	cookies  map[flow.Cookie]string
@@ -49,7 +50,7 @@
 // knows to be draining.
 func TestFlowsReachOneTarget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := &model{service: make(map[string]string), alive: make(map[string]bool), allowed: make(map[string]bool), cookies: make(map[flow.Cookie]string)}
+		w := &model{service: make(map[string]string), entries: make(map[string]*catalog.Entry), alive: make(map[string]bool), allowed: make(map[string]bool), cookies: make(map[flow.Cookie]string)}
 		now := time.Duration(0)
 		version := uint64(0)
 		configure := func(service string) {
@@ -63,7 +64,7 @@
 		start := func() {
 			nextID++
 			e := entry(nextID, rapid.SampledFrom([]string{"s", "u"}).Draw(t, "service"), "a", catalog.Ready)
-			w.service[e.ID], w.alive[e.ID] = e.Service, true
+			w.service[e.ID], w.alive[e.ID], w.entries[e.ID] = e.Service, true, e
 			w.add(catalog.Change{Target: e})
 		}
 		configure("s")
@@ -94,7 +95,7 @@
 			} else {
 				n.f.StoreRegained(now)
 			}
-			switch rapid.IntRange(0, 9).Draw(t, "action") {
+			switch rapid.IntRange(0, 10).Draw(t, "action") {
 			case 0:
 				start()
 			case 1:
@@ -112,6 +113,14 @@
 				catchUp(nodes[i], len(w.changes))
 			case 4, 5:
 				catchUp(n, rapid.IntRange(n.applied, len(w.changes)).Draw(t, "up to"))
+			case 10:
+				// A target starts to drain; its open flows continue.
+				if ids := liveIDs(w); len(ids) > 0 {
+					id := rapid.SampledFrom(ids).Draw(t, "drains")
+					draining := *w.entries[id]
+					draining.State = catalog.Draining
+					w.add(catalog.Change{Target: &draining})
+				}
 			case 6, 7:
 				caller++
 				v := n.f.Receive(now, syn(caller, 0))
