--- a/caller/session/receive.go
+++ b/caller/session/receive.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -64,13 +65,13 @@
 	}
 }
 
-// maxAssemblies limits the memory for answers to earlier attempts of one call: a part of
-// such an answer starts no new assembly if the call has this many.
+// maxAssemblies is the maximum number of attempts of one call whose partial answers are
+// kept.
 const maxAssemblies = 4
 
-// assemblyOf returns the assembly of the attempt's answer. It returns nil for an earlier
-// attempt if maxAssemblies attempts have partial answers, and if the count of parts is out
-// of range.
+// assemblyOf returns the assembly of the attempt's answer. If maxAssemblies attempts have
+// partial answers, that of the earliest makes room for a later one. It returns nil if the
+// attempt is the earliest itself, and if the count of parts is out of range.
 func (c *call) assemblyOf(m *message.Answer) *assembly {
 	if a, ok := c.answers[m.Attempt]; ok {
 		return a
@@ -81,8 +82,12 @@
 	if c.answers == nil {
 		c.answers = make(map[uint32]*assembly)
 	}
-	if len(c.answers) >= maxAssemblies && m.Attempt != c.attempt {
-		return nil
+	if len(c.answers) >= maxAssemblies {
+		earliest := slices.Min(slices.Collect(maps.Keys(c.answers)))
+		if m.Attempt < earliest {
+			return nil
+		}
+		delete(c.answers, earliest)
 	}
 	a := newAssembly(m.Parts)
 	c.answers[m.Attempt] = a
--- a/caller/session/session_test.go
+++ b/caller/session/session_test.go
@@ -198,3 +198,19 @@
 	is.True(s.Counters().Retransmitted > 20)
 	is.True(s.Counters().Retransmitted <= 10+3*10)
 }
+
+// TestAssembliesAreBounded guards against partial answers to more than maxAssemblies attempts
+// of one call in memory, and against one that makes no room for the attempt in flight.
+func TestAssembliesAreBounded(t *testing.T) {
+	is := is.New(t)
+	c := &call{}
+	partial := func(attempt uint32) *assembly {
+		return c.assemblyOf(&message.Answer{Attempt: attempt, Parts: 2})
+	}
+	for c.attempt = 1; c.attempt <= 2*maxAssemblies; c.attempt++ {
+		is.True(partial(c.attempt) != nil)
+		is.True(len(c.answers) <= maxAssemblies)
+	}
+	is.Equal(partial(1), nil)
+	is.True(c.answers[maxAssemblies+1] != nil)
+}
--- a/services/core/core.go
+++ b/services/core/core.go
@@ -66,7 +66,8 @@
 	peers    Output
 	nextTick time.Duration
 	left     chan struct{} // closed when the planned leave has ended
-	leaving  bool          // a planned leave was started and left is open
+	leaving  bool          // a planned leave was started
+	hasLeft  bool          // left is closed
 }
 
 // Command is a function that runs on the core duty, such as a query of the service
@@ -214,16 +215,19 @@
 
 // signalLeft closes s.left when the planned leave that BeginLeave started has ended.
 func (s *Service) signalLeft() {
-	if s.leaving && s.machine.HasLeft() {
-		s.leaving = false
+	if s.leaving && !s.hasLeft && s.machine.HasLeft() {
+		s.hasLeft = true
 		close(s.left)
 	}
 }
 
 // BeginLeave starts the planned leave and does not wait for its end. It returns an error of
-// Do. Neither it nor Stop may be called once a planned leave that it started has ended.
+// Do. Once the leave was started, it has no effect.
 func (s *Service) BeginLeave() error {
 	return s.Do(func(now time.Duration, m Machine) []message.Message {
+		if s.leaving {
+			return nil
+		}
 		s.leaving = true
 		return m.Leave(now)
 	})
