--- a/caller/client.go
+++ b/caller/client.go
@@ -23,7 +23,7 @@
 // Config holds the settings of a client.
 type Config struct {
 	// Fabric lists the addresses at which entry VMs receive datagrams. Each datagram is
-	// sent to a random one. It is ignored if Transport is set.
+	// sent to one of them, and its retransmissions to the next ones. It is ignored if Transport is set.
 	Fabric []netip.AddrPort
 	// Transport replaces plain UDP sockets.
 	Transport Transport
--- a/caller/client_test.go
+++ b/caller/client_test.go
@@ -31,7 +31,7 @@
 	return &echoConn{replies: make(chan []byte, 1000), closed: make(chan struct{})}, nil
 }
 
-func (c *echoConn) Send(datagram []byte) error {
+func (c *echoConn) Send(datagram []byte, _ uint64) error {
 	body, err := wire.Decode(datagram)
 	if err != nil {
 		return err
--- a/caller/session/call.go
+++ b/caller/session/call.go
@@ -35,6 +35,7 @@
 	nextSend          time.Duration // when to send again: a retransmission or the next attempt
 	timeout           time.Duration // between the next two transmissions, without jitter
 	transmissions     int           // of the attempt
+	copies            int           // transmissions of all attempts
 	retries           int           // attempts scheduled after a refusal
 	redirects         int           // attempts not charged to the retry budget
 	notRunAttempts    []uint32      // attempts refused with message.NotRun
@@ -98,6 +99,7 @@
 // transmit sends all parts of the attempt and schedules the retransmission.
 func (s *Session) transmit(c *call) {
 	for i, part := range c.parts {
+		variant := uint64(c.requestID)*message.MaxParts + uint64(i)
 		s.send(&message.Request{
 			Service:    c.flow.service,
 			Flow:       c.flow.wireID,
@@ -110,13 +112,14 @@
 			Parts:      uint16(len(c.parts)),
 			Binding:    c.attemptBinding,
 			Payload:    part,
-		})
+		}, variant, c.copies)
 	}
 	s.counters.Requests += uint64(len(c.parts))
 	if c.transmissions > 0 {
 		s.counters.Retransmitted += uint64(len(c.parts))
 	}
 	c.transmissions++
+	c.copies++
 	c.nextSend = s.now + c.timeout + s.jitter(c.timeout, 0.1)
 	c.timeout = min(2*c.timeout, s.config.MaxRTO)
 	s.setCallTimer(c)
@@ -183,7 +186,7 @@
 	if c.phase != inFlight {
 		return
 	}
-	s.send(&message.Cancel{Service: c.flow.service, Flow: c.flow.wireID, ID: c.requestID, Binding: c.attemptBinding})
+	s.send(&message.Cancel{Service: c.flow.service, Flow: c.flow.wireID, ID: c.requestID, Binding: c.attemptBinding}, uint64(c.requestID), 0)
 }
 
 func (s *Session) fail(c *call, err error) {
--- a/caller/session/flow.go
+++ b/caller/session/flow.go
@@ -89,7 +89,7 @@
 		open.Refresh = true
 		open.Binding = f.binding
 	}
-	s.send(open)
+	s.send(open, 0, f.opensSent)
 	s.counters.Opens++
 	f.opensSent++
 	s.timers.set(f.timer, s.now+f.timeout+s.jitter(f.timeout, 0.25))
--- a/caller/session/session.go
+++ b/caller/session/session.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/decide/message"
+	"github.com/gypsumspan/gypsumspan/decide/rendezvous"
 	"github.com/gypsumspan/gypsumspan/decide/retry"
 )
 
@@ -42,11 +43,19 @@
 // Output holds the messages and events that one method call has produced. Its slices
 // are valid until the next method call.
 type Output struct {
-	Messages []message.Message // to be sent to the fabric; the receiver is not set
+	Messages []Outgoing // to be sent to the fabric
 	Results  []Result
 	Opened   []FlowID // flows that got their first binding
 }
 
+// Outgoing is a message to a VM of the fabric's choice; the receiver is not set.
+type Outgoing struct {
+	message.Message
+	// Path selects the VM. Retransmissions of a message have consecutive paths, so that
+	// each goes to another VM: one of them may have stopped.
+	Path uint64
+}
+
 // Counters counts events since the session's start.
 type Counters struct {
 	Opens         uint64 `json:"opens"`         // Open datagrams sent
@@ -173,7 +182,7 @@
 		s.sendCancel(c)
 		s.fail(c, withOutcome(c, ErrFlowClosed))
 	}
-	s.send(&message.Close{Service: f.service, Flow: f.wireID, Binding: f.binding})
+	s.send(&message.Close{Service: f.service, Flow: f.wireID, Binding: f.binding}, 0, 0)
 	s.timers.stop(f.timer)
 	delete(s.byWireID, f.wireID)
 	delete(s.flows, f.id)
@@ -231,8 +240,11 @@
 	s.out.Opened = s.out.Opened[:0]
 }
 
-func (s *Session) send(body message.Body) {
-	s.out.Messages = append(s.out.Messages, message.Message{Body: body})
+// send adds a message to the output. variant tells messages of one flow apart, and copies
+// is the number of earlier transmissions of the message.
+func (s *Session) send(body message.Body, variant uint64, copies int) {
+	path := rendezvous.Mix(message.FlowOf(body).Lo, variant) + uint64(copies)
+	s.out.Messages = append(s.out.Messages, Outgoing{Message: message.Message{Body: body}, Path: path})
 }
 
 func (s *Session) newWireID() message.FlowID {
--- a/caller/session/session_test.go
+++ b/caller/session/session_test.go
@@ -214,3 +214,27 @@
 	is.Equal(partial(1), nil)
 	is.True(c.answers[maxAssemblies+1] != nil)
 }
+
+// TestRetransmissionsUseOtherVMs guards against a call that is cut after a planned stop: with
+// a VM chosen at random for each transmission, all of them may go to the one that has stopped.
+func TestRetransmissionsUseOtherVMs(t *testing.T) {
+	is := is.New(t)
+	s, flow := boundSession(is)
+	_, out, err := s.Do(0, flow, Call{Idempotent: true, Timeout: time.Minute})
+	is.NoErr(err)
+	const vms = 4
+	transmissions := 1
+	previous := out.Messages[0].Path
+	for transmissions < vms {
+		out = s.Tick(s.NextWake())
+		is.True(requestIn(out) != nil)
+		is.Equal(out.Messages[0].Path, previous+1)
+		previous = out.Messages[0].Path
+		transmissions++
+	}
+	// A reopened flow tries the next VM as well.
+	_, out = s.OpenFlow(time.Second, 5)
+	previous = out.Messages[0].Path
+	out = s.Tick(s.NextWake())
+	is.Equal(out.Messages[0].Path, previous+1)
+}
--- a/caller/sessionservice.go
+++ b/caller/sessionservice.go
@@ -43,7 +43,7 @@
 
 // datagramSender sends datagrams; the service SocketsName implements it.
 type datagramSender interface {
-	Send(body message.Body)
+	Send(m session.Outgoing)
 }
 
 // NewSessionService returns the service of s, which the caller must not use any more.
@@ -216,7 +216,7 @@
 // session, since out is only valid until the next call of its methods.
 func (s *SessionService) handleOutput(out session.Output) {
 	for _, m := range out.Messages {
-		s.sockets.Send(m.Body)
+		s.sockets.Send(m)
 	}
 	for _, r := range out.Results {
 		onResult := s.calls[r.Call]
--- a/caller/sockets.go
+++ b/caller/sockets.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/gypsumspan/gypsumspan/caller/session"
 	"github.com/gypsumspan/gypsumspan/decide/message"
 	"github.com/gypsumspan/gypsumspan/kernel"
 	"github.com/gypsumspan/gypsumspan/wire"
@@ -38,7 +39,7 @@
 // outgoing is an entry of the send queue: a datagram, or a channel that is closed when
 // all entries before it have been sent.
 type outgoing struct {
-	body    message.Body
+	message session.Outgoing
 	flushed chan struct{}
 }
 
@@ -140,8 +141,8 @@
 
 // Send queues a datagram. It does not block: if the queue is full, the datagram is
 // dropped and counted.
-func (s *Sockets) Send(body message.Body) {
-	_ = s.out.Put(outgoing{body: body})
+func (s *Sockets) Send(m session.Outgoing) {
+	_ = s.out.Put(outgoing{message: m})
 }
 
 // Stop implements kernel.Stopper: it waits until all queued datagrams have been sent.
@@ -166,18 +167,18 @@
 			close(o.flushed)
 			continue
 		}
-		s.write(o.body)
+		s.write(o.message)
 	}
 	return now
 }
 
 // write encodes and sends a message. All messages of a flow use the same socket.
-func (s *Sockets) write(body message.Body) {
-	data, err := wire.Append(s.buf[:0], body)
+func (s *Sockets) write(m session.Outgoing) {
+	data, err := wire.Append(s.buf[:0], m.Body)
 	s.buf = data
 	if err == nil {
-		conn := s.conns[message.FlowOf(body).Lo%uint64(len(s.conns))]
-		err = conn.Send(data)
+		conn := s.conns[message.FlowOf(m.Body).Lo%uint64(len(s.conns))]
+		err = conn.Send(data, m.Path)
 	}
 	if err != nil {
 		s.failed.Add(1)
--- a/caller/transport.go
+++ b/caller/transport.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 )
@@ -16,8 +15,9 @@
 
 // Conn is one socket. Send and Receive may be called concurrently.
 type Conn interface {
-	// Send sends one datagram to the fabric, which chooses the VM.
-	Send(datagram []byte) error
+	// Send sends one datagram to the fabric, which chooses the VM. A transport that chooses
+	// it itself goes by path: retransmissions of a message have consecutive ones.
+	Send(datagram []byte, path uint64) error
 	// Receive waits for a datagram, copies it to buffer and returns its length.
 	// After Close it returns an error that wraps net.ErrClosed.
 	Receive(buffer []byte) (int, error)
@@ -28,7 +28,7 @@
 // holds the answers that arrive while the receiving goroutine is not scheduled.
 const socketBufferBytes = 4 << 20
 
-// fabricAddresses is a transport that sends each datagram to a random address.
+// fabricAddresses is a transport that sends each datagram to the address of its path.
 type fabricAddresses []netip.AddrPort
 
 // Open implements Transport.
@@ -49,8 +49,8 @@
 }
 
 // Send implements Conn.
-func (c *addressConn) Send(datagram []byte) error {
-	to := c.addresses[rand.IntN(len(c.addresses))]
+func (c *addressConn) Send(datagram []byte, path uint64) error {
+	to := c.addresses[path%uint64(len(c.addresses))]
 	_, err := c.WriteToUDPAddrPort(datagram, to)
 	if err != nil {
 		return fmt.Errorf("send to %s: %w", to, err)
--- a/lab/fleet/caller.go
+++ b/lab/fleet/caller.go
@@ -81,7 +81,7 @@
 			continue
 		}
 		m.To = message.VMAddress(vm, netip.AddrPort{})
-		c.fleet.net.send(noDomain, c.addr, m)
+		c.fleet.net.send(noDomain, c.addr, m.Message)
 	}
 	for _, r := range out.Results {
 		c.recordResult(now, r)
--- a/standin/fabric/fabric.go
+++ b/standin/fabric/fabric.go
@@ -1,7 +1,7 @@
 // Package fabric is a stand-in for the network fabric between callers and entry VMs. It is a
 // transport in the caller's process, since an unprivileged process can't send from another
-// host's source address: it sends each datagram to a random VM, and VMs send their answers
-// directly to the caller's socket.
+// host's source address: it sends each datagram to the VM that its path names, and VMs send
+// their answers directly to the caller's socket.
 package fabric
 
 import (
@@ -117,15 +117,15 @@
 }
 
 // Send implements caller.Conn. It returns ErrNoVM or the errors of the socket.
-func (c *conn) Send(datagram []byte) error {
+func (c *conn) Send(datagram []byte, path uint64) error {
 	s := c.fabric.settings.Load()
 	if len(s.VMs) == 0 {
 		return ErrNoVM
 	}
 	c.fabric.sent.Add(1)
 	var errs []error
-	for _, d := range c.out.transmit(s, datagram, "") {
-		vm := s.VMs[c.out.rng.IntN(len(s.VMs))]
+	for i, d := range c.out.transmit(s, datagram, "") {
+		vm := s.VMs[(path+uint64(i))%uint64(len(s.VMs))]
 		if slices.Contains(s.PartitionedDomains, vm.Domain) {
 			c.fabric.lost.Add(1)
 			continue
--- a/standin/fabric/fabric_test.go
+++ b/standin/fabric/fabric_test.go
@@ -57,12 +57,12 @@
 	is.NoErr(err)
 	defer c.Close()
 	const count = 20
-	for range count {
-		is.NoErr(c.Send([]byte{1}))
+	for path := range uint64(count) {
+		is.NoErr(c.Send([]byte{1}, path))
 	}
 	f.Set(Settings{VMs: vms, PartitionedDomains: []string{"a"}})
-	for range count {
-		is.NoErr(c.Send([]byte{2}))
+	for path := range uint64(count) {
+		is.NoErr(c.Send([]byte{2}, path))
 	}
 	marker, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
 	is.NoErr(err)
