Read the store at once when its history was dropped

VM d-51 lost its upstream at 6.95 s (VMs killed and stopped in turn), so that its knowledge was 4.2 s old at 11.157 s and it called the store itself. The store had dropped its history at 7 s and answered 410. The VM took that for a failed call and waited the long delay of a VM that leaves retries to others: it read the store at 15.163 s, 8 s after version 5 was acknowledged (bound 6 s). Ruled out: a confirmation that was too young (the age reached its limit as designed), a refusal by the store, a cut of the VM. Change: such an answer is ErrHistoryLost, no failure of the store: the VM reads at once, unless the call before ended the same way. The delays are one type, Pacing, which the emulator's client uses too in place of its copy. TestPacing and TestLostHistoryIsReadAgain fail without the change.

--- a/lab/day/storeclient.go
+++ b/lab/day/storeclient.go
@@ -5,21 +5,11 @@
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/decide/relay"
-	"github.com/gypsumspan/gypsumspan/decide/retry"
 	"github.com/gypsumspan/gypsumspan/services/catalogwatch"
 )
 
-// Timeouts and delays of calls to the store, equal to those of the service
-// "catalogwatch".
-const (
-	callTimeout   = 700 * time.Millisecond
-	minRetryDelay = 200 * time.Millisecond
-	maxRetryDelay = time.Second
-
-	minSlowRetryDelay = 2 * time.Second
-	maxSlowRetryDelay = 6 * time.Second
-	batchPause        = 200 * time.Millisecond
-)
+// callTimeout is the timeout of a call, that of the service "catalogwatch".
+const callTimeout = 700 * time.Millisecond
 
 // errStore is the error of every failed call.
 var errStore = errors.New("store does not answer")
@@ -27,12 +17,10 @@
 // storeClient is a fake of the service "catalogwatch" on one VM.
 type storeClient struct {
 	baseService
-	vm          *vm
-	store       *store
-	backoff     *retry.Backoff
-	slowBackoff *retry.Backoff
-	slowRetry   bool
-	retries     int
+	vm        *vm
+	store     *store
+	pacing    *catalogwatch.Pacing
+	slowRetry bool
 
 	watching     bool
 	lastRevision int64
@@ -46,8 +34,7 @@
 		baseService: baseService{catalogwatch.Name},
 		vm:          v,
 		store:       v.fleet.store,
-		backoff:     retry.NewBackoff(retry.BackoffConfig{Base: minRetryDelay, Max: maxRetryDelay}, seed),
-		slowBackoff: retry.NewBackoff(retry.BackoffConfig{Base: minSlowRetryDelay, Max: maxSlowRetryDelay}, seed),
+		pacing:      catalogwatch.NewPacing(seed),
 	}
 }
 
@@ -156,7 +143,7 @@
 		update, ok := read()
 		if !ok {
 			c.lastRevision = 0
-			c.fail(callID)
+			c.failWith(callID, catalogwatch.ErrHistoryLost)
 			return
 		}
 		c.deliver(update)
@@ -173,7 +160,7 @@
 }
 
 func (c *storeClient) deliver(update relay.Update) {
-	c.retries = 0
+	c.pacing.Succeeded()
 	c.lastRevision = update.Revision
 	c.callPending = false
 	if c.vm.relay.HandleStoreResult(catalogwatch.Result{Update: update}) != nil {
@@ -184,26 +171,20 @@
 	}
 	pause := time.Duration(0)
 	if len(update.Items) > 0 {
-		pause = batchPause
+		pause = catalogwatch.BatchPause
 	}
 	c.scheduleCall(pause)
 }
 
-func (c *storeClient) fail(callID int) {
+func (c *storeClient) fail(callID int) { c.failWith(callID, errStore) }
+
+func (c *storeClient) failWith(callID int, err error) {
 	if !c.isCurrent(callID) {
 		return
 	}
 	c.callPending = false
-	_ = c.vm.relay.HandleStoreResult(catalogwatch.Result{Err: errStore}) // dropped if the ring is full; the next failure is reported again
+	_ = c.vm.relay.HandleStoreResult(catalogwatch.Result{Err: err}) // dropped if the ring is full; the next failure is reported again
 	if c.watching || c.lastRevision == 0 {
-		c.retries++
-		c.scheduleCall(c.delay())
-	}
-}
-
-func (c *storeClient) delay() time.Duration {
-	if c.slowRetry {
-		return c.slowBackoff.Delay(c.retries, minSlowRetryDelay)
+		c.scheduleCall(c.pacing.Failed(err == catalogwatch.ErrHistoryLost, c.slowRetry))
 	}
-	return c.backoff.Delay(c.retries, minRetryDelay)
 }
--- a/services/catalogwatch/catalogwatch.go
+++ b/services/catalogwatch/catalogwatch.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/decide/relay"
-	"github.com/gypsumspan/gypsumspan/decide/retry"
 	"github.com/gypsumspan/gypsumspan/kernel"
 	"github.com/gypsumspan/gypsumspan/services/taskswitch"
 	"github.com/gypsumspan/gypsumspan/store"
@@ -20,27 +19,17 @@
 // Name is the service's name.
 const Name = "catalogwatch"
 
-const (
-	// minRetryDelay and maxRetryDelay bound the delay before a failed call is retried. A
-	// VM must be up to date within a few seconds after the store is available again.
-	minRetryDelay = 200 * time.Millisecond
-	maxRetryDelay = time.Second
-	// minSlowRetryDelay and maxSlowRetryDelay bound the delay at a VM that leaves
-	// frequent retries to other VMs of its failure domain.
-	minSlowRetryDelay = 2 * time.Second
-	maxSlowRetryDelay = 6 * time.Second
-	// batchPause is the pause of a watch after a batch with events. Changes come in
-	// groups, and each batch costs a call, so the pause collects more of them in a batch.
-	// It is small against the seconds in which a change must be in force.
-	batchPause = 200 * time.Millisecond
-	// writeCapacity is the number of writes that may be queued.
-	writeCapacity = 4
-)
+// writeCapacity is the number of writes that may be queued.
+const writeCapacity = 4
 
 // ErrStore means that a read or watch failed; it is joined with the error of package
 // store.
 var ErrStore = errors.New("store did not deliver the catalog")
 
+// ErrHistoryLost means that the store has answered, but no longer has the changes that a
+// watch was to continue with. The store is then read again.
+var ErrHistoryLost = errors.New("changes are no longer available")
+
 // Result is the outcome of a read or watch of the store.
 type Result struct {
 	Update relay.Update
@@ -88,10 +77,8 @@
 	inbox        Inbox
 	tasks        *taskswitch.Switch[task]
 	lastRevision atomic.Int64 // a watch continues after it; 0: read the whole store first
-	backoff      *retry.Backoff
-	slowBackoff  *retry.Backoff
+	pacing       *Pacing
 	slowRetry    atomic.Bool
-	retries      int
 	gate         *kernel.Gate
 	writes       *kernel.Ring[Write]
 
@@ -103,9 +90,7 @@
 
 // New returns the service.
 func New(config Config) *Service {
-	s := &Service{config: config, tasks: taskswitch.New[task]()}
-	s.backoff = retry.NewBackoff(retry.BackoffConfig{Base: minRetryDelay, Max: maxRetryDelay}, config.Seed)
-	s.slowBackoff = retry.NewBackoff(retry.BackoffConfig{Base: minSlowRetryDelay, Max: maxSlowRetryDelay}, config.Seed)
+	s := &Service{config: config, tasks: taskswitch.New[task](), pacing: NewPacing(config.Seed)}
 	s.tasks.Set(readTask)
 	return s
 }
@@ -179,25 +164,17 @@
 		case err == nil || taskCtx.Err() != nil:
 			continue
 		}
-		if errors.Is(err, store.ErrCompacted) {
-			// The changes after lastRevision are no longer available.
+		historyLost := errors.Is(err, store.ErrCompacted)
+		if historyLost {
 			s.lastRevision.Store(0)
+			err = fmt.Errorf("%w: %w", ErrHistoryLost, err)
 		}
 		s.failures.Add(1)
 		if s.inbox.HandleStoreResult(Result{Err: fmt.Errorf("%w: %w", ErrStore, err)}) != nil {
 			return nil
 		}
-		s.retries++
-		sleep(taskCtx, s.delay())
-	}
-}
-
-// delay returns the delay before the next attempt.
-func (s *Service) delay() time.Duration {
-	if s.slowRetry.Load() {
-		return s.slowBackoff.Delay(s.retries, minSlowRetryDelay)
+		sleep(taskCtx, s.pacing.Failed(historyLost, s.slowRetry.Load()))
 	}
-	return s.backoff.Delay(s.retries, minRetryDelay)
 }
 
 func (s *Service) work(ctx context.Context, t task) error {
@@ -224,7 +201,7 @@
 			return fmt.Errorf("read: %w", err)
 		}
 		s.reads.Add(1)
-		s.retries = 0
+		s.pacing.Succeeded()
 		if update.Revision == 0 {
 			update.Revision = page.Revision
 		}
@@ -254,7 +231,7 @@
 			return fmt.Errorf("watch: %w", err)
 		}
 		s.watchBatches.Add(1)
-		s.retries = 0
+		s.pacing.Succeeded()
 		update := relay.Update{Revision: batch.Revision}
 		for _, e := range batch.Events {
 			update.Items = append(update.Items, relay.Item{Key: e.KV.Key, Value: e.KV.Value, Revision: e.KV.ModRevision, Deleted: e.Deleted})
@@ -264,7 +241,7 @@
 		}
 		s.lastRevision.Store(batch.Revision)
 		if len(batch.Events) > 0 {
-			sleep(ctx, batchPause)
+			sleep(ctx, BatchPause)
 		}
 	}
 }
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -290,7 +290,9 @@
 	case in.heartbeat != nil:
 		s.machine.HandleHeartbeat(now, in.heartbeat.from, in.heartbeat.heartbeat)
 	case in.store != nil && in.store.Err != nil:
-		s.machine.StoreFailed(now)
+		if !errors.Is(in.store.Err, catalogwatch.ErrHistoryLost) {
+			s.machine.StoreFailed(now)
+		}
 		s.log.Log(events.StoreCallFailed, events.F("error", in.store.Err))
 	case in.store != nil:
 		s.machine.HandleStoreUpdate(now, in.store.Update)
