Leave requests without an answer for a second out of reported loads

VMs become ready one after the other, and the routers move flows from one to the next meanwhile. A VM that saw a request, but not its answer, counted it as in progress until the timeout of its route, since targets answer callers directly: 5 s after the outage those requests still made up the load of the fleet, and the flood limiter refused new flows because of them. Change: a request older than a second, and than a slow response of its route, no longer counts in reports and in the VM's own load for the limiter. TestOldRequestsAreNoLoad fails without the change.

--- a/decide/forward/domains.go
+++ b/decide/forward/domains.go
@@ -37,8 +37,8 @@
 	domain  string
 }
 
-// Loads returns the flows and requests in progress of this VM, summed by service and
-// by failure domain of the targets, and sorted.
+// Loads returns the flows and requests in progress of this VM, without expired ones, summed
+// by service and by failure domain of the targets, and sorted.
 func (f *Forwarder) Loads() []relay.Load {
 	sums := make(map[serviceDomain]relay.Load)
 	for t := range f.loaded {
@@ -47,7 +47,7 @@
 		sum := sums[key]
 		sum.TargetDomain, sum.Service = t.Domain, t.Service
 		sum.Flows += uint32(load.Flows)
-		sum.ActiveRequests += uint32(load.ActiveRequests)
+		sum.ActiveRequests += uint32(f.recentRequests[t.Slot])
 		sums[key] = sum
 	}
 	list := make([]relay.Load, 0, len(sums))
--- a/decide/forward/forward.go
+++ b/decide/forward/forward.go
@@ -43,6 +43,12 @@
 	// stallRecovery is how long a VM does not judge targets after a stall. It exceeds
 	// the time in which callers send all retransmissions of a packet.
 	stallRecovery = 2 * time.Second
+	// maxReportedAge is the minimum age, since the request began, from which a request
+	// without an answer no longer counts as load of its service. While the service is
+	// limited, a request takes about twice its processing time. One that takes this long
+	// was answered through another VM, after the routers moved its flow, or its caller has
+	// given up: targets answer callers directly, so that a VM sees neither.
+	maxReportedAge = time.Second
 	// aliveWindow is how long a target counts as alive after its last response. Open
 	// flows of a target without an entry continue for this time.
 	aliveWindow = time.Second
@@ -65,7 +71,10 @@
 	flows  *flowTable
 	loads  []balance.Load // by slot of the target
 
-	serviceLoads         map[string]*balance.Load // by service; sums of loads
+	// recentRequests is the number of requests in progress by slot of the target, without
+	// those that expired; see maxReportedAge.
+	recentRequests       []int
+	serviceLoads         map[string]*balance.Load // by service; sums of Flows and recentRequests
 	loaded               map[*catalog.Target]bool // targets with flows in loads
 	reachability         map[serviceDomain]reachabilityCheck
 	evidence             []evidence.Tracker       // by slot of the target
@@ -131,6 +140,7 @@
 		// The slot may have been that of a removed target.
 		t := f.view.Target(c.Target.ID)
 		f.loads[t.Slot] = balance.Load{}
+		f.recentRequests[t.Slot] = 0
 		f.evidence[t.Slot] = evidence.Tracker{}
 		f.outlierStates[t.Slot] = outlierState{}
 	}
@@ -141,6 +151,7 @@
 func (f *Forwarder) growSlots() {
 	for len(f.loads) < f.view.Slots() {
 		f.loads = append(f.loads, balance.Load{})
+		f.recentRequests = append(f.recentRequests, 0)
 		f.evidence = append(f.evidence, evidence.Tracker{})
 		f.outlierStates = append(f.outlierStates, outlierState{})
 	}
@@ -187,26 +198,52 @@
 	if r.untracked {
 		return
 	}
-	f.addLoad(t, 1, 0)
+	f.addLoad(t, r.load())
+}
+
+// loadChange is a change of the load of a target.
+type loadChange struct {
+	flows          int
+	activeRequests int
+	recentRequests int // those of activeRequests that have not expired
+}
+
+// load returns what the flow adds to the load of its target.
+func (r *record) load() loadChange {
+	c := loadChange{flows: 1}
 	if r.active {
-		f.addLoad(t, 0, 1)
+		c.activeRequests = 1
+	}
+	if r.active && !r.expired {
+		c.recentRequests = 1
+	}
+	return c
+}
+
+// minus returns the change from other to c.
+func (c loadChange) minus(other loadChange) loadChange {
+	return loadChange{
+		flows:          c.flows - other.flows,
+		activeRequests: c.activeRequests - other.activeRequests,
+		recentRequests: c.recentRequests - other.recentRequests,
 	}
 }
 
-// addLoad adds flows and requests in progress to the load of a target and its service.
-func (f *Forwarder) addLoad(t *catalog.Target, flows, activeRequests int) {
+// addLoad changes the load of a target and its service.
+func (f *Forwarder) addLoad(t *catalog.Target, c loadChange) {
 	load := &f.loads[t.Slot]
-	load.Flows += flows
-	load.ActiveRequests += activeRequests
-	if flows > 0 && load.Flows == flows {
+	load.Flows += c.flows
+	load.ActiveRequests += c.activeRequests
+	f.recentRequests[t.Slot] += c.recentRequests
+	if c.flows > 0 && load.Flows == c.flows {
 		f.loaded[t] = true
 	}
-	if flows < 0 && load.Flows == 0 {
+	if c.flows < 0 && load.Flows == 0 {
 		delete(f.loaded, t)
 	}
 	service := f.serviceLoad(t.Service)
-	service.Flows += flows
-	service.ActiveRequests += activeRequests
+	service.Flows += c.flows
+	service.ActiveRequests += c.recentRequests
 }
 
 // serviceLoad returns the load of this VM at a service.
@@ -224,10 +261,7 @@
 	if r.target == nil || r.untracked {
 		return
 	}
-	f.addLoad(r.target, -1, 0)
-	if r.active {
-		f.addLoad(r.target, 0, -1)
-	}
+	f.addLoad(r.target, loadChange{}.minus(r.load()))
 	r.target = nil
 }
 
@@ -238,19 +272,34 @@
 	}
 }
 
+// setActive records whether a request of the flow is in progress.
 func (f *Forwarder) setActive(r *record, t *catalog.Target, active bool) {
 	if r.active == active {
 		return
 	}
-	r.active = active
+	previous := r.load()
+	r.active, r.expired = active, false
 	if r.untracked {
 		return
 	}
-	if active {
-		f.addLoad(t, 0, 1)
-	} else {
-		f.addLoad(t, 0, -1)
+	f.addLoad(t, r.load().minus(previous))
+}
+
+// expireRequest stops counting the request in progress as load of its service once it is
+// older than maxReportedAge and than a slow response of its route.
+func (f *Forwarder) expireRequest(now time.Duration, k flow.Key, r *record) {
+	age := now - r.requestAt
+	if r.expired || r.target == nil || age < maxReportedAge {
+		return
+	}
+	if route := f.view.Route(k.Address); route != nil {
+		if slow, known := f.flowBaseline(r, route).slowThreshold(); known && age < slow {
+			return
+		}
 	}
+	previous := r.load()
+	r.expired = true
+	f.addLoad(r.target, r.load().minus(previous))
 }
 
 // Tick expires flows, requests and targets, counts overdue requests as failed, and resets the
@@ -273,6 +322,7 @@
 		}
 		if r.active {
 			f.recordOverdue(now, k, r)
+			f.expireRequest(now, k, r)
 		}
 		if r.active && now-r.requestAt >= f.requestTimeout(k) {
 			// The caller has timed out, and may have abandoned the flow.
--- a/decide/forward/loads_test.go
+++ b/decide/forward/loads_test.go
@@ -41,3 +41,28 @@
 		r.True(load.Flows == 0 && load.ActiveRequests == 0)
 	}
 }
+
+// Guards against a load that counts requests which were answered through another VM or given
+// up by their callers: after all VMs had lost power, such requests kept a service limited for
+// five seconds, and new flows were refused although targets had free slots.
+func TestOldRequestsAreNoLoad(t *testing.T) {
+	r := newHarness(t)
+	for caller := range uint16(20) {
+		target := r.openFlow(0, caller)
+		r.f.Receive(3*ms, ackPacket(caller, target.Cookie, 101, 500, 10))
+	}
+	r.f.Tick(600 * ms)
+	r.Equal(r.f.Loads()[0].ActiveRequests, uint32(20))
+	r.f.Tick(1100 * ms)
+	r.Equal(r.f.Loads(), []relay.Load{{TargetDomain: "a", Service: "s", Flows: 20}})
+	r.Equal(r.f.serviceLoad("s").ActiveRequests, 0)
+	// The next request of a flow counts again.
+	first := r.f.flows.get(key(0)).target
+	r.f.Receive(1200*ms, ackPacket(0, first.Cookie, 111, 600, 10))
+	r.Equal(r.f.Loads()[0].ActiveRequests, uint32(1))
+	r.f.Tick(time.Minute)
+	r.Equal(len(r.f.Loads()), 0)
+	for slot, load := range r.f.loads {
+		r.True(load.Flows == 0 && load.ActiveRequests == 0 && r.f.recentRequests[slot] == 0)
+	}
+}
