Keep late answers from restoring deleted keys

Cause, found while looking for the report 'a server that had left was in use again': a replica forgets a deletion after two minutes. An answer that was read before and arrives later (a pull or a read of the store held up for long) contains the key, and the replica, which knows nothing of it any more, took it for new: a target that had left was listed. Ruled out: answers within two minutes, heartbeats (never complete). Change: an item that the replica does not hold and whose revision it has passed was deleted; it is left out, unless a complete read of the same or a later revision has it.

--- a/decide/relay/replica.go
+++ b/decide/relay/replica.go
@@ -52,7 +52,11 @@
 // that are missing are then deleted, and these deletions are returned last.
 func (r *Replica) Merge(now time.Duration, items []Item, revision int64, complete bool) []Item {
 	var changed []Item
+	outdated := !complete || revision < r.revision
 	for _, item := range items {
+		if outdated && r.hasForgotten(item) {
+			continue
+		}
 		if r.mergeOne(now, item) {
 			changed = append(changed, item)
 		}
@@ -66,6 +70,14 @@
 	return changed
 }
 
+// hasForgotten reports whether an item was deleted and the deletion pruned: the replica held
+// every key that existed at its revision, and it does not hold this one. An answer that was
+// read earlier, and arrives late, may still contain such an item.
+func (r *Replica) hasForgotten(item Item) bool {
+	_, known := r.items[item.Key]
+	return !known && item.Revision <= r.revision
+}
+
 func (r *Replica) mergeOne(now time.Duration, item Item) bool {
 	if known, ok := r.items[item.Key]; ok && known.Revision >= item.Revision {
 		return false
--- a/decide/relay/replica_test.go
+++ b/decide/relay/replica_test.go
@@ -79,3 +79,67 @@
 func equalItems(a, b Item) bool {
 	return a.Key == b.Key && a.Revision == b.Revision && string(a.Value) == string(b.Value)
 }
+
+// capturedUpdate is an answer that was read earlier and has not arrived yet.
+type capturedUpdate struct {
+	items    []Item
+	revision int64
+	complete bool
+}
+
+// Guards against a target or configuration that has gone and is in use again: for any order
+// of writes, late answers of other replicas and of the store, and pruning, a replica only
+// holds keys that existed at its revision or were written later.
+func TestLateAnswersRestoreNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		store := &fakeStore{items: make(map[string]Item)}
+		var history []Item // every write, by ascending revision
+		replicas := []*Replica{NewReplica(), NewReplica()}
+		var late []capturedUpdate
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 60).Draw(t, "seconds")) * time.Second
+			r := replicas[rapid.IntRange(0, 1).Draw(t, "replica")]
+			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			case 0, 1:
+				key := fmt.Sprint("k", rapid.IntRange(0, 3).Draw(t, "key"))
+				store.write(key, rapid.Bool().Draw(t, "deleted"))
+				history = append(history, store.items[key])
+			case 2:
+				late = append(late, capturedUpdate{store.all(), store.revision, true})
+			case 3:
+				items, complete := r.Since(int64(rapid.IntRange(0, int(r.Revision())).Draw(t, "after")))
+				late = append(late, capturedUpdate{items, r.Revision(), complete})
+			case 4:
+				if len(late) == 0 {
+					continue
+				}
+				u := rapid.SampledFrom(late).Draw(t, "late answer")
+				if !u.complete && u.revision > r.Revision() {
+					continue // not an answer to this replica's revision
+				}
+				r.Merge(now, u.items, u.revision, u.complete)
+			default:
+				r.Prune(now)
+			}
+			for _, r := range replicas {
+				checkNothingRestored(t, r, history)
+			}
+		}
+	})
+}
+
+// checkNothingRestored fails if r holds a key that did not exist at its revision.
+func checkNothingRestored(t *rapid.T, r *Replica, history []Item) {
+	last := make(map[string]Item) // as of the revision of r
+	for _, item := range history {
+		if item.Revision <= r.Revision() {
+			last[item.Key] = item
+		}
+	}
+	for _, item := range liveItems(r) {
+		if item.Revision <= r.Revision() && (last[item.Key].Deleted || last[item.Key].Revision != item.Revision) {
+			t.Fatalf("replica at %d holds %v, last write %v", r.Revision(), item, last[item.Key])
+		}
+	}
+}
