Give a target whose service changes a slot of its own

Cause: an entry whose service changes made a new target with the slot of the old one. Flows to the old target kept that slot, so that the loads of the new one were reset under them and became negative when they ended: such a target looked idle and got most new flows. Ruled out: targets that are forgotten normally (only without flows). Change: the old target is kept apart, counts as gone, and its slot is reused when no flow needs it and the retention has passed. TestTargetChangesService fails without the change.

--- a/decide/catalog/view.go
+++ b/decide/catalog/view.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -58,6 +59,7 @@
 	tombstones      map[string]tombstone // by id, of unknown and forgotten targets
 	byCookie        map[flow.Cookie]*Target
 	services        map[string][]*Target // targets by service, listed or not
+	replaced        []*Target            // targets whose id has another service now
 	freeSlots       []int                // slots of forgotten targets, for reuse
 	slots           int                  // number of slots in use or in freeSlots
 	revision        int64                // see Revision
@@ -173,8 +175,11 @@
 	}
 	delete(v.tombstones, e.ID)
 	if t != nil && t.Service != e.Service {
-		// The same id with another service is a new target.
-		v.forgetTarget(t)
+		// The same id with another service is a new target. The slot of the old one stays
+		// in use while flows to it are open.
+		v.unlink(t)
+		t.Listed, t.GoneAt = false, now
+		v.replaced = append(v.replaced, t)
 		t = nil
 	}
 	effect := TargetChanged
@@ -257,6 +262,13 @@
 			v.forgetTarget(t)
 		}
 	}
+	v.replaced = slices.DeleteFunc(v.replaced, func(t *Target) bool {
+		forget := now >= t.GoneAt+targetRetention && !inUse(t)
+		if forget {
+			v.freeSlots = append(v.freeSlots, t.Slot)
+		}
+		return forget
+	})
 	for id, tomb := range v.tombstones {
 		if now >= tomb.at+targetRetention {
 			delete(v.tombstones, id)
@@ -270,9 +282,16 @@
 	return v.nextSweep
 }
 
+// forgetTarget removes a target whose slot can be reused.
 func (v *View) forgetTarget(t *Target) {
-	delete(v.targets, t.ID)
+	v.unlink(t)
 	v.tombstones[t.ID] = tombstone{revision: t.Revision, at: v.nextSweep}
+	v.freeSlots = append(v.freeSlots, t.Slot)
+}
+
+// unlink removes a target from the indexes.
+func (v *View) unlink(t *Target) {
+	delete(v.targets, t.ID)
 	v.unlinkCookie(t)
 	list := v.services[t.Service]
 	for i, other := range list {
@@ -282,7 +301,6 @@
 			break
 		}
 	}
-	v.freeSlots = append(v.freeSlots, t.Slot)
 }
 
 func (v *View) unlinkCookie(t *Target) {
--- a/decide/forward/loads_test.go
+++ b/decide/forward/loads_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/gypsumspan/gypsumspan/decide/catalog"
 	"github.com/gypsumspan/gypsumspan/decide/relay"
 )
 
@@ -66,3 +67,28 @@
 		r.True(load.Flows == 0 && load.ActiveRequests == 0 && r.f.recentRequests[slot] == 0)
 	}
 }
+
+// Guards against loads that become negative when the entry of a target changes its service:
+// the new target must not get the slot of the old one while flows to that are open.
+func TestTargetChangesService(t *testing.T) {
+	r := newHarness(t)
+	for caller := range uint16(20) {
+		target := r.openFlow(0, caller)
+		r.f.Receive(3*ms, ackPacket(caller, target.Cookie, 101, 500, 10))
+	}
+	for id := 1; id <= 3; id++ {
+		r.apply(4*ms, catalog.Change{Target: entry(id, "other", "a", catalog.Ready)})
+	}
+	r.f.Tick(time.Minute)
+	for slot, load := range r.f.loads {
+		r.True(load.Flows >= 0 && load.ActiveRequests >= 0 && r.f.recentRequests[slot] >= 0)
+	}
+	r.Equal(len(r.f.Loads()), 0)
+	// Slots are reused once no flow needs them.
+	slots := r.f.View().Slots()
+	r.f.Tick(2 * time.Minute)
+	for id := 11; id <= 13; id++ {
+		r.apply(2*time.Minute, catalog.Change{Target: entry(id, "other", "a", catalog.Ready)})
+	}
+	r.Equal(r.f.View().Slots(), slots)
+}
