--- a/store/store.go
+++ b/store/store.go
@@ -56,6 +56,8 @@
 	Limit    int64  // maximum number of keys; 0: no limit
 	Revision int64  // revision to read at; 0: the newest
 	KeysOnly bool   // omit the values
+	// AllowStale allows an answer that is some seconds old, which costs the store less.
+	AllowStale bool
 }
 
 // RangeResponse is one page of keys.
