Pause read loops whose socket fails again and again

An error that lasts (no buffers, an interface that is gone) made the thread spin. Ruled out as a cause of cost today: single ICMP errors, which need no pause. TestErrorPause.

--- a/caller/sockets.go
+++ b/caller/sockets.go
@@ -109,6 +109,7 @@
 // read passes every valid datagram to the session until the socket is closed.
 func (s *Sockets) read(ctx context.Context, conn Conn, in inbox) error {
 	buf := make([]byte, wire.MaxDatagram+1)
+	var pause kernel.ErrorPause
 	for {
 		n, err := conn.Receive(buf)
 		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
@@ -116,8 +117,10 @@
 		}
 		if err != nil {
 			// An ICMP error for an earlier datagram; the socket is still usable.
+			pause.Wait(ctx)
 			continue
 		}
+		pause.Succeeded()
 		s.received.Add(1)
 		body, err := wire.Decode(buf[:n])
 		if err != nil || n > wire.MaxDatagram || !isForCaller(body) {
--- a/kernel/kernel_test.go
+++ b/kernel/kernel_test.go
@@ -308,3 +308,16 @@
 	is.NoErr(k.Run(ctx, time.Second))
 	is.True(errors.Is(<-result, ErrRingClosed))
 }
+
+// Guards against a blocker that spins while its socket returns an error each time, and
+// against a pause after a single error.
+func TestErrorPause(t *testing.T) {
+	is := is.New(t)
+	var p ErrorPause
+	for range freeFailures {
+		is.Equal(p.next(), time.Duration(0))
+	}
+	is.Equal(p.next(), failurePause)
+	p.Succeeded()
+	is.Equal(p.next(), time.Duration(0))
+}
--- a/services/udp/udp.go
+++ b/services/udp/udp.go
@@ -217,6 +217,7 @@
 func (s *Service) read(ctx context.Context, conn *net.UDPConn, inbox Inbox, policy policy) error {
 	// One byte more than the largest sealed datagram, so that a longer one is rejected.
 	buf := make([]byte, wire.MaxDatagram+seal.Size+1)
+	var pause kernel.ErrorPause
 	for {
 		n, from, err := conn.ReadFromUDPAddrPort(buf)
 		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
@@ -224,8 +225,10 @@
 		}
 		if err != nil {
 			// The error of an earlier datagram, reported by ICMP; the socket stays usable.
+			pause.Wait(ctx)
 			continue
 		}
+		pause.Succeeded()
 		s.received.Add(1)
 		from = netip.AddrPortFrom(from.Addr().Unmap(), from.Port())
 		m, err := decode(buf[:n], from, policy)
