--- a/decide/relay/relay.go
+++ b/decide/relay/relay.go
@@ -97,6 +97,8 @@
 	cachedLoads   []Load              // result of DomainLoads at loadsCachedAt
 	loadsCachedAt time.Duration
 
+	snapshot snapshotState
+
 	out Output
 }
 
@@ -235,7 +237,7 @@
 // merge merges an update into the replica and schedules the notification of subscribers.
 func (m *Machine) merge(now time.Duration, update Update) {
 	oldRevision := m.replica.Revision()
-	changed := m.replica.Merge(now, update.Items, update.Revision, update.Complete)
+	changed := m.replica.Merge(now, m.takeSnapshots(now, update.Items), update.Revision, update.Complete)
 	for _, item := range changed {
 		m.updateMember(item)
 	}
@@ -448,6 +450,7 @@
 	m.chooseRole(now)
 	m.notifySubscribers(now)
 	m.notifyBranches(now)
+	m.requestSnapshot(now)
 	next := now + m.intervals.poll
 	if m.notifyDue {
 		next = m.notifiedAt + notifyInterval
--- a/decide/relay/types.go
+++ b/decide/relay/types.go
@@ -88,6 +88,8 @@
 	// RemoveEntry is the store entry of a dead VM, to be deleted if the entry is still at
 	// the item's revision.
 	RemoveEntry *Item
+	// Snapshot is to be written to the store if the key is still at its revision.
+	Snapshot *Snapshot
 }
 
 // Config configures a Machine.
@@ -101,6 +103,13 @@
 	// is the relay or a branch. 0 stands for the default of 64. A domain with no more VMs
 	// has no branches.
 	VMsPerBranch int
+	// SnapshotKey is the key of the snapshot in the store; with an empty one there are no
+	// snapshots. SnapshotInterval is the minimum time between two. A snapshot is of use
+	// while the store keeps the changes after it, so the interval has to be shorter.
+	// A catalog of fewer keys than SnapshotMinKeys gets none.
+	SnapshotKey      string
+	SnapshotInterval time.Duration
+	SnapshotMinKeys  int
 	// MaxAge is the age of the last confirmation at which the VM watches the store
 	// itself.
 	MaxAge time.Duration
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -305,6 +305,19 @@
 	BeatSendFailed = declare(Event{Number: "GS6113", Level: Warn, Name: "beat_send_failed", Limited: true,
 		Message: "heartbeat to another VM can't be sent",
 		Fields:  []string{"to", "error"}})
+	// SnapshotWritten is written when a relay writes the snapshot from which VMs start.
+	SnapshotWritten = declare(Event{Number: "GS6114", Level: Info, Name: "snapshot_written", Limited: true,
+		Message: "snapshot of the catalog is written to the store",
+		Fields:  []string{"revision", "keys", "bytes"}})
+	// SnapshotNotWritten is written when a snapshot can't be encoded or is too large.
+	SnapshotNotWritten = declare(Event{Number: "GS6115", Level: Warn, Name: "snapshot_not_written", Limited: true,
+		Message: "snapshot of the catalog was not written",
+		Fields:  []string{"revision", "error"}})
+	// SnapshotNotUsed is written when a VM reads all keys since the snapshot is missing,
+	// invalid or too old.
+	SnapshotNotUsed = declare(Event{Number: "GS6116", Level: Info, Name: "snapshot_not_used", Limited: true,
+		Message: "all keys of the store were read, since its snapshot can't be used",
+		Fields:  []string{"error"}})
 	// FlowDecided is written for the first decision of each kind on a flow.
 	FlowDecided = declare(Event{Number: "GS6201", Level: Info, Name: "flow_decided", Limited: true, Rate: flowRate, Burst: flowBurst,
 		Message: "flow was placed or ended",
--- a/flowd/flowd.go
+++ b/flowd/flowd.go
@@ -27,6 +27,7 @@
 	"github.com/gypsumspan/gypsumspan/services/readiness"
 	relayservice "github.com/gypsumspan/gypsumspan/services/relay"
 	"github.com/gypsumspan/gypsumspan/settings/flowsettings"
+	"github.com/gypsumspan/gypsumspan/wire/relaywire"
 )
 
 // ErrAssemble means that a component of the daemon could not be created.
@@ -40,6 +41,15 @@
 	gcPercent = 30
 	// memberPrefix is the key prefix of the VMs' own entries in the store.
 	memberPrefix = "gypsumspan/vms/"
+	// snapshotKey is the key of the snapshot from which VMs start.
+	snapshotKey = "gypsumspan/snapshot"
+	// snapshotInterval is the minimum time between two snapshots. The platform's stores keep
+	// 20 s of history; with half of it the changes after a snapshot are still available
+	// when a VM starts, also after an outage of some seconds.
+	snapshotInterval = 10 * time.Second
+	// snapshotMinKeys is the number of keys from which snapshots are written. The store
+	// answers a read with up to about 500 keys, so that fewer take one call without one.
+	snapshotMinKeys = 500
 )
 
 // Options configure what the settings file does not.
@@ -102,7 +112,9 @@
 				WatchWait:      s.Catalog.WatchWait(),
 				FirstWatchWait: s.Catalog.FirstWatchWait(),
 			}),
-			Seed: seed,
+			SnapshotKey:    snapshotKey,
+			DecodeSnapshot: relaywire.DecodeSnapshot,
+			Seed:           seed,
 		}),
 		pulls.New(),
 		relayservice.New(relayservice.Config{
@@ -113,9 +125,12 @@
 					HeartbeatAddr: s.Listen.Heartbeats,
 					PullAddr:      s.Listen.Control,
 				},
-				MemberPrefix: memberPrefix,
-				MaxAge:       s.Catalog.MaxAge(),
-				Seeds:        s.Catalog.Seeds,
+				MemberPrefix:     memberPrefix,
+				SnapshotKey:      snapshotKey,
+				SnapshotInterval: snapshotInterval,
+				SnapshotMinKeys:  snapshotMinKeys,
+				MaxAge:           s.Catalog.MaxAge(),
+				Seeds:            s.Catalog.Seeds,
 			},
 			Decoder: platform.CatalogDecoder{},
 		}),
--- a/services/catalogwatch/catalogwatch.go
+++ b/services/catalogwatch/catalogwatch.go
@@ -34,8 +34,14 @@
 type Result struct {
 	Update relay.Update
 	Err    error // wraps ErrStore; Update is not set then
+	// SnapshotErr is why Update, a complete read, was not read from the snapshot in the
+	// store. It wraps ErrSnapshot.
+	SnapshotErr error
 }
 
+// ErrSnapshot means that the store has no snapshot that can be used.
+var ErrSnapshot = errors.New("no usable snapshot")
+
 // Inbox receives the results; it is the service "relay".
 type Inbox interface {
 	HandleStoreResult(r Result) error
@@ -51,7 +57,11 @@
 // Config configures the service.
 type Config struct {
 	Store store.Store
-	Seed  uint64 // for the jitter of the retry delays
+	// SnapshotKey is the key of the snapshot; with an empty one the VM reads all keys.
+	// DecodeSnapshot decodes its value and is needed with a key only.
+	SnapshotKey    string
+	DecodeSnapshot func(value []byte) (relay.Update, error)
+	Seed           uint64 // for the jitter of the retry delays
 }
 
 // Stats counts since start.
@@ -78,6 +88,7 @@
 	tasks        *taskswitch.Switch[task]
 	lastRevision atomic.Int64 // a watch continues after it; 0: read the whole store first
 	pacing       *Pacing
+	historyLost  bool // the last call failed since the store had dropped its history
 	slowRetry    atomic.Bool
 	gate         *kernel.Gate
 	writes       *kernel.Ring[Write]
@@ -165,6 +176,7 @@
 			continue
 		}
 		historyLost := errors.Is(err, store.ErrCompacted)
+		s.historyLost = historyLost
 		if historyLost {
 			s.lastRevision.Store(0)
 			err = fmt.Errorf("%w: %w", ErrHistoryLost, err)
@@ -179,7 +191,7 @@
 
 func (s *Service) work(ctx context.Context, t task) error {
 	if s.lastRevision.Load() == 0 {
-		if err := s.read(ctx); err != nil {
+		if err := s.readCatalog(ctx); err != nil {
 			return err
 		}
 	}
@@ -190,15 +202,90 @@
 	return s.watch(ctx)
 }
 
-// read reads the whole store page by page and delivers it as one result. The pages are
-// not a snapshot, so the watch continues after the revision of the first page.
-func (s *Service) read(ctx context.Context) error {
+// readCatalog reads the whole store and delivers it as one result: from the snapshot and the
+// changes after it or, if that does not work or the store has dropped its history, key by
+// key.
+func (s *Service) readCatalog(ctx context.Context) error {
+	var result Result
+	err := ErrSnapshot
+	if s.config.SnapshotKey != "" && !s.historyLost {
+		result.Update, err = s.readSnapshot(ctx)
+		result.SnapshotErr = err
+	}
+	if errors.Is(err, ErrSnapshot) {
+		result.Update, err = s.readAll(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	if err := s.inbox.HandleStoreResult(result); err != nil {
+		return err
+	}
+	s.lastRevision.Store(result.Update.Revision)
+	return nil
+}
+
+// readSnapshot returns the snapshot with the changes after it. The snapshot itself may be
+// old: the watch answers with all changes up to the newest revision at once, since the write
+// of the snapshot is one of them. It returns ErrSnapshot if there is no usable snapshot, and
+// otherwise the errors of the store.
+func (s *Service) readSnapshot(ctx context.Context) (relay.Update, error) {
+	page, err := s.config.Store.Range(ctx, store.RangeRequest{Span: store.Key(s.config.SnapshotKey), AllowStale: true})
+	if err != nil {
+		return relay.Update{}, fmt.Errorf("read snapshot: %w", err)
+	}
+	s.reads.Add(1)
+	if len(page.KVs) == 0 {
+		return relay.Update{}, fmt.Errorf("%w: the store has none", ErrSnapshot)
+	}
+	update, err := s.config.DecodeSnapshot(page.KVs[0].Value)
+	if err != nil {
+		return relay.Update{}, fmt.Errorf("%w: %w", ErrSnapshot, err)
+	}
+	watcher, err := s.config.Store.Watch(ctx, store.Prefix(""), update.Revision+1)
+	if err != nil {
+		return relay.Update{}, snapshotError(err)
+	}
+	defer watcher.Close()
+	batch, err := watcher.Next()
+	if err != nil {
+		return relay.Update{}, snapshotError(err)
+	}
+	s.watchBatches.Add(1)
+	s.pacing.Succeeded()
+	changes := updateOf(batch)
+	update.Items = append(update.Items, changes.Items...)
+	update.Revision = changes.Revision
+	return update, nil
+}
+
+// snapshotError returns the error of the watch after a snapshot: ErrSnapshot if the store
+// no longer has all changes after it.
+func snapshotError(err error) error {
+	if errors.Is(err, store.ErrCompacted) {
+		return fmt.Errorf("%w: %w", ErrSnapshot, err)
+	}
+	return fmt.Errorf("read changes after the snapshot: %w", err)
+}
+
+// updateOf returns the changes of a batch.
+func updateOf(batch store.Batch) relay.Update {
+	update := relay.Update{Revision: batch.Revision}
+	for _, e := range batch.Events {
+		update.Items = append(update.Items, relay.Item{Key: e.KV.Key, Value: e.KV.Value, Revision: e.KV.ModRevision, Deleted: e.Deleted})
+	}
+	return update
+}
+
+// readAll reads the whole store page by page. The pages are not a snapshot, so the watch
+// continues after the revision of the first page.
+func (s *Service) readAll(ctx context.Context) (relay.Update, error) {
 	request := store.RangeRequest{Span: store.Prefix("")}
 	update := relay.Update{Complete: true}
 	for more := true; more; {
 		page, err := s.config.Store.Range(ctx, request)
 		if err != nil {
-			return fmt.Errorf("read: %w", err)
+			return relay.Update{}, fmt.Errorf("read: %w", err)
 		}
 		s.reads.Add(1)
 		s.pacing.Succeeded()
@@ -211,11 +298,7 @@
 		}
 		more = page.More && len(page.KVs) > 0
 	}
-	if err := s.inbox.HandleStoreResult(Result{Update: update}); err != nil {
-		return err
-	}
-	s.lastRevision.Store(update.Revision)
-	return nil
+	return update, nil
 }
 
 // watch delivers every change after lastRevision until an error.
@@ -232,11 +315,7 @@
 		}
 		s.watchBatches.Add(1)
 		s.pacing.Succeeded()
-		update := relay.Update{Revision: batch.Revision}
-		for _, e := range batch.Events {
-			update.Items = append(update.Items, relay.Item{Key: e.KV.Key, Value: e.KV.Value, Revision: e.KV.ModRevision, Deleted: e.Deleted})
-		}
-		if err := s.inbox.HandleStoreResult(Result{Update: update}); err != nil {
+		if err := s.inbox.HandleStoreResult(Result{Update: updateOf(batch)}); err != nil {
 			return err
 		}
 		s.lastRevision.Store(batch.Revision)
--- a/services/catalogwatch/catalogwatch_test.go
+++ b/services/catalogwatch/catalogwatch_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/gypsumspan/gypsumspan/decide/relay"
 	"github.com/gypsumspan/gypsumspan/store"
 )
 
@@ -84,3 +85,92 @@
 	cancel()
 	is.NoErr(<-done)
 }
+
+// snapshotStore holds a snapshot and the events after its revision.
+type snapshotStore struct {
+	store.Store
+	snapshot  []byte // nil: none
+	events    []store.Event
+	newest    int64
+	compacted bool // the events are no longer available
+}
+
+const snapshotKey = "snapshot"
+
+func (s *snapshotStore) Range(_ context.Context, r store.RangeRequest) (store.RangeResponse, error) {
+	switch {
+	case r.Span.Prefix:
+		return store.RangeResponse{Revision: s.newest, KVs: []store.KV{{Key: "all", ModRevision: s.newest}}}, nil
+	case s.snapshot == nil:
+		return store.RangeResponse{}, nil
+	default:
+		return store.RangeResponse{Revision: s.newest, KVs: []store.KV{{Key: snapshotKey, Value: s.snapshot}}}, nil
+	}
+}
+
+func (s *snapshotStore) Watch(ctx context.Context, _ store.Span, from int64) (store.Watcher, error) {
+	switch {
+	case s.compacted:
+		return nil, store.ErrCompacted
+	case from > s.newest:
+		return &idleWatcher{ctx: ctx}, nil
+	default:
+		return &batchWatcher{store.Batch{Revision: s.newest, Events: s.events}}, nil
+	}
+}
+
+// batchWatcher delivers one batch.
+type batchWatcher struct{ batch store.Batch }
+
+func (w *batchWatcher) Next() (store.Batch, error) { return w.batch, nil }
+func (w *batchWatcher) Close()                     {}
+
+var errBadSnapshot = errors.New("bad snapshot")
+
+// decodeTestSnapshot decodes the snapshots of these tests: one key at revision 5.
+func decodeTestSnapshot(value []byte) (relay.Update, error) {
+	if string(value) != "ok" {
+		return relay.Update{}, errBadSnapshot
+	}
+	return relay.Update{Revision: 5, Complete: true, Items: []relay.Item{{Key: "k", Revision: 5}}}, nil
+}
+
+// Guards against a start from a snapshot without the changes after it, and against a VM that
+// does not start since the snapshot is missing, unreadable or too old.
+func TestStartFromSnapshot(t *testing.T) {
+	removed := []store.Event{{Deleted: true, KV: store.KV{Key: "k", ModRevision: 8}}}
+	cases := []struct {
+		name  string
+		store snapshotStore
+		err   error    // Result.SnapshotErr
+		keys  []string // of the result
+	}{
+		{"snapshot and changes", snapshotStore{snapshot: []byte("ok"), events: removed, newest: 8}, nil, []string{"k", "k"}},
+		{"no snapshot", snapshotStore{newest: 8}, ErrSnapshot, []string{"all"}},
+		{"unreadable", snapshotStore{snapshot: []byte("?"), events: removed, newest: 8}, errBadSnapshot, []string{"all"}},
+		{"too old", snapshotStore{snapshot: []byte("ok"), newest: 8, compacted: true}, store.ErrCompacted, []string{"all"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := New(Config{Store: &c.store, SnapshotKey: snapshotKey, DecodeSnapshot: decodeTestSnapshot})
+			results := make(resultChannel, 1)
+			s.inbox = results
+			is.NoErr(s.readCatalog(t.Context()))
+			r := <-results
+			is.NoErr(r.Err)
+			is.True(errors.Is(r.SnapshotErr, c.err))
+			is.True(r.Update.Complete)
+			is.Equal(r.Update.Revision, int64(8))
+			var keys []string
+			for _, item := range r.Update.Items {
+				keys = append(keys, item.Key)
+			}
+			is.Equal(keys, c.keys)
+			replica := relay.NewReplica()
+			replica.Merge(0, r.Update.Items, r.Update.Revision, r.Update.Complete)
+			_, ok := replica.Get("k")
+			is.True(!ok) // removed after the snapshot
+		})
+	}
+}
--- a/services/packets/packets.go
+++ b/services/packets/packets.go
@@ -119,7 +119,7 @@
 type Input struct {
 	Change catalog.Change
 	Store  StoreState
-	Loads  []relay.Load // load of all failure domains
+	Loads  []relay.Load // load of all failure domains; not nil, may be empty
 	// Samples and Overloaded come with Loads: the samples of the VMs of the own failure
 	// domain, and whether this VM relays the catalog to too many other VMs.
 	Samples    []relay.Sample
@@ -284,6 +284,7 @@
 	case <-ctx.Done():
 		return nil
 	}
+	var pause kernel.ErrorPause
 	for {
 		b, ok := s.freeBuffers.Wait(ctx)
 		if !ok {
@@ -296,6 +297,9 @@
 		if err != nil {
 			// The error of an earlier datagram, reported by ICMP; the socket stays usable.
 			n = 0
+			pause.Wait(ctx)
+		} else {
+			pause.Succeeded()
 		}
 		b.n = n
 		if err := s.datagrams.Put(b); err != nil {
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -45,8 +45,14 @@
 	// loadReportInterval is the time between two reports of the failure domains' loads to
 	// "packets".
 	loadReportInterval = 500 * time.Millisecond
+	// maxSnapshotSize is the size of the largest snapshot in bytes. The store holds values
+	// of up to 1 MiB.
+	maxSnapshotSize = 1 << 20
 )
 
+// ErrSnapshotTooLarge means that the store can't hold a snapshot.
+var ErrSnapshotTooLarge = errors.New("snapshot is too large for the store")
+
 // Decoder decodes the values of the store.
 type Decoder interface {
 	// Decode returns the change of the catalog that a write of key makes; ok is false
@@ -232,6 +238,7 @@
 // receive reads heartbeats until the socket is closed.
 func (s *Service) receive(ctx context.Context) error {
 	buf := make([]byte, relaywire.MaxHeartbeatSize+1)
+	var pause kernel.ErrorPause
 	for {
 		n, from, err := s.conn.ReadFromUDPAddrPort(buf)
 		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
@@ -239,8 +246,10 @@
 		}
 		if err != nil {
 			// The error of an earlier datagram, reported by ICMP; the socket stays usable.
+			pause.Wait(ctx)
 			continue
 		}
+		pause.Succeeded()
 		if s.Deliver(from, buf[:n]) != nil {
 			return nil
 		}
@@ -295,6 +304,9 @@
 		}
 		s.log.Log(events.StoreCallFailed, events.F("error", in.store.Err))
 	case in.store != nil:
+		if in.store.SnapshotErr != nil {
+			s.log.Log(events.SnapshotNotUsed, events.F("error", in.store.SnapshotErr))
+		}
 		s.machine.HandleStoreUpdate(now, in.store.Update)
 	case in.pull != nil:
 		s.completePull(now, in.pull)
@@ -329,9 +341,27 @@
 		s.watch.Write(catalogwatch.Write{Item: item})
 		s.log.Log(events.MemberForgotten, events.F("key", item.Key), events.F("revision", item.Revision))
 	}
+	if out.Snapshot != nil {
+		s.writeSnapshot(*out.Snapshot)
+	}
 	s.updateWatch(now)
 }
 
+// writeSnapshot queues the write of a snapshot. One that is too large for the store is not
+// written: VMs then start by reading the keys.
+func (s *Service) writeSnapshot(snapshot relay.Snapshot) {
+	value, err := relaywire.EncodeSnapshot(snapshot.Update)
+	if err == nil && len(value) > maxSnapshotSize {
+		err = fmt.Errorf("%d bytes: %w", len(value), ErrSnapshotTooLarge)
+	}
+	if err != nil {
+		s.log.Log(events.SnapshotNotWritten, events.F("revision", snapshot.Update.Revision), events.F("error", err))
+		return
+	}
+	s.watch.Write(catalogwatch.Write{Item: relay.Item{Key: snapshot.Key, Value: value, Revision: snapshot.Revision}})
+	s.log.Log(events.SnapshotWritten, events.F("revision", snapshot.Update.Revision), events.F("keys", len(snapshot.Update.Items)), events.F("bytes", len(value)))
+}
+
 // updateWatch starts or stops the watch of the store as the machine's role requires, and
 // logs a change of the role.
 func (s *Service) updateWatch(now time.Duration) {
@@ -414,20 +444,17 @@
 }
 
 // forwardLoads reports to "packets" the loads of all failure domains, the samples of the
-// own one and whether this VM is overloaded. It reports nothing while no load is known.
-// It returns the time of the next report.
+// own one and whether this VM is overloaded. It returns the time of the next report.
 func (s *Service) forwardLoads(now time.Duration) time.Duration {
 	if now < s.nextLoadReport {
 		return s.nextLoadReport
 	}
 	s.nextLoadReport = now + loadReportInterval
-	if loads := s.machine.DomainLoads(now); len(loads) > 0 {
-		s.packets.TryPut(packets.Input{
-			Loads:      loads,
-			Samples:    s.machine.DomainSamples(now),
-			Overloaded: s.machine.Subscribers(now) > overloadSubscribers,
-		})
-	}
+	s.packets.TryPut(packets.Input{
+		Loads:      s.machine.DomainLoads(now),
+		Samples:    s.machine.DomainSamples(now),
+		Overloaded: s.machine.Subscribers(now) > overloadSubscribers,
+	})
 	return s.nextLoadReport
 }
 
--- a/standin/kvstore/kvstore.go
+++ b/standin/kvstore/kvstore.go
@@ -47,6 +47,7 @@
 func Handler(e *standin.Engine) http.Handler {
 	s := &server{engine: e, client: standin.NewClient(e)}
 	mux := http.NewServeMux()
+	mux.HandleFunc("GET /-/kv-key", s.serveKey)
 	mux.HandleFunc("GET /-/kv-range", s.serveRange)
 	mux.HandleFunc("GET /-/kv-watch", s.serveWatch)
 	mux.HandleFunc("POST /-/kv-txn", s.serveTxn)
@@ -55,6 +56,22 @@
 	return mux
 }
 
+// serveKey answers with one key. Answers are never stale here.
+func (s *server) serveKey(w http.ResponseWriter, r *http.Request) {
+	out, err := s.client.Range(r.Context(), store.RangeRequest{Span: store.Key(r.URL.Query().Get("key"))})
+	switch {
+	case err != nil:
+		writeError(w, err)
+	case len(out.KVs) == 0:
+		w.WriteHeader(http.StatusNotFound)
+	default:
+		writeJSON(w, struct {
+			item
+			AsOf int64 `json:"as_of"`
+		}{itemOf(out.KVs[0]), out.Revision})
+	}
+}
+
 func (s *server) serveRange(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	out, err := s.client.Range(r.Context(), store.RangeRequest{
--- a/wire/relaywire/relaywire_test.go
+++ b/wire/relaywire/relaywire_test.go
@@ -1,6 +1,7 @@
 package relaywire
 
 import (
+	"bytes"
 	"errors"
 	"strings"
 	"testing"
@@ -63,3 +64,36 @@
 	_, err := AppendHeartbeat(nil, relay.Heartbeat{Name: strings.Repeat("x", MaxHeartbeatSize), Domain: "a"})
 	is.True(errors.Is(err, ErrMalformed))
 }
+
+// Guards against a snapshot that is used although it was truncated, changed, written by a
+// later version, or is not complete.
+func TestSnapshots(t *testing.T) {
+	is := is.New(t)
+	u := relay.Update{
+		Revision: 7,
+		Complete: true,
+		Items:    []relay.Item{{Key: "config", Value: []byte("{}"), Revision: 7}, {Key: "targets/a", Value: []byte("x"), Revision: 3}},
+	}
+	data, err := EncodeSnapshot(u)
+	is.NoErr(err)
+	got, err := DecodeSnapshot(data)
+	is.NoErr(err)
+	is.Equal(got, u)
+	for n := range data {
+		_, err := DecodeSnapshot(data[:n])
+		is.True(errors.Is(err, ErrMalformed))
+		changed := bytes.Clone(data)
+		changed[n] ^= 0x10
+		_, err = DecodeSnapshot(changed)
+		is.True(err != nil)
+	}
+	later := bytes.Clone(data)
+	later[0] = snapshotVersion + 1
+	_, err = DecodeSnapshot(later)
+	is.True(errors.Is(err, ErrSnapshotVersion))
+	u.Complete = false
+	data, err = EncodeSnapshot(u)
+	is.NoErr(err)
+	_, err = DecodeSnapshot(data)
+	is.True(errors.Is(err, ErrMalformed))
+}
