Leave requests out of the load only when their flow is silent

In a flood, callers whose data a full target dropped send copies until their time limit; such requests are waiting work. TestOldRequestsAreNoLoad now also holds that copies keep a request in the load.

--- a/decide/forward/flowtable.go
+++ b/decide/forward/flowtable.go
@@ -42,7 +42,7 @@
 	requestAt time.Duration // first data of the request in progress
 	ack       uint32        // highest acknowledgement number seen
 	active    bool          // a request is in progress
-	expired   bool          // that request no longer counts as load; see maxReportedAge
+	expired   bool          // that request no longer counts as load; see maxSilence
 
 	requestAck     uint32    // ack when the request began
 	requestSeen    bool      // requestAck is set
--- a/decide/forward/forward.go
+++ b/decide/forward/forward.go
@@ -43,12 +43,13 @@
 	// stallRecovery is how long a VM does not judge targets after a stall. It exceeds
 	// the time in which callers send all retransmissions of a packet.
 	stallRecovery = 2 * time.Second
-	// maxReportedAge is the minimum age, since the request began, from which a request
+	// maxSilence is the minimum time without a packet of its flow from which a request
 	// without an answer no longer counts as load of its service. While the service is
-	// limited, a request takes about twice its processing time. One that takes this long
-	// was answered through another VM, after the routers moved its flow, or its caller has
-	// given up: targets answer callers directly, so that a VM sees neither.
-	maxReportedAge = time.Second
+	// limited, a request takes about twice its processing time, and a caller whose data was
+	// not acknowledged sends copies. One that is silent for this long was answered through
+	// another VM, after the routers moved its flow, or its caller has given up: targets
+	// answer callers directly, so that a VM sees neither.
+	maxSilence = time.Second
 	// aliveWindow is how long a target counts as alive after its last response. Open
 	// flows of a target without an entry continue for this time.
 	aliveWindow = time.Second
@@ -72,7 +73,7 @@
 	loads  []balance.Load // by slot of the target
 
 	// recentRequests is the number of requests in progress by slot of the target, without
-	// those that expired; see maxReportedAge.
+	// those that expired; see maxSilence.
 	recentRequests       []int
 	serviceLoads         map[string]*balance.Load // by service; sums of Flows and recentRequests
 	loaded               map[*catalog.Target]bool // targets with flows in loads
@@ -285,15 +286,15 @@
 	f.addLoad(t, r.load().minus(previous))
 }
 
-// expireRequest stops counting the request in progress as load of its service once it is
-// older than maxReportedAge and than a slow response of its route.
+// expireRequest stops counting the request in progress as load of its service once its flow
+// was silent for maxSilence and for as long as a slow response of its route takes.
 func (f *Forwarder) expireRequest(now time.Duration, k flow.Key, r *record) {
-	age := now - r.requestAt
-	if r.expired || r.target == nil || age < maxReportedAge {
+	silence := now - r.lastSeen
+	if r.expired || r.target == nil || silence < maxSilence {
 		return
 	}
 	if route := f.view.Route(k.Address); route != nil {
-		if slow, known := f.flowBaseline(r, route).slowThreshold(); known && age < slow {
+		if slow, known := f.flowBaseline(r, route).slowThreshold(); known && silence < slow {
 			return
 		}
 	}
--- a/decide/forward/loads_test.go
+++ b/decide/forward/loads_test.go
@@ -57,10 +57,14 @@
 	r.f.Tick(1100 * ms)
 	r.Equal(r.f.Loads(), []relay.Load{{TargetDomain: "a", Service: "s", Flows: 20}})
 	r.Equal(r.f.serviceLoad("s").ActiveRequests, 0)
-	// The next request of a flow counts again.
+	// The next request of a flow counts again, and as long as its caller sends copies.
 	first := r.f.flows.get(key(0)).target
 	r.f.Receive(1200*ms, ackPacket(0, first.Cookie, 111, 600, 10))
-	r.Equal(r.f.Loads()[0].ActiveRequests, uint32(1))
+	for _, at := range []time.Duration{1400 * ms, 1800 * ms, 2600 * ms} {
+		r.f.Receive(at, ackPacket(0, first.Cookie, 111, 600, 10))
+		r.f.Tick(at)
+		r.Equal(r.f.Loads()[0].ActiveRequests, uint32(1))
+	}
 	r.f.Tick(time.Minute)
 	r.Equal(len(r.f.Loads()), 0)
 	for slot, load := range r.f.loads {
