Test late copies and broken-off answers in the caller library

Two of the reports of other operators: a second copy of an answer that comes late on a flow in use again, and an answer that broke off halfway. Neither is a fault here: a session matches answers by flow and request id, and an answer is complete with all its parts of one attempt only. The tests provoke both seams and hold without a change of the code.

--- a/caller/session/session_test.go
+++ b/caller/session/session_test.go
@@ -238,3 +238,46 @@
 	out = s.Tick(s.NextWake())
 	is.Equal(out.Messages[0].Path, previous+1)
 }
+
+// answerTo returns one part of the answer to a request.
+func answerTo(r *message.Request, part, parts uint16, payload string) message.Message {
+	return message.Message{Body: &message.Answer{
+		Flow: r.Flow, ID: r.ID, Attempt: r.Attempt, Part: part, Parts: parts, Payload: []byte(payload), Binding: firstBinding,
+	}}
+}
+
+// TestLateAnswerOfAnEarlierRequest guards against a second copy of an answer that arrives
+// late on a flow in use again and is taken for the answer to the next request.
+func TestLateAnswerOfAnEarlierRequest(t *testing.T) {
+	is := is.New(t)
+	s, flow := boundSession(is)
+	_, out, _ := s.Do(0, flow, Call{Timeout: time.Second})
+	first := requestIn(out)
+	out = s.Receive(0, answerTo(first, 0, 1, "first"))
+	is.Equal(string(out.Results[0].Payload), "first")
+	_, out, _ = s.Do(0, flow, Call{Timeout: time.Second})
+	second := requestIn(out)
+	is.True(second.ID != first.ID)
+	out = s.Receive(0, answerTo(first, 0, 1, "first"))
+	is.Equal(len(out.Results), 0)
+	out = s.Receive(0, answerTo(second, 0, 1, "second"))
+	is.Equal(string(out.Results[0].Payload), "second")
+}
+
+// TestPartialAnswerIsNoSuccess guards against an answer that broke off halfway and reaches the
+// caller as complete, also together with parts of the answer to another attempt.
+func TestPartialAnswerIsNoSuccess(t *testing.T) {
+	is := is.New(t)
+	s, flow := boundSession(is)
+	_, out, _ := s.Do(0, flow, Call{Idempotent: true, Timeout: time.Second})
+	first := requestIn(out)
+	is.Equal(len(s.Receive(0, answerTo(first, 0, 2, "a")).Results), 0)
+	out = s.Receive(0, refuse(first, message.MayHaveRun, 2))
+	second := requestIn(out)
+	is.Equal(second.Attempt, first.Attempt+1)
+	is.Equal(len(s.Receive(0, answerTo(second, 1, 2, "b")).Results), 0)
+	out = s.Tick(time.Second)
+	is.Equal(len(out.Results), 1)
+	is.True(errors.Is(out.Results[0].Err, ErrDeadline))
+	is.Equal(len(out.Results[0].Payload), 0)
+}
