Derive the pause of watches from the time in which changes apply

Change: the pause is a fifteenth of catalog.apply_within: 0.2 s of 3 s as before, 0.4 s of 6 s. TestWaitsStayBelowMaxAge holds that the waits of relay and poll stay below the age at which a VM calls the store itself.

--- a/flowd/flowd.go
+++ b/flowd/flowd.go
@@ -114,6 +114,7 @@
 			}),
 			SnapshotKey:    snapshotKey,
 			DecodeSnapshot: relaywire.DecodeSnapshot,
+			BatchPause:     s.Catalog.BatchPause(),
 			Seed:           seed,
 		}),
 		pulls.New(),
--- a/lab/day/storeclient.go
+++ b/lab/day/storeclient.go
@@ -171,7 +171,7 @@
 	}
 	pause := time.Duration(0)
 	if len(update.Items) > 0 {
-		pause = catalogwatch.BatchPause
+		pause = c.vm.fleet.site.catalogSettings().BatchPause()
 	}
 	c.scheduleCall(pause)
 }
--- a/services/catalogwatch/catalogwatch.go
+++ b/services/catalogwatch/catalogwatch.go
@@ -61,7 +61,10 @@
 	// DecodeSnapshot decodes its value and is needed with a key only.
 	SnapshotKey    string
 	DecodeSnapshot func(value []byte) (relay.Update, error)
-	Seed           uint64 // for the jitter of the retry delays
+	// BatchPause is the pause of a watch after a batch with events. Changes come in groups,
+	// and each batch costs a call, so the pause collects more of them in a batch.
+	BatchPause time.Duration
+	Seed       uint64 // for the jitter of the retry delays
 }
 
 // Stats counts since start.
@@ -320,7 +323,7 @@
 		}
 		s.lastRevision.Store(batch.Revision)
 		if len(batch.Events) > 0 {
-			sleep(ctx, BatchPause)
+			sleep(ctx, s.config.BatchPause)
 		}
 	}
 }
--- a/services/catalogwatch/pacing.go
+++ b/services/catalogwatch/pacing.go
@@ -15,10 +15,6 @@
 	// frequent retries to other VMs of its failure domain.
 	minSlowRetryDelay = 2 * time.Second
 	maxSlowRetryDelay = 6 * time.Second
-	// BatchPause is the pause of a watch after a batch with events. Changes come in
-	// groups, and each batch costs a call, so the pause collects more of them in a batch.
-	// It is small against the seconds in which a change must be in force.
-	BatchPause = 200 * time.Millisecond
 )
 
 // Pacing decides how long a VM waits before it calls the store again after a failed call.
--- a/settings/flowsettings/flowsettings.go
+++ b/settings/flowsettings/flowsettings.go
@@ -72,6 +72,11 @@
 // MaxAge, so that a VM does not consider its relay dead while the store has no events.
 func (c Catalog) WatchWait() time.Duration { return c.ApplyWithin * 45 / 100 }
 
+// BatchPause returns the pause of a watch after events. It is small against ApplyWithin, and
+// longer where a change may take longer: while targets are replaced, the relays' watches are
+// most of the calls to the store.
+func (c Catalog) BatchPause() time.Duration { return c.ApplyWithin / 15 }
+
 // FirstWatchWait returns how long the store may hold the first call of a watch. VMs that
 // start together all read the store at the start; with the shorter wait their relay can
 // confirm that the store is unchanged before that read is older than MaxAge.
--- a/settings/flowsettings/flowsettings_test.go
+++ b/settings/flowsettings/flowsettings_test.go
@@ -48,6 +48,7 @@
 	is.Equal(s.VM, VM{Name: "vm-1", Domain: "north"})
 	is.Equal(s.Log, Log{Format: events.JSON, Level: events.Info})
 	is.Equal(s.Catalog.MaxAge(), 2100*time.Millisecond)
+	is.Equal(s.Catalog.BatchPause(), 200*time.Millisecond)
 	is.Equal(s.Catalog.WatchWait(), 1350*time.Millisecond)
 }
 
@@ -86,3 +87,14 @@
 		})
 	}
 }
+
+// Guards against waits of a relay and the VMs that poll it that add up to more than the age at
+// which a VM calls the store itself.
+func TestWaitsStayBelowMaxAge(t *testing.T) {
+	is := is.New(t)
+	for _, within := range []time.Duration{time.Second, 3 * time.Second, 6 * time.Second, 12 * time.Second} {
+		c := Catalog{ApplyWithin: within}
+		poll := c.MaxAge() / 7 // the interval of package decide/relay above its minimum
+		is.True(c.WatchWait()+c.BatchPause()+poll < c.MaxAge())
+	}
+}
