Defer late copies of SYNs after an outage

A copy comes 200 or 600 ms after the first SYN, so that with an objective of 200 ms it is late in any case. Ruled out: the start itself (0.045 s from process start to ready), the limiter (VMs know no loads yet), holding data of open flows (callers wait until their time limit). Change: flood.Copy decides, from the age of the copy, the route's objective and mean response time, and the VM's requests in progress against its part of the slots, whether a copy of an unknown flow is dropped (reason deferred, logged). Only in the first two seconds of a VM.

--- a/decide/catalog/view.go
+++ b/decide/catalog/view.go
@@ -331,6 +331,9 @@
 	return v.allServicesSeen || now >= v.syncedAt+LapseGrace
 }
 
+// SyncedAt returns the time of the initial read; ok is false before it.
+func (v *View) SyncedAt() (at time.Duration, ok bool) { return v.syncedAt, v.synced }
+
 // updateServicesSeen sets allServicesSeen once every service in a route has targets,
 // listed or not, after the initial read.
 func (v *View) updateServicesSeen() {
--- a/decide/forward/domains.go
+++ b/decide/forward/domains.go
@@ -29,6 +29,10 @@
 	// loadReportTTL is the age at which the load reports expire. Without reports new
 	// flows stay in the VM's own domain.
 	loadReportTTL = 3 * time.Second
+	// startPeriod is the time after a VM's start in which late copies of SYNs may be deferred.
+	// After an outage of all VMs, callers give up an attempt after 1.4 s and then return, so
+	// that what they could not send has come back within about this time.
+	startPeriod = 2 * time.Second
 )
 
 // serviceDomain identifies the targets of one service in one failure domain.
@@ -149,6 +153,43 @@
 	return f.flood.Admit(now, route.Name, service, f.serviceLoad(service).ActiveRequests, false)
 }
 
+// synCopyAge returns the time from a caller's first SYN to its copy number n.
+func synCopyAge(n uint32) time.Duration {
+	if n == 1 {
+		return 200 * time.Millisecond
+	}
+	return 600 * time.Millisecond
+}
+
+// SetFleetSize sets the number of VMs of all failure domains.
+func (f *Forwarder) SetFleetSize(vms int) { f.fleetSize = vms }
+
+// shouldDefer reports whether a retransmitted SYN of an unknown flow is dropped; see
+// flood.Copy.
+func (f *Forwarder) shouldDefer(now time.Duration, p flow.Packet, route *catalog.Route) bool {
+	syncedAt, synced := f.view.SyncedAt()
+	starting := synced && now-syncedAt < startPeriod
+	if p.Ack == 0 || f.fleetSize == 0 || route.Latency == 0 || !starting {
+		return false
+	}
+	service := serviceOf(route, p.Flow.Hash())
+	slots := 0
+	for _, t := range f.view.Service(service) {
+		if t.AcceptsFlows(now) {
+			slots += t.Slots
+		}
+	}
+	seconds, _ := f.routeBaseline(route).time.Value()
+	late := flood.Copy{
+		Age:            synCopyAge(p.Ack),
+		Expected:       time.Duration(seconds * float64(time.Second)),
+		Objective:      route.Latency,
+		ActiveRequests: f.serviceLoad(service).ActiveRequests,
+		FairShare:      float64(slots) / float64(f.fleetSize),
+	}
+	return late.Defer()
+}
+
 // shouldHold reports whether the data of a request is held: the packet is dropped, and
 // the caller retransmits it after 200 ms. This keeps the queues of targets short, so
 // that forwarded requests and those of other routes are answered in time. Data that this
--- a/decide/forward/forward.go
+++ b/decide/forward/forward.go
@@ -91,6 +91,7 @@
 	stalledAt   time.Duration // end of the last stall of this VM
 	everStalled bool
 	overloaded  bool // see SetOverloaded
+	fleetSize   int  // see SetFleetSize; 0: not known
 
 	removedTargets []*catalog.Target // candidates for resetGone
 	resets         []FlowReset       // not yet returned by TakeFlowResets
--- a/decide/forward/loads_test.go
+++ b/decide/forward/loads_test.go
@@ -96,3 +96,24 @@
 	}
 	r.Equal(r.f.View().Slots(), slots)
 }
+
+// Guards against late copies of SYNs that fill the targets after an outage, when callers
+// repeat what they could not send: requests that can still be in time go first.
+func TestLateCopiesAreDeferred(t *testing.T) {
+	r := newHarness(t)
+	route := r.f.view.Route(service1)
+	route.Latency = 200 * ms
+	r.f.SetFleetSize(6) // two slots for this VM
+	r.Equal(r.f.Receive(0, syn(100, 1)).Action, Forward)
+	for caller := range uint16(4) {
+		target := r.openFlow(0, caller)
+		r.f.Receive(3*ms, ackPacket(caller, target.Cookie, 101, 500, 10))
+	}
+	v := r.f.Receive(4*ms, syn(101, 1))
+	r.True(v.Action == Drop && v.Reason == Deferred)
+	r.Equal(r.f.Receive(4*ms, syn(102, 0)).Action, Forward) // may still be in time
+	r.Equal(r.f.Receive(4*ms, syn(100, 2)).Action, Forward) // was admitted before
+	r.Equal(r.f.Receive(startPeriod, syn(103, 1)).Action, Forward)
+	route.Latency = time.Second
+	r.Equal(r.f.Receive(4*ms, syn(101, 2)).Action, Forward)
+}
--- a/decide/forward/verdict.go
+++ b/decide/forward/verdict.go
@@ -48,6 +48,7 @@
 	NoCookie                     // not a SYN, and without a cookie
 	Shed                         // new flow refused by the flood limiter
 	Held                         // request delayed by the flood limiter; the caller retransmits it
+	Deferred                     // late retransmission of a SYN, left to the caller's next one
 	reasons
 )
 
@@ -58,7 +59,7 @@
 func (r Reason) String() string {
 	names := [Reasons]string{"placed", "placed_again", "continued", "not_ready", "no_route",
 		"route_removed", "no_target", "target_gone", "target_silent", "unknown_cookie",
-		"unknown_for_long", "no_cookie", "shed", "held"}
+		"unknown_for_long", "no_cookie", "shed", "held", "deferred"}
 	return names[r]
 }
 
--- a/decide/relay/relay.go
+++ b/decide/relay/relay.go
@@ -158,6 +158,9 @@
 	return n
 }
 
+// FleetSize returns the number of VMs of all failure domains that have an entry in the store.
+func (m *Machine) FleetSize() int { return len(m.members.byKey) + 1 }
+
 // Age returns the time since the replica's revision was last confirmed as the newest in
 // the store. ok is false if it never was.
 func (m *Machine) Age(now time.Duration) (age time.Duration, ok bool) {
--- a/services/packets/logging.go
+++ b/services/packets/logging.go
@@ -29,6 +29,7 @@
 	}
 	if in.Loads != nil {
 		s.forwarder.SetOverloaded(in.Overloaded)
+		s.forwarder.SetFleetSize(in.FleetSize)
 		s.forwarder.SetDomainLoads(now, in.Loads)
 		s.forwarder.SetSamples(now, in.Samples)
 		s.logLimitedServices()
--- a/services/packets/packets.go
+++ b/services/packets/packets.go
@@ -120,10 +120,12 @@
 	Change catalog.Change
 	Store  StoreState
 	Loads  []relay.Load // load of all failure domains; not nil, may be empty
-	// Samples and Overloaded come with Loads: the samples of the VMs of the own failure
-	// domain, and whether this VM relays the catalog to too many other VMs.
+	// Samples, Overloaded and FleetSize come with Loads: the samples of the VMs of the own
+	// failure domain, whether this VM relays the catalog to too many other VMs, and the
+	// number of VMs of all failure domains.
 	Samples    []relay.Sample
 	Overloaded bool
+	FleetSize  int
 	Do         *Command
 }
 
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -401,6 +401,7 @@
 	revision := s.machine.Replica().Revision()
 	if !s.synced && revision > 0 {
 		s.synced = true
+		s.nextLoadReport = 0 // the size of the fleet is known from now on
 		s.pending = append(s.pending, packets.Input{Change: catalog.Change{Revision: revision, Synced: true}})
 	}
 }
@@ -454,6 +455,7 @@
 		Loads:      s.machine.DomainLoads(now),
 		Samples:    s.machine.DomainSamples(now),
 		Overloaded: s.machine.Subscribers(now) > overloadSubscribers,
+		FleetSize:  s.machine.FleetSize(),
 	})
 	return s.nextLoadReport
 }
