--- a/decide/forward/domains.go
+++ b/decide/forward/domains.go
@@ -33,6 +33,10 @@
 	// After an outage of all VMs, callers give up an attempt after 1.4 s and then return, so
 	// that what they could not send has come back within about this time.
 	startPeriod = 2 * time.Second
+	// firstCopyAge and secondCopyAge are the times after its first SYN at which a caller
+	// retransmits it. There are no more copies.
+	firstCopyAge  = 200 * time.Millisecond
+	secondCopyAge = 600 * time.Millisecond
 )
 
 // serviceDomain identifies the targets of one service in one failure domain.
@@ -153,12 +157,12 @@
 	return f.flood.Admit(now, route.Name, service, f.serviceLoad(service).ActiveRequests, false)
 }
 
-// synCopyAge returns the time from a caller's first SYN to its copy number n.
+// synCopyAge returns the time from a caller's first SYN to its copy number n, from 1.
 func synCopyAge(n uint32) time.Duration {
 	if n == 1 {
-		return 200 * time.Millisecond
+		return firstCopyAge
 	}
-	return 600 * time.Millisecond
+	return secondCopyAge
 }
 
 // SetFleetSize sets the number of VMs of all failure domains.
