Log what a VM believes of a target that it judges dead

When the judgement was made, and on what, was not logged.

GS6206 is written when a VM judges a target dead and when it no longer does, with the number of stuck flows, the silence and the age of the judgement. No decision changes.

Ruled out: more fields in GS6201. It is written for each placement, and the age of a judgement concerns few of them.

--- a/decide/evidence/evidence.go
+++ b/decide/evidence/evidence.go
@@ -133,6 +133,9 @@
 	return true
 }
 
+// Declared reports whether DeclareDead has returned true since the last response.
+func (t *Tracker) Declared() bool { return t.declared }
+
 // silentSince returns the time of the last response or, without one, of the first stuck
 // flow.
 func (t *Tracker) silentSince() time.Duration {
--- a/decide/forward/forward.go
+++ b/decide/forward/forward.go
@@ -96,6 +96,9 @@
 	removedTargets []*catalog.Target // candidates for resetGone
 	resets         []FlowReset       // not yet returned by TakeFlowResets
 
+	deaths        map[*catalog.Target]Judgement // of the targets that are judged dead
+	newJudgements []Judgement                   // not yet returned by TakeJudgements
+
 	domains       map[string][]balance.Domain // by service, as of domainsAt
 	domainsAt     time.Duration
 	averageActive map[serviceDomain]float64 // moving average of requests in progress
@@ -118,6 +121,7 @@
 		reachability:         make(map[serviceDomain]reachabilityCheck),
 		baselines:            make(map[string]*baseline),
 		failedRequestTargets: make(map[*catalog.Target]bool),
+		deaths:               make(map[*catalog.Target]Judgement),
 		flood:                flood.New(),
 	}
 }
@@ -317,6 +321,7 @@
 		idle = defaultIdleTimeout
 	}
 	f.resetGone(now)
+	f.endJudgements(now)
 	for k, r := range f.flows.records {
 		if now-r.lastSeen >= retention(r.phase, idle) {
 			f.forget(k)
--- /dev/null
+++ b/decide/forward/judgement.go
@@ -0,0 +1,85 @@
+package forward
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/decide/catalog"
+)
+
+// Judgement is a change of what a VM believes about a target: that it is dead, or no
+// longer, with the evidence that decided it.
+type Judgement struct {
+	Target     *catalog.Target
+	Dead       bool
+	Cause      JudgementCause
+	StuckFlows int           // flows that got stuck since the last response
+	Silence    time.Duration // since the last response at this VM; noResponse: there was none
+	Age        time.Duration // of the judgement that ends; 0 if it starts
+	at         time.Duration
+}
+
+// noResponse is the silence of a target of which the VM has seen no response.
+const noResponse = -time.Millisecond
+
+// JudgementCause is why a target was judged.
+type JudgementCause uint8
+
+// The causes.
+const (
+	Unanswered JudgementCause = iota // flows are stuck and the target has not responded
+	Responded                        // the target has responded to a flow of this VM
+)
+
+// String returns the cause as it appears in logs.
+func (c JudgementCause) String() string {
+	switch c {
+	case Responded:
+		return "responded"
+	default:
+		return "unanswered"
+	}
+}
+
+// TakeJudgements returns the changes since the last call. The slice is valid until the
+// next call of any method.
+func (f *Forwarder) TakeJudgements() []Judgement {
+	taken := f.newJudgements
+	f.newJudgements = f.newJudgements[:0]
+	return taken
+}
+
+// recordDeath records that t was judged dead.
+func (f *Forwarder) recordDeath(now time.Duration, t *catalog.Target) {
+	change := f.judge(now, t)
+	change.Dead, change.Cause = true, Unanswered
+	f.deaths[t] = change
+	f.newJudgements = append(f.newJudgements, change)
+}
+
+// endJudgements records the judgements that have ended since the last call, sorted by target.
+func (f *Forwarder) endJudgements(now time.Duration) {
+	ended := slices.SortedFunc(maps.Keys(f.deaths), func(a, b *catalog.Target) int { return cmp.Compare(a.ID, b.ID) })
+	for _, t := range ended {
+		if f.evidence[t.Slot].Declared() {
+			continue
+		}
+		change := f.judge(now, t)
+		change.Cause = Responded
+		change.Age = now - f.deaths[t].at
+		f.newJudgements = append(f.newJudgements, change)
+		delete(f.deaths, t)
+	}
+}
+
+// judge returns a judgement with the present evidence about t.
+func (f *Forwarder) judge(now time.Duration, t *catalog.Target) Judgement {
+	tracker := &f.evidence[t.Slot]
+	change := Judgement{Target: t, StuckFlows: tracker.StuckFlows(), Silence: noResponse, at: now}
+	if alive, ok := tracker.LastAlive(); ok {
+		change.Silence = now - alive
+	}
+	return change
+}
--- a/decide/forward/openflow.go
+++ b/decide/forward/openflow.go
@@ -39,9 +39,9 @@
 	connectTime, responseTime := f.updateFlow(now, r, t, p)
 	f.recordOutcome(now, r, t, route, p, responseTime)
 	f.resetDead(now, t)
-	if r.active && f.shouldReset(now, r, t, route) {
+	if reason, reset := f.shouldReset(now, r, t, route); reset {
 		f.forget(p.Flow)
-		return Verdict{Action: Reset, Reason: TargetSilent, Target: t, Route: route, NewDecision: true}
+		return Verdict{Action: Reset, Reason: reason, Target: t, Route: route, NewDecision: true}
 	}
 	if p.Flags.Has(flow.RST) {
 		f.forget(p.Flow)
@@ -99,18 +99,18 @@
 	return !ok || now-alive >= aliveWindow
 }
 
-// shouldReset reports whether a flow with a request in progress is reset, because it is
+// shouldReset reports whether a flow with a request in progress is reset, and why: it is
 // stuck and its target's domain is unreachable, or the target is dead and more others of
 // the service respond than are dead. A flow with a non-idempotent request is not reset for
 // this: the caller would not retry, and a target behind a partition may still run the request.
-func (f *Forwarder) shouldReset(now time.Duration, r *record, t *catalog.Target, route *catalog.Route) bool {
-	if route == nil || route.Kind == catalog.NonIdempotent || !f.canJudgeTargets(now) {
-		return false
+func (f *Forwarder) shouldReset(now time.Duration, r *record, t *catalog.Target, route *catalog.Route) (reason Reason, reset bool) {
+	if !r.active || route == nil || route.Kind == catalog.NonIdempotent || !f.canJudgeTargets(now) {
+		return 0, false
 	}
 	if r.retransmits >= stuckRetransmits && f.isDomainUnreachable(now, t) {
-		return true
+		return DomainUnreachable, true
 	}
-	return f.evidence[t.Slot].Dead(now) && f.othersRespond(now, t)
+	return TargetSilent, f.evidence[t.Slot].Dead(now) && f.othersRespond(now, t)
 }
 
 // othersRespond reports whether more of the other targets of t's service respond than
--- a/decide/forward/resets.go
+++ b/decide/forward/resets.go
@@ -46,6 +46,7 @@
 	if !f.evidence[t.Slot].Dead(now) || !f.canJudgeTargets(now) || !f.othersRespond(now, t) || !f.evidence[t.Slot].DeclareDead(now) {
 		return
 	}
+	f.recordDeath(now, t)
 	f.resetFlows(t, TargetSilent, func(r *record, route *catalog.Route) bool {
 		return !r.active || route != nil && route.Kind != catalog.NonIdempotent
 	})
--- a/decide/forward/verdict.go
+++ b/decide/forward/verdict.go
@@ -34,21 +34,22 @@
 
 // The reasons.
 const (
-	Placed         Reason = iota // SYN of a new flow
-	PlacedAgain                  // retransmitted SYN, sent to another target
-	Continued                    // packet of an open flow
-	NotReady                     // this VM has no complete catalog yet
-	NoRoute                      // no route for this address
-	RouteRemoved                 // the route was removed from the configuration
-	NoTarget                     // no target of the service accepts new flows
-	TargetGone                   // the flow's target is removed from the catalog and silent
-	TargetSilent                 // the flow's target or domain does not respond, others do
-	UnknownCookie                // no target in the catalog has this cookie yet
-	UnknownForLong               // the cookie is unknown for longer than Config.ApplyWithin
-	NoCookie                     // not a SYN, and without a cookie
-	Shed                         // new flow refused by the flood limiter
-	Held                         // request delayed by the flood limiter; the caller retransmits it
-	Deferred                     // late retransmission of a SYN, left to the caller's next one
+	Placed            Reason = iota // SYN of a new flow
+	PlacedAgain                     // retransmitted SYN, sent to another target
+	Continued                       // packet of an open flow
+	NotReady                        // this VM has no complete catalog yet
+	NoRoute                         // no route for this address
+	RouteRemoved                    // the route was removed from the configuration
+	NoTarget                        // no target of the service accepts new flows
+	TargetGone                      // the flow's target is removed from the catalog and silent
+	TargetSilent                    // the flow's target is judged dead, others respond
+	DomainUnreachable               // the flow is stuck and its target's failure domain does not respond
+	UnknownCookie                   // no target in the catalog has this cookie yet
+	UnknownForLong                  // the cookie is unknown for longer than Config.ApplyWithin
+	NoCookie                        // not a SYN, and without a cookie
+	Shed                            // new flow refused by the flood limiter
+	Held                            // request delayed by the flood limiter; the caller retransmits it
+	Deferred                        // late retransmission of a SYN, left to the caller's next one
 	reasons
 )
 
@@ -58,8 +59,8 @@
 // String returns the reason as it appears in logs and metrics.
 func (r Reason) String() string {
 	names := [Reasons]string{"placed", "placed_again", "continued", "not_ready", "no_route",
-		"route_removed", "no_target", "target_gone", "target_silent", "unknown_cookie",
-		"unknown_for_long", "no_cookie", "shed", "held", "deferred"}
+		"route_removed", "no_target", "target_gone", "target_silent", "domain_unreachable",
+		"unknown_cookie", "unknown_for_long", "no_cookie", "shed", "held", "deferred"}
 	return names[r]
 }
 
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -338,6 +338,10 @@
 	OutliersChanged = declare(Event{Number: "GS6205", Level: Warn, Name: "outliers_changed", Limited: true,
 		Message: "these targets are outliers of their service and get no new flows; an empty list means none",
 		Fields:  []string{"targets"}})
+	// TargetJudged is written when the VM judges a target dead, and when it no longer does.
+	TargetJudged = declare(Event{Number: "GS6206", Level: Warn, Name: "target_judged", Limited: true, Rate: catalogRate, Burst: decisionBurst,
+		Message: "the VM judges this target dead, or no longer",
+		Fields:  []string{"target", "target_domain", "dead", "cause", "stuck_flows", "silent_ms", "age_ms", "revision"}})
 )
 
 // all lists the events in order of declaration.
--- a/services/packets/logging.go
+++ b/services/packets/logging.go
@@ -113,6 +113,21 @@
 		events.F("revision", view.Revision()))
 }
 
+// logJudgements logs the targets that were judged dead, and those that no longer are.
+func (s *Service) logJudgements() {
+	for _, c := range s.forwarder.TakeJudgements() {
+		s.log.Log(events.TargetJudged,
+			events.F("target", c.Target.ID),
+			events.F("target_domain", c.Target.Domain),
+			events.F("dead", c.Dead),
+			events.F("cause", c.Cause),
+			events.F("stuck_flows", c.StuckFlows),
+			events.F("silent_ms", c.Silence.Milliseconds()),
+			events.F("age_ms", c.Age.Milliseconds()),
+			events.F("revision", c.Target.Revision))
+	}
+}
+
 func (s *Service) logMalformed(err error) {
 	s.log.Log(events.PacketMalformed, events.F("error", err))
 }
--- a/services/packets/packets.go
+++ b/services/packets/packets.go
@@ -347,6 +347,7 @@
 		if !ok {
 			wake := min(s.forwarder.Tick(now), s.report(now), now+wakeInterval)
 			s.resetEndedFlows()
+			s.logJudgements()
 			s.flows.Store(uint64(s.forwarder.Flows()))
 			if more {
 				return now
@@ -355,6 +356,7 @@
 		}
 		s.handleDatagram(now, b)
 		s.resetEndedFlows()
+		s.logJudgements()
 		// The ring has room for all buffers.
 		_ = s.freeBuffers.Put(b)
 	}
