Measure how long requests wait on flows of dead targets

Cause: a change of how long a VM believes that a target is dead has two directions. Flows of live targets that are reset were counted (broken flows); the time until flows of dead targets are reset was not measured.

--- a/lab/day/callers.go
+++ b/lab/day/callers.go
@@ -74,6 +74,9 @@
 	retransmits    int
 	timerID        int
 	request        *request
+	requestAt      time.Duration // first transmission of the request's data
+	targetDead     bool          // see oracle.targetDied
+	targetDiedAt   time.Duration
 	unackedPackets int // received since the last ACK
 	receivedBytes  int // of the answer
 	misroutes      misrouteCount
@@ -166,6 +169,7 @@
 	c.oracle.requestEnded(r, false)
 	if f := r.flow; f != nil && f.request == r && c.flows[f.key] == f {
 		c.oracle.flowTimedOut(f)
+		c.oracle.deadFlowEnded(f, true)
 		c.abort(f)
 	}
 }
@@ -264,6 +268,7 @@
 func (c *callers) sendRequest(f *flowState) {
 	f.receivedBytes, f.unackedPackets, f.retransmits = 0, 0, 0
 	f.sentEnd = f.seq + uint32(f.kind.RequestBytes)
+	f.requestAt = c.timeline.now()
 	f.timerID++
 	c.sendData(f)
 	c.armRetransmit(f, f.timerID)
@@ -439,6 +444,7 @@
 
 // handleReset ends a flow that was reset.
 func (c *callers) handleReset(f *flowState) {
+	c.oracle.deadFlowEnded(f, false)
 	delete(c.flows, f.key)
 	f.timerID++
 	if f.open {
--- a/lab/day/disruptions.go
+++ b/lab/day/disruptions.go
@@ -414,7 +414,11 @@
 func (s *disruptor) isolateTargets(d Disruption) {
 	for _, t := range s.chooseTargets(d) {
 		t.node.isolated = true
-		s.disruptFor(&t.disruption, d.For.D(), func() { t.node.isolated = false })
+		s.oracle.targetDied(t)
+		s.disruptFor(&t.disruption, d.For.D(), func() {
+			t.node.isolated = false
+			s.oracle.targetReachable(t)
+		})
 	}
 }
 
--- a/lab/day/measure.go
+++ b/lab/day/measure.go
@@ -49,6 +49,20 @@
 		{name: "imbalance: busiest target over the mean, VMs replaced", value: busiestRatio, mean: true,
 			disruptions: []Disruption{{Kind: "vm_roll", At: disruptionStart, Share: 1}}},
 	}
+	wait := func(r *Report, _ *Site) float64 { return r.DeadFlows.MeanWait }
+	for _, kind := range []string{"target_crash", "target_cut", "target_reuse"} {
+		list = append(list, measure{
+			name: "seconds that requests wait on flows of dead targets: " + kind, value: wait, mean: true,
+			disruptions: []Disruption{{Kind: kind, At: disruptionStart, Scope: first}},
+		})
+	}
+	list = append(list, measure{
+		name: "broken flows: a cut failure domain heals, then VMs are replaced in turn", value: broken,
+		disruptions: []Disruption{
+			{Kind: "domain_cut", At: disruptionStart},
+			{Kind: "vm_roll", At: disruptionStart + seconds(10), Share: 0.45},
+		},
+	})
 	for i := range site.Kinds {
 		if other := &site.Kinds[i]; other != flooding && other.Service == flooding.Service {
 			list = append(list, measure{
--- a/lab/day/oracle.go
+++ b/lab/day/oracle.go
@@ -87,6 +87,7 @@
 	// brokenFlows counts open flows that ended although their target was up and had
 	// them, disrupted or not.
 	brokenFlows int
+	deadFlows   deadFlowTally
 }
 
 func newOracle(site *Site, t *tally) *oracle {
--- a/lab/day/report.go
+++ b/lab/day/report.go
@@ -28,7 +28,8 @@
 	Windows      []float64       `json:"windows"` // service level of each window of two seconds
 
 	BrokenFlows    int            `json:"broken_flows"` // open flows that ended although their target was up and had them
-	ViolationCount int            `json:"broken"`       // of promises
+	DeadFlows      DeadFlowReport `json:"dead_flows"`
+	ViolationCount int            `json:"broken"` // of promises
 	Violations     []Violation    `json:"breaks,omitempty"`
 	StoreCalls     int            `json:"store_calls"`
 	HeartbeatBytes float64        `json:"beat_bytes"` // per VM and second
@@ -62,6 +63,7 @@
 		WorstDomain:    1,
 		Total:          t.total.counts,
 		BrokenFlows:    w.oracle.brokenFlows,
+		DeadFlows:      w.oracle.deadFlows.report(),
 		ViolationCount: w.oracle.violationCount,
 		Violations:     w.oracle.violations,
 		StoreCalls:     w.store.calls,
@@ -167,8 +169,10 @@
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(t, "%s, %s, seed %d, %d VMs, %.0f s\n", r.Day, r.Policy, r.Seed, r.VMs, r.Seconds)
 	fmt.Fprintf(t, "service %.3f, worst two seconds %.3f, worst domain %.3f\n", r.ServiceLevel, r.WorstWindow, r.WorstDomain)
-	fmt.Fprintf(t, "broken flows %d, broken promises %d, store calls %d, beats %.0f B a VM and second\n\n",
+	fmt.Fprintf(t, "broken flows %d, broken promises %d, store calls %d, beats %.0f B a VM and second\n",
 		r.BrokenFlows, r.ViolationCount, r.StoreCalls, r.HeartbeatBytes)
+	fmt.Fprintf(t, "flows of dead targets: %d requests, wait %.3f s, 95%% %.3f s, worst %.3f s, %d timed out\n\n",
+		r.DeadFlows.Requests, r.DeadFlows.MeanWait, r.DeadFlows.P95Wait, r.DeadFlows.WorstWait, r.DeadFlows.TimedOut)
 	fmt.Fprintln(t, "kind\tasked\tin goal\tlate\tfailed")
 	for _, k := range r.Kinds {
 		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\n", k.Name, k.Requests, k.InGoal, k.Late, k.Failed)
@@ -205,6 +209,7 @@
 		{"late", float64(a.Total.Late), float64(b.Total.Late)},
 		{"failed", float64(a.Total.Failed), float64(b.Total.Failed)},
 		{"broken flows", float64(a.BrokenFlows), float64(b.BrokenFlows)},
+		{"wait on dead flows, s", a.DeadFlows.MeanWait, b.DeadFlows.MeanWait},
 		{"broken promises", float64(a.ViolationCount), float64(b.ViolationCount)},
 		{"store calls", float64(a.StoreCalls), float64(b.StoreCalls)},
 	} {
--- a/lab/day/targets.go
+++ b/lab/day/targets.go
@@ -221,6 +221,7 @@
 
 // stopProcess ends the target's process, with all flows and requests.
 func (t *target) stopProcess() {
+	t.targets.oracle.targetDied(t)
 	t.up = false
 	t.generation++
 	t.activeRequests = 0
