--- a/lab/day/callers.go
+++ b/lab/day/callers.go
@@ -20,7 +20,7 @@
 	minCallerRetryDelay = 10 * time.Millisecond
 	maxCallerRetryDelay = 60 * time.Millisecond
 	// reuseProbability is the probability that a request of a kind with long flows uses
-	// an idle flow if there is one. minFlowLifetime and maxFlowLifetime bound the time
+	// the idle flow that has waited longest, if there is one. minFlowLifetime and maxFlowLifetime bound the time
 	// after which such a flow is no longer reused.
 	reuseProbability = 0.9
 	minFlowLifetime  = 5 * time.Second
@@ -96,9 +96,9 @@
 	rng         *rand.Rand
 	flows       map[flow.Key]*flowState
 	idleFlows   map[flowPool][]*flowState
-	lastFlow    uint32            // number of the last flow
-	rateFactors map[*Kind]float64 // multipliers of request rates, during bursts
-	stopAt      time.Duration     // end of the load
+	lastFlow    uint32               // number of the last flow
+	rateFactors map[flowPool]float64 // multipliers of request rates, during bursts
+	stopAt      time.Duration        // end of the load
 }
 
 // flowPool is the key of the idle flows of a kind in a failure domain.
@@ -113,7 +113,7 @@
 		site:        site,
 		flows:       make(map[flow.Key]*flowState),
 		idleFlows:   make(map[flowPool][]*flowState),
-		rateFactors: make(map[*Kind]float64),
+		rateFactors: make(map[flowPool]float64),
 	}
 }
 
@@ -140,7 +140,7 @@
 // a Poisson process.
 func (c *callers) scheduleArrival(k *Kind, domain int) {
 	rate := k.Rate / float64(len(c.site.Domains))
-	if x := c.rateFactors[k]; x > 0 {
+	if x := c.rateFactors[flowPool{k, domain}]; x > 0 {
 		rate *= x
 	}
 	c.timeline.after(exponential(c.arrivals, time.Duration(float64(time.Second)/rate)), func() {
@@ -192,13 +192,13 @@
 	c.sendSYN(f)
 }
 
-// takeIdleFlow removes an idle flow from its pool and returns it, or nil if there is
-// none. Flows that have exceeded their lifetime are closed.
+// takeIdleFlow removes the flow that has been idle longest from its pool and returns it, or
+// nil if there is none, so that all open flows carry requests. Flows that have exceeded their lifetime are closed.
 func (c *callers) takeIdleFlow(p flowPool) *flowState {
 	for len(c.idleFlows[p]) > 0 {
 		list := c.idleFlows[p]
-		f := list[len(list)-1]
-		c.idleFlows[p] = list[:len(list)-1]
+		f := list[0]
+		c.idleFlows[p] = list[1:]
 		if c.flows[f.key] != f {
 			continue
 		}
--- a/lab/day/disruptions.go
+++ b/lab/day/disruptions.go
@@ -22,6 +22,9 @@
 	greyHang   = "hang"
 	greyReset  = "reset"
 	greySlow   = "slow"
+	// Variants of store_down.
+	outageKeep  = "keep"
+	outageLapse = "lapse"
 	// slowCycle is the period in which a slow VM runs for a part of the time.
 	slowCycle = 50 * time.Millisecond
 )
@@ -60,7 +63,7 @@
 	"vm_cut":          {"VMs are cut off from VMs, targets and the store", Disruption{Share: 0.1, For: seconds(5)}, (*disruptor).isolateVMs},
 	"domain_cut":      {"a failure domain is cut off from the others and the store", Disruption{For: seconds(6)}, (*disruptor).partitionDomain},
 	"packet_loss":     {"a part x of the packets between domains is lost", Disruption{For: seconds(8), Magnitude: 0.03}, (*disruptor).losePackets},
-	"store_down":      {"the store does not answer", Disruption{For: seconds(8)}, (*disruptor).storeDown},
+	"store_down":      {"the store does not answer; how: keep, lapse (targets' entries expire meanwhile)", Disruption{For: seconds(8), Variant: outageKeep}, (*disruptor).storeDown},
 	"store_refuses":   {"the store answers a share of the VMs no more", Disruption{Share: 0.35, For: seconds(8)}, (*disruptor).storeRefuses},
 	"store_slow":      {"the store takes x times as long", Disruption{For: seconds(8), Magnitude: 50}, (*disruptor).storeSlow},
 	"history_dropped": {"the store forgets its history", Disruption{}, (*disruptor).dropHistory},
@@ -73,7 +76,7 @@
 	"target_grey":     {"targets fail a part x of their requests; how: errors, hang, reset, slow", Disruption{Share: 0.15, For: seconds(8), Magnitude: 0.4, Variant: greyErrors}, (*disruptor).greyTargets},
 	"target_flap":     {"targets go down and up by turns", Disruption{Share: 0.15, For: seconds(8), Interval: seconds(1)}, (*disruptor).flapTargets},
 	"target_cut":      {"targets are cut off from VMs and the store", Disruption{Share: 0.15, For: seconds(5)}, (*disruptor).isolateTargets},
-	"burst":           {"x times the requests of a kind come", Disruption{For: seconds(5), Magnitude: 2}, (*disruptor).burst},
+	"burst":           {"x times the requests of a kind come, from one failure domain or all", Disruption{For: seconds(5), Magnitude: 2}, (*disruptor).burst},
 	"config_change":   {"the configuration changes; how: route, timeout", Disruption{Variant: changeRoute}, (*disruptor).changeConfig},
 	"config_storm":    {"configurations follow each other", Disruption{For: seconds(4), Interval: Duration(200 * time.Millisecond), Variant: changeRoute}, (*disruptor).stormConfig},
 	"config_big":      {"count routes are added at once", Disruption{Count: 200}, (*disruptor).growConfig},
@@ -305,7 +308,12 @@
 
 func (s *disruptor) storeDown(d Disruption) {
 	s.store.down = true
-	s.disruptFor(&s.oracle.storeDisruption, d.For.D(), func() { s.store.down = false })
+	s.disruptFor(&s.oracle.storeDisruption, d.For.D(), func() {
+		s.store.down = false
+		if d.Variant == outageLapse {
+			s.store.expireTargets()
+		}
+	})
 }
 
 func (s *disruptor) storeRefuses(d Disruption) {
@@ -428,8 +436,14 @@
 		i = max(slices.IndexFunc(s.site.Kinds, func(k Kind) bool { return k.Name == d.Scope }), 0)
 	}
 	k := &s.site.Kinds[i]
-	s.callers.rateFactors[k] = d.Magnitude
-	s.timeline.after(d.For.D(), func() { delete(s.callers.rateFactors, k) })
+	for domain, name := range s.site.Domains {
+		if d.Domain != "" && d.Domain != name {
+			continue
+		}
+		pool := flowPool{k, domain}
+		s.callers.rateFactors[pool] = d.Magnitude
+		s.timeline.after(d.For.D(), func() { delete(s.callers.rateFactors, pool) })
+	}
 }
 
 func (s *disruptor) changeConfig(d Disruption) { s.operator.change(d.Variant) }
--- a/lab/day/randomday.go
+++ b/lab/day/randomday.go
@@ -14,6 +14,11 @@
 	// recoveryTime is the time at the end of a random day in which no disruption begins,
 	// so that the day includes the recovery.
 	recoveryTime = 8 * time.Second
+	// afterCutProbability is the probability that a random day also has a cut that heals,
+	// and planned work after it.
+	afterCutProbability = 0.5
+	// maxWorkDelay is the longest time from the end of the cut to the planned work.
+	maxWorkDelay = 30 * time.Second
 )
 
 // RandomDay returns a day of random disruptions at a site. It is determined by the seed.
@@ -31,10 +36,49 @@
 		randomize(rng, &disruption)
 		d.Disruptions = append(d.Disruptions, disruption)
 	}
+	if rng.Float64() < afterCutProbability {
+		d.Disruptions = append(d.Disruptions, workAfterCut(rng, site, latest)...)
+	}
 	slices.SortStableFunc(d.Disruptions, func(a, b Disruption) int { return cmp.Compare(a.At, b.At) })
 	return d
 }
 
+// workAfterCut returns a cut, and planned work up to maxWorkDelay after its end. What VMs
+// concluded from the cut must not outlast it. One failure domain has bursts until after the
+// cut, which send its flows to other domains; the work moves flows to other VMs.
+func workAfterCut(rng *rand.Rand, site *Site, latest time.Duration) []Disruption {
+	domains := rng.Perm(len(site.Domains))
+	busy, other := site.Domains[domains[0]], site.Domains[domains[len(domains)-1]]
+	length := uniform(rng, 2*time.Second, 8*time.Second)
+	cutAt := uniform(rng, 0, max(latest-length, time.Second)/2)
+	healedAt := cutAt + length
+	workAt := uniform(rng, healedAt, max(min(healedAt+maxWorkDelay, latest), healedAt))
+	cut := Disruption{
+		Kind: []string{"domain_cut", "domain_cut", "target_cut", "vm_cut"}[rng.IntN(4)], At: inMilliseconds(cutAt), For: inMilliseconds(length), Domain: other,
+	}
+	if cut.Kind != "domain_cut" {
+		cut.Share = uniformFloat(rng, 0.1, 0.6)
+	}
+	work := Disruption{
+		Kind: []string{"vm_roll", "vm_roll", "target_release"}[rng.IntN(3)], At: inMilliseconds(workAt), Share: uniformFloat(rng, 0.2, 1),
+	}
+	list := []Disruption{cut, work}
+	burstAt := max(cutAt-uniform(rng, 2*time.Second, 5*time.Second), 0)
+	magnitude := uniformFloat(rng, 1.5, 3)
+	for i := range site.Kinds {
+		list = append(list, Disruption{
+			Kind: "burst", At: inMilliseconds(burstAt), For: inMilliseconds(healedAt + 6*time.Second - burstAt),
+			Magnitude: magnitude, Domain: busy, Scope: site.Kinds[i].Name,
+		})
+	}
+	return list
+}
+
+func inMilliseconds(d time.Duration) Duration { return Duration(d.Round(time.Millisecond)) }
+
+// uniformFloat returns a random number from low to high.
+func uniformFloat(rng *rand.Rand, low, high float64) float64 { return low + (high-low)*rng.Float64() }
+
 // randomize sets a disruption's duration, share and variant to random values.
 func randomize(rng *rand.Rand, d *Disruption) {
 	defaults := disruptionKinds[d.Kind].defaults
@@ -47,6 +91,8 @@
 	switch d.Kind {
 	case "target_grey":
 		d.Variant = []string{greyErrors, greyHang, greyReset, greySlow}[rng.IntN(4)]
+	case "store_down":
+		d.Variant = []string{outageKeep, outageLapse}[rng.IntN(2)]
 	case "config_change", "config_storm":
 		d.Variant = []string{changeRoute, changeTimeout}[rng.IntN(2)]
 	case "vm_kill", "vm_power_loss":
--- a/lab/day/store.go
+++ b/lab/day/store.go
@@ -89,6 +89,21 @@
 	}
 }
 
+// has reports whether the entry of a target exists.
+func (s *store) has(target string) bool {
+	_, ok := s.items[targetPrefix+target]
+	return ok
+}
+
+// expireTargets removes the entries of all targets.
+func (s *store) expireTargets() {
+	for _, item := range s.snapshot() {
+		if strings.HasPrefix(item.Key, targetPrefix) {
+			s.write(relay.Item{Key: item.Key, Deleted: true})
+		}
+	}
+}
+
 // compact drops the history: watches from revisions before the current one fail.
 func (s *store) compact() {
 	s.history, s.compactedRevision = nil, s.revision
--- a/lab/day/targets.go
+++ b/lab/day/targets.go
@@ -42,6 +42,7 @@
 	address  netip.AddrPort
 	node     node
 	up       bool
+	listed   bool // the store has accepted its entry
 	draining bool
 	// drainStoredAt is the time at which the store accepted the entry with state draining,
 	// or its removal; 0 before that.
@@ -80,6 +81,7 @@
 	oracle   *oracle
 
 	idRNG     *rand.Rand // for targets' IDs and numbers
+	beatRNG   *rand.Rand // for the phases of their heartbeats
 	rng       *rand.Rand
 	all       []*target
 	byAddress map[netip.AddrPort]*target
@@ -95,6 +97,7 @@
 		return err
 	}
 	ts.idRNG, ts.rng = ts.timeline.stream("target ids"), ts.timeline.stream(targetsName)
+	ts.beatRNG = ts.timeline.stream("target heartbeats")
 	return nil
 }
 
@@ -129,6 +132,7 @@
 	t.startedUnderLoad = ts.timeline.now() > loadDelay
 	ts.all = append(ts.all, t)
 	ts.byAddress[address] = t
+	t.sendHeartbeats()
 	return t
 }
 
@@ -148,6 +152,30 @@
 	t.targets.timeline.every(t.targets.site.Bounds.Heartbeat.D(), func() bool { return t.up && !t.tryWriteEntry() })
 }
 
+// sendHeartbeats emulates the heartbeats of a target. Its entry expires when it can't reach
+// the store for expiryHeartbeats, and is written again by the first heartbeat that does.
+func (t *target) sendHeartbeats() {
+	heartbeat := t.targets.site.Bounds.Heartbeat.D()
+	tl, store := t.targets.timeline, t.targets.store
+	lastHeartbeat := tl.now()
+	step := func() bool {
+		switch {
+		case !t.up:
+		case store.down:
+			lastHeartbeat = tl.now()
+		case t.reachesStore():
+			lastHeartbeat = tl.now()
+			if t.listed && !store.has(t.id) {
+				t.tryWriteEntry()
+			}
+		case tl.now()-lastHeartbeat >= expiryHeartbeats*heartbeat && store.has(t.id):
+			store.put(catalog.Change{RemovedTarget: t.id})
+		}
+		return true
+	}
+	tl.after(uniform(t.targets.beatRNG, 0, heartbeat), func() { tl.every(heartbeat, step) })
+}
+
 func (t *target) tryWriteEntry() bool {
 	state := catalog.Ready
 	if t.draining {
@@ -165,6 +193,7 @@
 		State:   state,
 		Cold:    max(t.coldUntil-now, 0),
 	}})
+	t.listed = t.listed || ok
 	if ok && t.draining {
 		t.drainStoredAt = now
 	}
