Do not believe an expired entry while the catalog is not fresh

Flows of a target that did die are reset by evidence meanwhile.

Ruled out: a later GoneAt for such targets: they would get new flows again.

TestExpiredEntryIsNotBelievedDuringAnOutage failed before.

--- a/decide/forward/judgement_test.go
+++ b/decide/forward/judgement_test.go
@@ -157,3 +157,44 @@
 	}
 	r.True(reset[key(41)] && reset[key(42)] && reset[key(43)])
 }
+
+// Guards against resets of flows of a live target whose entry expired before an outage of the
+// store: the target was cut off, and can't write its entry again until the store returns.
+func TestExpiredEntryIsNotBelievedDuringAnOutage(t *testing.T) {
+	cases := []struct {
+		name     string
+		state    catalog.TargetState
+		relisted bool
+		outage   Action // of a flow during the outage
+		grace    Action // within LapseGrace after it
+		after    Action
+	}{
+		{"expired", catalog.Ready, false, Forward, Forward, Reset},
+		{"expired, written again after the outage", catalog.Ready, true, Forward, Forward, Forward},
+		{"left as announced", catalog.Draining, false, Reset, Reset, Reset},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newHarness(t)
+			cookie := r.f.View().Target("i-1").Cookie
+			e := entry(1, "s", "a", c.state)
+			r.put(0, e)
+			r.progressExcept(0, nil)
+			r.progressExcept(1000*ms, nil)
+			r.apply(1100*ms, catalog.Change{RemovedTarget: e.ID})
+			r.f.StoreLost()
+			send := func(at time.Duration, caller uint16) Action {
+				r.f.Tick(at)
+				return r.f.Receive(at, ackPacket(caller, cookie, 900, 800, 10)).Action
+			}
+			r.Equal(send(5*time.Second, 71), c.outage)
+			const regained = 8 * time.Second
+			r.f.StoreRegained(regained)
+			r.Equal(send(regained+catalog.LapseGrace-ms, 72), c.grace)
+			if c.relisted {
+				r.put(regained+catalog.LapseGrace-ms, e)
+			}
+			r.Equal(send(regained+catalog.LapseGrace+time.Second, 73), c.after)
+		})
+	}
+}
--- a/decide/forward/openflow.go
+++ b/decide/forward/openflow.go
@@ -90,9 +90,11 @@
 }
 
 // isConfirmedGone reports whether t is gone from the catalog and has not responded
-// lately, so that its flows can't continue.
+// lately, so that its flows can't continue. While the catalog is not fresh, this holds only
+// for targets that have announced their end: the entry of another one may have expired
+// because the target could not reach the store, and can't be written again yet.
 func (f *Forwarder) isConfirmedGone(now time.Duration, t *catalog.Target) bool {
-	if !t.Gone(now) {
+	if !t.Gone(now) || t.State == catalog.Ready && !f.view.Fresh(now) {
 		return false
 	}
 	alive, ok := f.evidence[t.Slot].LastAlive()
