Drain a stopping VM before its catalog stops

Cause: on a planned stop the services stop in reverse start order. "relay" and "catalogwatch" start after "packets", so that they ended before it drained: for 1.5 to 4.5 s a VM forwarded packets with a catalog that learned nothing more, and took entries that had expired in the outage for gone.

Change: the drain is a service of its own, "drain", which depends on "packets", "readiness", "relay" and "catalogwatch", and so stops first. A draining VM follows the store until no packets come.

Ruled out: an end of the belief alone (the VM would not learn of draining targets, routes or new targets either).

--- a/flowd/flowd.go
+++ b/flowd/flowd.go
@@ -20,6 +20,7 @@
 	"github.com/gypsumspan/gypsumspan/platform"
 	"github.com/gypsumspan/gypsumspan/services/catalogwatch"
 	"github.com/gypsumspan/gypsumspan/services/control"
+	"github.com/gypsumspan/gypsumspan/services/drain"
 	"github.com/gypsumspan/gypsumspan/services/flowmetrics"
 	"github.com/gypsumspan/gypsumspan/services/logs"
 	"github.com/gypsumspan/gypsumspan/services/packets"
@@ -136,6 +137,7 @@
 			Decoder: platform.CatalogDecoder{},
 		}),
 		flowmetrics.New(s.VM.Name, s.VM.Domain),
+		drain.New(),
 	}
 	k, err := kernel.Build(services...)
 	if err != nil {
--- a/flowd/flowd_test.go
+++ b/flowd/flowd_test.go
@@ -371,6 +371,27 @@
 	f.NoErr(err)
 }
 
+// Guards against a stopping VM whose catalog follows the store no more while it still
+// forwards packets: it would reset flows of targets whose entries are back after an outage.
+func TestStoppingVMFollowsTheStore(t *testing.T) {
+	f := newFleet(t)
+	f.configure(4, 443)
+	target := f.startTarget(1, "a")
+	v := f.startVM(1, "a")
+	flow, err := f.newCaller().Open(v.settings.Listen.Packets, route)
+	f.NoErr(err)
+	v.signals <- syscall.SIGTERM
+	f.eventually("not ready", func() bool { return !v.ready() })
+	f.configure(5, 443, 444)
+	f.putTarget(target, "a", true)
+	f.eventually("changes in force while packets arrive", func() bool {
+		name, err := flow.Request(v.settings.Listen.Packets)
+		f.NoErr(err)
+		f.Equal(name, target.Name)
+		return v.log.Count(events.ConfigurationApplied) == 2 && lastLoggedState(v, target.Name) == "draining"
+	})
+}
+
 // Guards against errors of the command line without a message, or with a wrong exit
 // code.
 func TestCommandLine(t *testing.T) {
--- a/services/packets/packets.go
+++ b/services/packets/packets.go
@@ -45,11 +45,6 @@
 	lateThreshold = 100 * time.Millisecond
 	// reportInterval is the time between two reports to the service "relay".
 	reportInterval = 500 * time.Millisecond
-	// drainQuietTime is the time without datagrams after which a drain ends.
-	drainQuietTime = time.Second
-	// routerDetectionTime is the time after which routers no longer send to a VM that is
-	// not ready: two readiness checks, half a second apart, and their responses.
-	routerDetectionTime = 1500 * time.Millisecond
 )
 
 // Codec decodes and encodes datagrams.
@@ -214,8 +209,7 @@
 // Name implements kernel.Service.
 func (s *Service) Name() string { return Name }
 
-// Dependencies implements kernel.Service. The service "readiness" stops after "packets", so
-// that routers see a planned stop while datagrams are still forwarded.
+// Dependencies implements kernel.Service.
 func (s *Service) Dependencies() []string { return []string{logs.Name, readiness.Name} }
 
 // Setup implements kernel.Service: it opens the socket and allocates the buffers.
@@ -445,29 +439,9 @@
 	sent.Add(1)
 }
 
-// Stop implements kernel.Stopper: it drains the VM. The VM reports that it is not ready,
-// and forwards datagrams until routers have detected that and none has arrived for
-// drainQuietTime.
-func (s *Service) Stop(ctx context.Context) error {
-	s.ready.Leave()
-	startedAt := s.kernel.Now()
-	for {
-		now := s.kernel.Now()
-		deadline := max(startedAt+routerDetectionTime, time.Duration(s.lastReceived.Load())+drainQuietTime)
-		if now >= deadline {
-			return nil
-		}
-		timer := time.NewTimer(deadline - now)
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-			// Packets that routers still send here are only delayed: their callers
-			// retransmit them, and other VMs forward them.
-			return nil
-		}
-	}
-}
+// LastReceived returns the time of the last datagram, 0 before the first. It is safe for
+// concurrent use.
+func (s *Service) LastReceived() time.Duration { return time.Duration(s.lastReceived.Load()) }
 
 // Stats returns the counters and gauges. It is safe for concurrent use.
 func (s *Service) Stats() Stats {
