Keep open flows of a target whose entry is malformed

Cause: the decoder turned a malformed entry into the removal of the target, and while the store is reachable a removed target is gone at once.

Change: InvalidTarget is a change of its own.

TestMalformedEntryLeavesOpenFlows failed before (as RemovedTarget).

--- a/decide/catalog/catalog.go
+++ b/decide/catalog/catalog.go
@@ -93,8 +93,11 @@
 	// Exactly one of the following is set.
 	Configuration *Configuration
 	Target        *Entry
-	// RemovedTarget is the id of a target whose entry was removed or is malformed.
+	// RemovedTarget is the id of a target whose entry was removed.
 	RemovedTarget string
+	// InvalidTarget is the id of a target whose entry is malformed, perhaps written by
+	// another writer. It says nothing of the target.
+	InvalidTarget string
 	// Synced means that all changes up to Revision have been delivered.
 	Synced bool
 }
--- a/decide/catalog/view.go
+++ b/decide/catalog/view.go
@@ -32,6 +32,8 @@
 	ColdUntil time.Duration // end of the warm-up; set when the target is listed or restarts
 	// Listed is set while the entry exists and is valid.
 	Listed bool
+	// Invalid is set while the entry is malformed.
+	Invalid bool
 	// GoneAt is the time from which a target that is not listed counts as gone.
 	GoneAt time.Duration
 	next   *Target // next target with the same cookie
@@ -45,7 +47,7 @@
 // AcceptsFlows reports whether the target accepts new flows. A target whose entry has
 // lapsed does until it counts as gone.
 func (t *Target) AcceptsFlows(now time.Duration) bool {
-	return t.State == Ready && !t.Gone(now)
+	return t.State == Ready && !t.Invalid && !t.Gone(now)
 }
 
 // View is the catalog as seen by one VM. It is not safe for concurrent use.
@@ -103,7 +105,7 @@
 	TargetAdded                        // a target with a new id, or a new service
 	TargetChanged                      // another entry of a known target
 	TargetRestarted                    // an entry of a known target that has started again
-	TargetRemoved                      // the target is no longer listed
+	TargetRemoved                      // the target is no longer listed, or its entry is malformed
 	Synced                             // the change had Synced set
 )
 
@@ -117,6 +119,8 @@
 		return v.putTarget(now, c.Revision, c.Target)
 	case c.RemovedTarget != "":
 		return v.removeTarget(now, c.Revision, c.RemovedTarget)
+	case c.InvalidTarget != "":
+		return v.invalidateTarget(now, c.Revision, c.InvalidTarget)
 	case c.Synced:
 		if !v.synced {
 			v.synced = true
@@ -198,7 +202,7 @@
 	}
 	t.Entry = *e
 	t.Revision = revision
-	t.Listed = true
+	t.Listed, t.Invalid = true, false
 	v.revision = max(v.revision, revision)
 	return effect
 }
@@ -255,6 +259,19 @@
 	return TargetRemoved
 }
 
+// invalidateTarget unlists a target whose entry is malformed. It accepts no new flows, but
+// its open ones go on: a target that lives writes a valid entry with its next heartbeat. It
+// does not count as gone until LapseGrace after the malformed entry.
+func (v *View) invalidateTarget(now time.Duration, revision int64, id string) Effect {
+	effect := v.removeTarget(now, revision, id)
+	if effect == TargetRemoved {
+		t := v.targets[id]
+		t.Invalid = true
+		t.GoneAt = max(t.GoneAt, now+LapseGrace)
+	}
+	return effect
+}
+
 // Tick forgets gone targets, tombstones and removed routes after their retention, except
 // targets for which inUse returns true. It returns the time of the next call.
 func (v *View) Tick(now time.Duration, inUse func(*Target) bool) time.Duration {
--- a/decide/forward/forward.go
+++ b/decide/forward/forward.go
@@ -6,6 +6,7 @@
 package forward
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/decide/balance"
@@ -140,7 +141,7 @@
 		f.forgetRemovedRoutes(c.Configuration)
 	}
 	if effect == catalog.TargetRemoved {
-		f.removedTargets = append(f.removedTargets, f.view.Target(c.RemovedTarget))
+		f.removedTargets = append(f.removedTargets, f.view.Target(cmp.Or(c.RemovedTarget, c.InvalidTarget)))
 	}
 	switch effect {
 	case catalog.TargetAdded:
--- a/decide/forward/judgement_test.go
+++ b/decide/forward/judgement_test.go
@@ -198,3 +198,36 @@
 		})
 	}
 }
+
+// Guards against a malformed entry of another writer that ends the open flows of a target
+// that lives (review/2), and against one that leaves the target in use for new flows.
+func TestMalformedEntryLeavesOpenFlows(t *testing.T) {
+	cases := []struct {
+		name     string
+		restored bool // the target writes its entry again
+		want     Action
+	}{
+		{"the target lives", true, Forward},
+		{"the target is gone", false, Reset},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newHarness(t)
+			target := r.openFlow(0, 1)
+			const written = 5 * time.Second
+			r.apply(written, catalog.Change{InvalidTarget: target.ID})
+			r.f.Tick(written + 500*ms)
+			r.Equal(r.f.Receive(written+700*ms, ackPacket(1, target.Cookie, 101, 500, 10)).Action, Forward)
+			for caller := uint16(2); caller < 30; caller++ {
+				r.True(r.f.Receive(written+700*ms, syn(caller, 0)).Target != target)
+			}
+			r.Equal(len(r.f.TakeFlowResets()), 0)
+			if c.restored {
+				r.put(written+770*ms, entry(int(target.Number), "s", target.Domain, catalog.Ready))
+				r.True(target.AcceptsFlows(written + 770*ms))
+			}
+			later := written + catalog.LapseGrace + time.Second
+			r.Equal(r.f.Receive(later, ackPacket(99, target.Cookie, 101, 500, 10)).Action, c.want)
+		})
+	}
+}
--- a/services/packets/logging.go
+++ b/services/packets/logging.go
@@ -1,6 +1,7 @@
 package packets
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"strings"
@@ -91,7 +92,7 @@
 			events.F("revision", c.Revision))
 	case catalog.TargetRemoved:
 		s.log.Log(events.TargetEntryRemoved,
-			events.F("target", c.RemovedTarget),
+			events.F("target", cmp.Or(c.RemovedTarget, c.InvalidTarget)),
 			events.F("revision", c.Revision))
 	}
 }
