--- a/decide/forward/judgement.go
+++ b/decide/forward/judgement.go
@@ -60,10 +60,10 @@
 
 // recordDeath records that t was judged dead.
 func (f *Forwarder) recordDeath(now time.Duration, t *catalog.Target) {
-	change := f.judge(now, t)
-	change.Dead, change.Cause = true, Unanswered
-	f.deaths[t] = change
-	f.newJudgements = append(f.newJudgements, change)
+	judgement := f.judge(now, t)
+	judgement.Dead, judgement.Cause = true, Unanswered
+	f.deaths[t] = judgement
+	f.newJudgements = append(f.newJudgements, judgement)
 }
 
 // endJudgements records the judgements that have ended since the last call, sorted by target.
@@ -74,10 +74,10 @@
 			continue
 		}
 		death := f.deaths[t]
-		change := f.judge(now, t)
-		change.Cause = f.causeOfEnd(death)
-		change.Age = now - death.at
-		f.newJudgements = append(f.newJudgements, change)
+		judgement := f.judge(now, t)
+		judgement.Cause = f.causeOfEnd(death)
+		judgement.Age = now - death.at
+		f.newJudgements = append(f.newJudgements, judgement)
 		delete(f.deaths, t)
 	}
 }
@@ -98,9 +98,9 @@
 // judge returns a judgement with the present evidence about t.
 func (f *Forwarder) judge(now time.Duration, t *catalog.Target) Judgement {
 	tracker := &f.evidence[t.Slot]
-	change := Judgement{Target: t, StuckFlows: tracker.StuckFlows(now), Silence: noResponse, at: now, revision: t.Revision}
+	judgement := Judgement{Target: t, StuckFlows: tracker.StuckFlows(now), Silence: noResponse, at: now, revision: t.Revision}
 	if alive, ok := tracker.LastAlive(); ok {
-		change.Silence = now - alive
+		judgement.Silence = now - alive
 	}
-	return change
+	return judgement
 }
