--- a/decide/evidence/evidence.go
+++ b/decide/evidence/evidence.go
@@ -42,20 +42,20 @@
 
 // Tracker holds the evidence about one target. The zero value has none.
 type Tracker struct {
-	lastAlive   time.Duration // time of the last response
-	everAlive   bool          // there was one
-	lastBad     time.Duration // time of the last evidence against the target
-	retransmits int           // since the last response or expiry
-	stuck       int           // flows that got stuck since the last response or expiry
-	firstStuck  time.Duration // time of the first of them
-	priorStuck  time.Duration // time of the one before the last
-	lastStuck   time.Duration // time of the last of them
-	hadPair     bool          // minStuckFlows got stuck within stuckTTL since the last response or expiry
-	pairAt      time.Duration // last time of that, valid if hadPair
-	declared    bool          // DeclareDead has returned true; see there
-	avoidance   time.Duration // length of the last avoidance; 0: none since the last response or expiry
-	avoidUntil  time.Duration // end of the last avoidance
-	probedAt    time.Duration // time of the last placement after an avoidance
+	lastAlive      time.Duration // time of the last response
+	everAlive      bool          // there was one
+	lastEvidence   time.Duration // time of the last evidence against the target
+	retransmits    int           // since the last response or expiry
+	stuck          int           // flows that got stuck since the last response or expiry
+	firstStuck     time.Duration // time of the first of them
+	priorStuck     time.Duration // time of the one before the last
+	lastStuck      time.Duration // time of the last of them
+	severalStuck   bool          // minStuckFlows got stuck within stuckTTL since the last response or expiry
+	severalStuckAt time.Duration // last time of that, valid if severalStuck
+	declared       bool          // DeclareDead has returned true; see there
+	avoidance      time.Duration // length of the last avoidance; 0: none since the last response or expiry
+	avoidUntil     time.Duration // end of the last avoidance
+	probedAt       time.Duration // time of the last placement after an avoidance
 }
 
 // RecordAlive records a response and discards all earlier evidence.
@@ -68,13 +68,13 @@
 // may be partitioned from this VM.
 func (t *Tracker) RecordEntry() {
 	t.stuck = 0
-	t.hadPair = false
+	t.severalStuck = false
 	t.declared = false
 }
 
 // expire discards all evidence against the target once the last is older than suspicionTTL.
 func (t *Tracker) expire(now time.Duration) {
-	if now-t.lastBad >= suspicionTTL && now >= t.avoidUntil {
+	if now-t.lastEvidence >= suspicionTTL && now >= t.avoidUntil {
 		*t = Tracker{lastAlive: t.lastAlive, everAlive: t.everAlive}
 	}
 }
@@ -91,7 +91,7 @@
 		return
 	}
 	t.expire(now)
-	t.lastBad = now
+	t.lastEvidence = now
 	t.startAvoidance(now)
 }
 
@@ -101,7 +101,7 @@
 		return
 	}
 	t.expire(now)
-	t.lastBad = now
+	t.lastEvidence = now
 	t.retransmits++
 	if t.retransmits >= minRetransmits {
 		t.startAvoidance(now)
@@ -128,7 +128,7 @@
 // Suspected reports whether an avoidance has started since the last response, even if it
 // has ended, and the last evidence is younger than suspicionTTL.
 func (t *Tracker) Suspected(now time.Duration) bool {
-	return t.avoidance > 0 && now-t.lastBad < suspicionTTL
+	return t.avoidance > 0 && now-t.lastEvidence < suspicionTTL
 }
 
 // RecordPlacement records that a new flow was placed at the target. After an avoidance
@@ -144,7 +144,7 @@
 // progress. It is called once for each such flow.
 func (t *Tracker) RecordStuckFlow(now time.Duration) {
 	t.expire(now)
-	t.lastBad = now
+	t.lastEvidence = now
 	if t.declared && !t.Dead(now) {
 		t.declared = false
 	}
@@ -155,7 +155,7 @@
 	t.stuck++
 	t.priorStuck, t.lastStuck = t.lastStuck, now
 	if t.stuck >= minStuckFlows {
-		t.hadPair, t.pairAt = true, now
+		t.severalStuck, t.severalStuckAt = true, now
 	}
 	t.startAvoidance(now)
 }
@@ -178,7 +178,7 @@
 // Unresponsive reports whether the target was dead within suspicionTTL and has not responded
 // since. It does not suffice to reset flows.
 func (t *Tracker) Unresponsive(now time.Duration) bool {
-	return t.hadPair && now-t.pairAt < suspicionTTL && now-t.silentSince() >= deadSilence
+	return t.severalStuck && now-t.severalStuckAt < suspicionTTL && now-t.silentSince() >= deadSilence
 }
 
 // DeclareDead reports whether the target is dead, once: further calls return false until
--- a/decide/forward/judgement.go
+++ b/decide/forward/judgement.go
@@ -15,7 +15,7 @@
 	Target     *catalog.Target
 	Dead       bool
 	Cause      JudgementCause
-	StuckFlows int           // flows that got stuck since the last response
+	StuckFlows int           // flows that are stuck, of those that still count
 	Silence    time.Duration // since the last response at this VM; noResponse: there was none
 	Age        time.Duration // of the judgement that ends; 0 if it starts
 	at         time.Duration
