--- a/review/standin-2/consumer.go
+++ b/review/standin-2/consumer.go
@@ -181,6 +181,16 @@
 	delete(c.flows, f.local.Port())
 }
 
+// abort ends a flow as a consumer does that gives up.
+func (c *consumer) abort(f *flow) {
+	c.mu.Lock()
+	if f.reset == "" {
+		f.send(packet{flags: flagRST})
+	}
+	c.mu.Unlock()
+	c.close(f)
+}
+
 // request sends a request on the flow and returns the answer.
 func (f *flow) request(id, method string, size int, limit time.Duration) (string, error) {
 	data := requestText(id, method, size)
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -52,6 +52,7 @@
 	router  *router
 	nodes   []*node
 	extra   string // further lines of the settings
+	apply   time.Duration
 
 	stop     chan struct{}
 	backends []*backend
@@ -63,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{rec: rec, program: program, folder: folder, stop: make(chan struct{})}
+	f := &fleet{rec: rec, program: program, folder: folder, apply: configApply, stop: make(chan struct{})}
 	if f.store, err = newStore(rec, "127.0.0.1"); err != nil {
 		return nil, err
 	}
@@ -143,7 +144,7 @@
 [timings]
 stop_grace = "%ds"
 `, n.name, n.zone, strings.Join(regions, ","), n.packets, n.ready, n.ip, f.port+3, n.ip, f.port+2, n.ip, f.port+4,
-		f.store.address, configApply.Milliseconds(), strings.Join(seeds, ","), f.extra, int(graceTime.Seconds()))
+		f.store.address, f.apply.Milliseconds(), strings.Join(seeds, ","), f.extra, int(graceTime.Seconds()))
 	return os.WriteFile(n.settings, []byte(text), 0o600)
 }
 
--- a/review/standin-2/halfopen.go
+++ b/review/standin-2/halfopen.go
@@ -8,11 +8,11 @@
 )
 
 // oneRoute is a config with one route to the service trackhub.
-func oneRoute(version int, service string, timeoutMillis int) map[string]any {
+func oneRoute(version int, service string, timeoutMillis int, kind string) map[string]any {
 	return map[string]any{
 		"version": version,
 		"routes": []any{map[string]any{
-			"name": "r-checkin", "host": "127.99.0.1", "prefix": "/8443/", "route_type": "unsafe",
+			"name": "r-checkin", "host": "127.99.0.1", "prefix": "/8443/", "route_type": kind,
 			"timeout_ms": timeoutMillis, "target_latency_ms": 300, "priority": 1, "service": service, "max_attempts": 2,
 		}},
 		"services": []any{map[string]any{"name": "trackhub", "health_path": "/health", "max_connections": 4286}},
@@ -25,7 +25,7 @@
 // smallFleet starts a deployment like cadair-live: 15 nodes and 15 backends in 3 zones, and
 // perZone consumers in each zone.
 func smallFleet(f *fleet, perZone int) ([]*consumer, error) {
-	f.store.put("op/config", oneRoute(7, "trackhub", 2000))
+	f.store.put("op/config", oneRoute(7, "trackhub", 2000, "unsafe"))
 	if err := f.addBackends("trackhub", 5, "127.79.%d.%d"); err != nil {
 		return nil, err
 	}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -12,6 +12,7 @@
 // cases are the cases by name. Each returns what breaks its rule.
 var cases = map[string]func(f *fleet, trouble bool) (broken []string, err error){
 	"half-open": halfOpen,
+	"thaw":      thaw,
 }
 
 func main() {
