review: backends that start again get more than a cold one bears (FAILBACK)

Case 9: the two backends of a zone end and start again at once under their ids. The second one's entry waits for the pause of the relay's watch, and the zone's flows all go to it.

--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -13,6 +13,7 @@
 var cases = map[string]func(f *fleet, trouble bool) (broken []string, err error){
 	"half-open": halfOpen,
 	"thaw":      thaw,
+	"cold":      coldAgain,
 	"narrow":    narrow,
 }
 
