--- a/review/standin-2/halfopen.go
+++ b/review/standin-2/halfopen.go
@@ -54,8 +54,9 @@
 // backend. Some seconds later nodes are stopped as planned. The flows are asked again then.
 func halfOpen(f *fleet, trouble bool) ([]string, error) {
 	const (
-		flowCount = 900
+		flowCount = 1500
 		lostOf    = 33 // one SYN+ACK of so many is lost
+		stopGap   = 1300 * time.Millisecond
 	)
 	consumers, err := smallFleet(f, 2)
 	if err != nil {
@@ -108,12 +109,16 @@
 	if trouble {
 		for z := range zones {
 			n := f.nodes[z]
-			go f.planStop(n)
-			time.Sleep(500 * time.Millisecond)
+			go func() {
+				f.planStop(n)
+				if err := f.start(n); err != nil {
+					f.rec.log("%s can't be started again: %v", n.name, err)
+				}
+			}()
+			time.Sleep(stopGap)
 		}
-		time.Sleep(1500 * time.Millisecond)
 	} else {
-		time.Sleep(3 * time.Second)
+		time.Sleep(time.Duration(len(zones)) * stopGap)
 	}
 	var broken []string
 	unanswered := 0
