--- a/review/standin-2/coldagain.go
+++ b/review/standin-2/coldagain.go
@@ -9,7 +9,7 @@
 
 // Figures of the cold backends.
 const (
-	coldFor     = 8 * time.Second
+	coldFor     = 2 * time.Second
 	coldPerS    = 4.0
 	coldOverage = 1.5
 	coldSlack   = 5
--- a/review/standin-2/consumer.go
+++ b/review/standin-2/consumer.go
@@ -46,6 +46,7 @@
 	echo     uint32
 	seq      uint32 // next to send
 	rcvNext  uint32
+	acked    uint32 // up to which the backend has the data
 	peerSeq  uint32 // that of the SYN+ACK that was taken
 	openAt   time.Time
 	packets  chan packet // while it waits
@@ -111,6 +112,7 @@
 		if f.openAt.IsZero() {
 			f.openAt, f.peerSeq, f.rcvNext, f.echo = time.Now(), p.seq, p.seq+1, p.echo
 			f.seq++
+			f.acked = f.seq
 			f.c.rec.log("flow %s gets a SYN+ACK (seq %d, echo %08x) and is open", f.local, p.seq, p.echo)
 			f.send(packet{flags: flagACK})
 			f.packets <- p
@@ -122,6 +124,9 @@
 		f.echo = p.echo
 	default:
 		f.echo = p.echo
+		if int32(p.ack-f.acked) > 0 {
+			f.acked = p.ack
+		}
 		if len(p.data) > 0 && p.seq == f.rcvNext {
 			f.rcvNext += uint32(len(p.data))
 			f.send(packet{flags: flagACK})
@@ -203,7 +208,9 @@
 			f.c.mu.Unlock()
 			return "", fmt.Errorf("flow %s: reset by %s", f.local, f.reset)
 		}
-		f.send(packet{flags: flagACK, data: data})
+		if int32(f.acked-f.seq) <= 0 { // missing packets are sent again, no others
+			f.send(packet{flags: flagACK, data: data})
+		}
 		f.c.mu.Unlock()
 		select {
 		case p, ok := <-f.packets:
--- a/review/standin-2/narrow.go
+++ b/review/standin-2/narrow.go
@@ -8,15 +8,15 @@
 	"time"
 )
 
-// narrow: the link to one consumer is full for a while, so that most datagrams to it are
-// lost. It asks on its flows meanwhile. The flows of other consumers are watched.
+// narrow: the link to one consumer is full for a while, so that seven of ten datagrams to it
+// are lost. It asks on its flows meanwhile. The flows of other consumers are watched.
 func narrow(f *fleet, trouble bool) ([]string, error) {
 	const (
-		rounds    = 4
+		rounds    = 8
 		askers    = 20 // flows of the consumer with the narrow link
 		others    = 240
-		fullFor   = 1500 * time.Millisecond
-		lostShare = 0.9
+		fullFor   = 3 * time.Second
+		lostShare = 0.7
 	)
 	consumers, err := smallFleet(f, 2)
 	if err != nil {
@@ -83,17 +83,23 @@
 		mu.Unlock()
 		f.rec.log("the link to consumer %s is full: %v", narrowOne.ip, trouble)
 		var asked sync.WaitGroup
-		for i, fl := range mine {
+		until := time.Now().Add(fullFor)
+		for i := range mine {
 			asked.Add(1)
 			go func() {
 				defer asked.Done()
-				_, err := fl.request(fmt.Sprintf("%s-%d", fl.local, round), "GET", 0, 2*time.Second)
-				if err == nil {
-					return
-				}
-				f.rec.log("%v", err)
-				narrowOne.abort(fl)
-				if again, err := narrowOne.open(routeAddress); err == nil {
+				for n := 0; time.Now().Before(until); n++ {
+					_, err := mine[i].request(fmt.Sprintf("%s-%d-%d", mine[i].local, round, n), "GET", 0, 2*time.Second)
+					if err == nil {
+						time.Sleep(time.Duration(rand.IntN(600)) * time.Millisecond)
+						continue
+					}
+					f.rec.log("%v", err)
+					narrowOne.abort(mine[i])
+					again, err := narrowOne.open(routeAddress)
+					for err != nil {
+						again, err = narrowOne.open(routeAddress)
+					}
 					mine[i] = again
 				}
 			}()
@@ -104,7 +110,7 @@
 		mu.Unlock()
 		f.rec.log("the link to consumer %s is no longer full", narrowOne.ip)
 		asked.Wait()
-		time.Sleep(2 * time.Second)
+		time.Sleep(time.Second)
 	}
 	var broken []string
 	seen := make(map[netip.AddrPort]bool)
