Log by which way changes of the store reach a VM, and what it waited for

Cause: the logs did not tell the three hypotheses of the incident apart: a late VM logs failed calls and pulls, but not how a change came in the end, how old it was, or what the VM did meanwhile.

GS6102 to GS6104 have the time from the service relay to the forwarding duty, GS6201 the number of the copy of a SYN and how long it waited. No decision changes.

--- a/ctl/flow.go
+++ b/ctl/flow.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"time"
 
@@ -20,6 +21,9 @@
 // flowRequestTimeout is the timeout of one request to a VM that forwards opaque flows.
 const flowRequestTimeout = 5 * time.Second
 
+// timeOfDay is the format of times in tables.
+const timeOfDay = "15:04:05.000"
+
 // maxFlowResponseBytes limits how much of such a VM's response is read.
 const maxFlowResponseBytes = 64 << 20
 
@@ -32,7 +36,7 @@
 			return fmt.Errorf("%w: flow needs a command, see --help", ErrUsage)
 		},
 	}
-	cmd.AddCommand(a.flowStatusCommand(), a.flowExplainCommand(), a.flowTraceCommand())
+	cmd.AddCommand(a.flowStatusCommand(), a.flowExplainCommand(), a.flowTraceCommand(), a.flowChangesCommand())
 	return cmd
 }
 
@@ -134,6 +138,77 @@
 	return cmd
 }
 
+func (a *app) flowChangesCommand() *cobra.Command {
+	var revision string
+	var slowest int
+	cmd := &cobra.Command{
+		Use:   "changes FILE...",
+		Short: "Show when changes of the store came into force at the VMs, and by which way they came",
+		Example: `  gypsumctl flow changes logs/*.log
+  gypsumctl flow changes logs/*.log --slowest 10
+  gypsumctl flow changes logs/*.log --revision 311`,
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			lines, err := readLogs(args)
+			if err != nil {
+				return err
+			}
+			changes := logtrace.Changes(lines)
+			if revision != "" {
+				return a.printArrivals(changes, revision)
+			}
+			if slowest > 0 {
+				changes = logtrace.Slowest(changes, slowest)
+			}
+			return a.printStoreChanges(changes)
+		},
+	}
+	cmd.Flags().StringVar(&revision, "revision", "", "all VMs for the changes at this revision")
+	cmd.Flags().IntVar(&slowest, "slowest", 0, "only this many changes, those that took longest to reach the last VM")
+	return cmd
+}
+
+// printChanges prints a row for each change, with the VM that had it last.
+func (a *app) printStoreChanges(changes []logtrace.Change) error {
+	if a.output == outputJSON {
+		return a.printJSON(append([]logtrace.Change{}, changes...))
+	}
+	var rows [][]string
+	for _, c := range changes {
+		first, last := c.Arrivals[0], c.Arrivals[len(c.Arrivals)-1]
+		rows = append(rows, append([]string{
+			c.Revision, c.What, strconv.Itoa(len(c.Arrivals)), first.At.Format(timeOfDay),
+			c.Arrivals[len(c.Arrivals)/2].At.Sub(first.At).String(), last.At.Sub(first.At).String(),
+		}, arrivalCells(last)...))
+	}
+	return a.printTable([]string{"revision", "change", "vms", "first", "median", "last", "last vm", "way", "before"}, rows)
+}
+
+// printArrivals prints a row for each VM that the change at a revision has reached.
+func (a *app) printArrivals(changes []logtrace.Change, revision string) error {
+	var rows [][]string
+	for _, c := range changes {
+		if c.Revision != revision {
+			continue
+		}
+		if a.output == outputJSON {
+			return a.printJSON(c)
+		}
+		for _, arrival := range c.Arrivals {
+			rows = append(rows, append([]string{arrival.At.Format(timeOfDay), c.What}, arrivalCells(arrival)...))
+		}
+	}
+	return a.printTable([]string{"time", "change", "vm", "way", "before"}, rows)
+}
+
+func arrivalCells(arrival logtrace.Arrival) []string {
+	var fields []string
+	for _, row := range flatten("", anyMap(arrival.Before)) {
+		fields = append(fields, row[0]+"="+row[1])
+	}
+	return []string{arrival.VM, orDash(arrival.Way), strings.Join(fields, " ")}
+}
+
 func readLogs(files []string) ([]logtrace.Line, error) {
 	var lines []logtrace.Line
 	for _, name := range files {
@@ -162,7 +237,7 @@
 		for _, row := range flatten("", anyMap(line.Fields)) {
 			fields = append(fields, row[0]+"="+row[1])
 		}
-		rows = append(rows, []string{line.Time.Format("15:04:05.000"), line.VM, line.Event, line.Name, strings.Join(fields, " ")})
+		rows = append(rows, []string{line.Time.Format(timeOfDay), line.VM, line.Event, line.Name, strings.Join(fields, " ")})
 	}
 	return a.printTable([]string{"time", "vm", "event", "name", "fields"}, rows)
 }
--- a/decide/relay/relay.go
+++ b/decide/relay/relay.go
@@ -54,6 +54,8 @@
 	maxSnapshotBytes = 64 << 10
 	// loadsCacheTTL is the time for which the result of DomainLoads is cached.
 	loadsCacheTTL = 200 * time.Millisecond
+	// seedName stands for the unknown name of a seed in Pull.Name.
+	seedName = "seed"
 	// maxLoads bounds the loads in one heartbeat, so that it fits into one datagram.
 	maxLoads = 8
 )
@@ -107,6 +109,8 @@
 	snapshot snapshotState
 	eras     eraState
 	grants   grants
+	waits    waits
+	arrivals []Arrival // not yet taken
 
 	out Output
 }
@@ -217,6 +221,7 @@
 // StoreFailed handles a failed call to the store: the store counts as lost, and a VM with
 // an empty replica pulls from the seeds in turn.
 func (m *Machine) StoreFailed(now time.Duration) {
+	m.waits.callsFailed++
 	m.markStoreLost()
 	if m.replica.Revision() > 0 || m.pull != nil || len(m.config.Seeds) == 0 {
 		return
@@ -226,7 +231,7 @@
 	if seed == m.config.Self.PullAddr {
 		return
 	}
-	m.pull = &Pull{From: seed, Name: "seed"}
+	m.pull = &Pull{From: seed, Name: seedName}
 	m.pullStartedAt = now
 	m.out.Pull = m.pull
 }
@@ -234,6 +239,7 @@
 // HandlePullAnswer merges the answer to the pull that was sent at sentAt. The age of its
 // confirmation grows by the time since then, an upper bound of the time in transit.
 func (m *Machine) HandlePullAnswer(now, sentAt time.Duration, answer Update) {
+	answer.Source = m.pullSource()
 	m.pull = nil
 	answer, usable := m.updateInOwnEra(answer)
 	if !usable {
@@ -251,8 +257,21 @@
 	m.merge(now, answer)
 }
 
+// pullSource returns the source of the answer to the present pull, which may have timed out.
+func (m *Machine) pullSource() Source {
+	switch {
+	case m.pull == nil:
+		return Source{Way: Pulled}
+	case m.pull.Name == seedName:
+		return Source{Way: PulledSeed}
+	default:
+		return Source{Way: Pulled, VM: m.pull.Name}
+	}
+}
+
 // PullFailed handles a pull that failed or timed out.
 func (m *Machine) PullFailed(now time.Duration) {
+	m.waits.pullsFailed++
 	m.pull = nil
 	m.watchDirectly(now)
 }
@@ -267,6 +286,7 @@
 		return
 	}
 	oldRevision := m.replica.Revision()
+	confirmedAt, hadConfirmed := m.confirmedAt, m.hasConfirmed
 	eraRose := m.enterEra(now, update.Revision.Era())
 	changed := m.replica.Merge(now, m.takeSnapshots(now, update.Items, update.Complete), update.Revision, update.Complete)
 	for _, item := range changed {
@@ -276,6 +296,9 @@
 	}
 	m.out.Changes = append(m.out.Changes, changed...)
 	m.confirm(now, update.Confirmed)
+	if len(changed) > 0 {
+		m.recordArrival(now, update.Source, len(changed), confirmedAt, hadConfirmed)
+	}
 	if eraRose {
 		m.reportEnteredEra(now, update.Confirmed)
 	}
--- a/decide/relay/types.go
+++ b/decide/relay/types.go
@@ -113,6 +113,7 @@
 	Confirmed Confirmation
 	Items     []Item
 	Complete  bool // Items hold every existing key
+	Source    Source
 	// WithoutEra is set if the sender's build knows no eras. All its revisions have era 0.
 	WithoutEra bool
 }
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -258,15 +258,15 @@
 	// ConfigurationApplied is written when this VM puts a configuration in force.
 	ConfigurationApplied = declare(Event{Number: "GS6102", Level: Info, Name: "configuration_applied", Limited: true, Rate: catalogRate, Burst: decisionBurst,
 		Message: "configuration is in force",
-		Fields:  []string{"version", "revision", "routes"}})
+		Fields:  []string{"version", "revision", "routes", "queued_ms"}})
 	// TargetChanged is written when the entry of a target is new or has changed.
 	TargetChanged = declare(Event{Number: "GS6103", Level: Info, Name: "target_changed", Limited: true, Rate: catalogRate, Burst: decisionBurst,
 		Message: "entry of a target is in force",
-		Fields:  []string{"target", "service", "address", "domain", "state", "revision"}})
+		Fields:  []string{"target", "service", "address", "domain", "state", "revision", "queued_ms"}})
 	// TargetEntryRemoved is written when the entry of a target was removed.
 	TargetEntryRemoved = declare(Event{Number: "GS6104", Level: Info, Name: "target_entry_removed", Limited: true, Rate: catalogRate, Burst: decisionBurst,
 		Message: "entry of a target was removed",
-		Fields:  []string{"target", "revision"}})
+		Fields:  []string{"target", "revision", "queued_ms"}})
 	// CatalogValueInvalid is written for a value in the store that can't be decoded.
 	CatalogValueInvalid = declare(Event{Number: "GS6105", Level: Warn, Name: "catalog_value_invalid", Limited: true,
 		Message: "value in the store can't be decoded",
@@ -344,10 +344,15 @@
 	CapacityChanged = declare(Event{Number: "GS6126", Level: Warn, Name: "capacity_changed", Limited: true,
 		Message: "the targets of these failure domains do not count as capacity, at least for one service; an empty list means none",
 		Fields:  []string{"domains"}})
+	// ChangesReceived is written when changes of the store reach this VM.
+	ChangesReceived = declare(Event{Number: "GS6127", Level: Info, Name: "changes_received", Limited: true, Rate: catalogRate, Burst: decisionBurst,
+		Message: "changes of the store have reached this VM",
+		Fields: []string{"revision", "keys", "way", "from", "behind_ms", "known_ms", "pulls_failed", "calls_failed",
+			"failed_calls_ms", "retry_ms", "pause_ms", "pages", "queued_ms"}})
 	// FlowDecided is written for the first decision of each kind on a flow.
 	FlowDecided = declare(Event{Number: "GS6201", Level: Info, Name: "flow_decided", Limited: true, Rate: flowRate, Burst: flowBurst,
 		Message: "flow was placed or ended",
-		Fields:  []string{"caller", "address", "action", "reason", "target", "target_domain", "version", "revision"}})
+		Fields:  []string{"caller", "address", "action", "reason", "target", "target_domain", "version", "revision", "copy", "waited_ms"}})
 	// PacketMalformed is written when a datagram can't be decoded as a packet.
 	PacketMalformed = declare(Event{Number: "GS6202", Level: Warn, Name: "packet_malformed", Limited: true,
 		Message: "malformed packet was dropped",
--- a/services/catalogwatch/catalogwatch.go
+++ b/services/catalogwatch/catalogwatch.go
@@ -39,10 +39,31 @@
 	// SnapshotErr is why Update, a complete read, was not read from the snapshot in the
 	// store. It wraps ErrSnapshot.
 	SnapshotErr error
+	// Waits is how the time since the previous successful result was spent.
+	Waits Waits
 	// Transaction is the outcome of a transaction; the other fields are not set then.
 	Transaction *TransactionResult
 }
 
+// Waits is how the blocker "catalogwatch.read" has spent time between two successful results, apart
+// from the call that was answered.
+type Waits struct {
+	Pauses      time.Duration // after batches of a watch
+	RetryDelays time.Duration // after failed calls
+	FailedCalls time.Duration // until calls failed
+	Pages       int           // pages read, of which the result has those of its own read
+}
+
+// Add returns the sum of two spans of time.
+func (w Waits) Add(other Waits) Waits {
+	return Waits{
+		Pauses:      w.Pauses + other.Pauses,
+		RetryDelays: w.RetryDelays + other.RetryDelays,
+		FailedCalls: w.FailedCalls + other.FailedCalls,
+		Pages:       w.Pages + other.Pages,
+	}
+}
+
 // ErrSnapshot means that the store has no snapshot that can be used.
 var ErrSnapshot = errors.New("no usable snapshot")
 
@@ -100,6 +121,7 @@
 	historyLost   bool // the last call failed since the store had dropped its history
 	slowRetry     atomic.Bool
 	batchPacing   *BatchPacing  // of the blocker "catalogwatch.read"
+	waits         Waits         // of the blocker "catalogwatch.read", since its last successful result
 	shortenPauses chan struct{} // capacity 1: ShortenPauses was called
 	gate          *kernel.Gate
 	writes        *kernel.Ring[Write]
@@ -195,6 +217,7 @@
 		if err != nil {
 			return nil
 		}
+		started := time.Now()
 		err = s.work(taskCtx, t)
 		switch {
 		case errors.Is(err, kernel.ErrRingClosed):
@@ -210,10 +233,11 @@
 			err = fmt.Errorf("%w: %w", ErrHistoryLost, err)
 		}
 		s.failures.Add(1)
+		s.waits.FailedCalls += time.Since(started)
 		if s.inbox.HandleStoreResult(Result{Err: fmt.Errorf("%w: %w", ErrStore, err)}) != nil {
 			return nil
 		}
-		sleep(taskCtx, s.pacing.Failed(historyLost, s.slowRetry.Load()))
+		s.waits.RetryDelays += sleep(taskCtx, s.pacing.Failed(historyLost, s.slowRetry.Load()))
 	}
 }
 
@@ -246,7 +270,7 @@
 	if err != nil {
 		return err
 	}
-	if err := s.inbox.HandleStoreResult(result); err != nil {
+	if err := s.deliver(result); err != nil {
 		return err
 	}
 	s.lastRevision.Store(int64(result.Update.Revision))
@@ -292,6 +316,7 @@
 	changes := updateOf(batch)
 	update.Items = append(update.Items, changes.Items...)
 	update.Revision = changes.Revision
+	update.Source = relay.Source{Way: relay.ReadSnapshot}
 	return update, nil
 }
 
@@ -335,13 +360,14 @@
 // different eras.
 func (s *Service) readAll(ctx context.Context) (relay.Update, error) {
 	request := store.RangeRequest{Span: store.Prefix("")}
-	update := relay.Update{Complete: true}
+	update := relay.Update{Complete: true, Source: relay.Source{Way: relay.ReadKeys}}
 	for more := true; more; {
 		page, err := s.config.Store.Range(ctx, request)
 		if err != nil {
 			return relay.Update{}, fmt.Errorf("read: %w", err)
 		}
 		s.reads.Add(1)
+		s.waits.Pages++
 		s.pacing.Succeeded()
 		s.recordEra(page.Era)
 		if update.Revision == 0 {
@@ -379,7 +405,7 @@
 			return fmt.Errorf("watch: %w", rewoundError(last.Era(), batch.Era))
 		}
 		s.pacing.Succeeded()
-		if err := s.inbox.HandleStoreResult(Result{Update: updateOf(batch)}); err != nil {
+		if err := s.deliver(Result{Update: updateOf(batch)}); err != nil {
 			return err
 		}
 		s.lastRevision.Store(int64(revision.New(batch.Era, batch.Revision)))
@@ -389,10 +415,18 @@
 	}
 }
 
+// deliver passes a successful result to the inbox.
+func (s *Service) deliver(r Result) error {
+	r.Waits, s.waits = s.waits, Waits{}
+	return s.inbox.HandleStoreResult(r)
+}
+
 // pause waits for the pause after a batch, until ShortenPauses is called or until ctx ends.
 func (s *Service) pause(ctx context.Context) {
 	timer := time.NewTimer(s.batchPacing.Pause())
 	defer timer.Stop()
+	started := time.Now()
+	defer func() { s.waits.Pauses += time.Since(started) }()
 	select {
 	case <-timer.C:
 	case <-s.shortenPauses:
@@ -441,11 +475,14 @@
 	return w.Item.Revision > 0 && w.Item.Revision.Era() < s.newestEra.Load()
 }
 
-func sleep(ctx context.Context, d time.Duration) {
+// sleep waits for d or until ctx ends, and returns how long that was.
+func sleep(ctx context.Context, d time.Duration) time.Duration {
+	started := time.Now()
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-ctx.Done():
 	}
+	return time.Since(started)
 }
--- a/services/flowmetrics/flowmetrics.go
+++ b/services/flowmetrics/flowmetrics.go
@@ -18,6 +18,7 @@
 
 	"github.com/gypsumspan/gypsumspan/decide/flow"
 	"github.com/gypsumspan/gypsumspan/decide/forward"
+	decide "github.com/gypsumspan/gypsumspan/decide/relay"
 	"github.com/gypsumspan/gypsumspan/kernel"
 	"github.com/gypsumspan/gypsumspan/services/catalogwatch"
 	"github.com/gypsumspan/gypsumspan/services/control"
@@ -153,6 +154,10 @@
 	scope.Gauge("relay_watching").Update(boolValue(stats.Watching))
 	scope.Gauge("relay_age_seconds").Update(stats.Age.Seconds())
 	scope.Gauge("relay_revision").Update(float64(stats.Revision))
+	scope.Gauge("relay_behind_longest_seconds").Update(stats.LongestBehind.Seconds())
+	for i, n := range stats.Arrivals {
+		scope.Tagged(map[string]string{"way": decide.Way(i).String()}).Counter("relay_changes_total").Inc(int64(n))
+	}
 	scope.Gauge("cold_permits_held").Update(float64(stats.PermitsHeld))
 	watch := s.watch.Stats()
 	exposition.AddCounters(scope, map[string]uint64{
--- a/services/packets/logging.go
+++ b/services/packets/logging.go
@@ -61,7 +61,7 @@
 		return
 	}
 	effect := s.forwarder.Apply(now, in.Change)
-	s.logEffect(in.Change, effect)
+	s.logEffect(in.Change, effect, now-in.QueuedAt)
 }
 
 // logLimitedServices logs the services whose requests the flood limiter limits, when the
@@ -132,13 +132,17 @@
 		events.F("revision", s.forwarder.View().Revision()))
 }
 
-func (s *Service) logEffect(c catalog.Change, effect catalog.Effect) {
+// logEffect logs the effect of a change that came into force the given time after the service
+// "relay" had it.
+func (s *Service) logEffect(c catalog.Change, effect catalog.Effect, queued time.Duration) {
+	queuedField := events.F("queued_ms", queued.Milliseconds())
 	switch effect {
 	case catalog.ConfigurationApplied:
 		s.log.Log(events.ConfigurationApplied,
 			events.F("version", c.Configuration.Version),
 			events.F("revision", c.Revision),
-			events.F("routes", len(c.Configuration.Routes)))
+			events.F("routes", len(c.Configuration.Routes)),
+			queuedField)
 	case catalog.TargetAdded, catalog.TargetChanged, catalog.TargetRestarted:
 		s.log.Log(events.TargetChanged,
 			events.F("target", c.Target.ID),
@@ -146,7 +150,8 @@
 			events.F("address", c.Target.Address),
 			events.F("domain", c.Target.Domain),
 			events.F("state", c.Target.State),
-			events.F("revision", c.Revision))
+			events.F("revision", c.Revision),
+			queuedField)
 	case catalog.DomainEvacuated, catalog.DomainRestored:
 		s.log.Log(events.DomainEvacuation,
 			events.F("domain", c.Evacuation.Domain),
@@ -155,14 +160,15 @@
 	case catalog.TargetRemoved:
 		s.log.Log(events.TargetEntryRemoved,
 			events.F("target", cmp.Or(c.RemovedTarget, c.InvalidTarget)),
-			events.F("revision", c.Revision))
+			events.F("revision", c.Revision),
+			queuedField)
 	}
 }
 
 // logDeferredChanges logs the changes of an older copy of the store that came into force late.
 func (s *Service) logDeferredChanges() {
 	for _, c := range s.forwarder.TakeDeferredChanges() {
-		s.logEffect(c.Change, c.Effect)
+		s.logEffect(c.Change, c.Effect, 0)
 	}
 }
 
@@ -180,7 +186,17 @@
 		events.F("target", target),
 		events.F("target_domain", domain),
 		events.F("version", view.Version()),
-		events.F("revision", view.Revision()))
+		events.F("revision", view.Revision()),
+		events.F("copy", copyOf(p)),
+		events.F("waited_ms", p.Age.Milliseconds()))
+}
+
+// copyOf returns how often a SYN was sent before; 0 for any other packet.
+func copyOf(p flow.Packet) uint32 {
+	if !p.Flags.Has(flow.SYN) {
+		return 0
+	}
+	return p.Ack
 }
 
 // logJudgements logs the targets that were judged dead, and those that no longer are.
--- a/services/packets/packets.go
+++ b/services/packets/packets.go
@@ -97,7 +97,9 @@
 // Store, Loads, Grants or Do; Change is used if the others are not set.
 type Input struct {
 	Change catalog.Change
-	Store  StoreState
+	// QueuedAt is when the service "relay" had the change.
+	QueuedAt time.Duration
+	Store    StoreState
 	// RegainedAt comes with StoreRegained: the end of the store's outage.
 	RegainedAt time.Duration
 	Loads      []relay.Load // load of all failure domains; not nil, may be empty
--- a/services/relay/era_test.go
+++ b/services/relay/era_test.go
@@ -51,7 +51,8 @@
 	s, f := New(Config{Machine: relay.Config{Self: relay.Member{Name: "vm", Domain: "a"}, MemberPrefix: "vms/", MaxAge: time.Minute}, Decoder: decoder{}}), &fakes{}
 	s.log, s.watch, s.pulls, s.packets = f, f, f, f
 	s.gate = kernel.NewGate()
-	s.in = kernel.NewRing[input](kernel.NewStepped(kernel.NewClock()), "in", inputCapacity, kernel.Block, s.gate)
+	s.kernel = kernel.NewStepped(kernel.NewClock())
+	s.in = kernel.NewRing[input](s.kernel, "in", inputCapacity, kernel.Block, s.gate)
 	return s, f
 }
 
--- a/services/relay/output.go
+++ b/services/relay/output.go
@@ -123,7 +123,7 @@
 		if ok {
 			s.cold.holder.Apply(now, change)
 			s.cold.started = s.cold.started || s.cold.holder.IsStart(change)
-			s.pending = append(s.pending, packets.Input{Change: change})
+			s.pending = append(s.pending, packets.Input{Change: change, QueuedAt: now})
 		}
 	}
 	for _, c := range eraChanges {
@@ -133,7 +133,7 @@
 	if (!s.synced || len(risen) > 0) && revision > 0 {
 		s.synced = true
 		s.nextLoadReport = 0 // the size of the fleet is known from now on
-		s.pending = append(s.pending, packets.Input{Change: catalog.Change{Revision: revision, Synced: true}})
+		s.pending = append(s.pending, packets.Input{Change: catalog.Change{Revision: revision, Synced: true}, QueuedAt: now})
 	}
 }
 
--- a/services/relay/pull.go
+++ b/services/relay/pull.go
@@ -18,7 +18,7 @@
 const answerTimeout = 500 * time.Millisecond
 
 // HandlePullResult implements pulls.Inbox.
-func (s *Service) HandlePullResult(r pulls.Result) error { return s.in.Put(input{pull: &r}) }
+func (s *Service) HandlePullResult(r pulls.Result) error { return s.queue(input{pull: &r}) }
 
 // completePull counts a pull and passes its result to the machine.
 func (s *Service) completePull(now time.Duration, r *pulls.Result) {
@@ -38,7 +38,7 @@
 	return s.request(&pullRequest{after: after, respond: respond})
 }
 
-func (s *Service) request(r *pullRequest) error { return s.in.Put(input{request: r}) }
+func (s *Service) request(r *pullRequest) error { return s.queue(input{request: r}) }
 
 // answerPull answers a pull of another VM.
 func (s *Service) answerPull(now time.Duration, r *pullRequest) {
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -110,14 +110,17 @@
 	PullsAnswered      uint64 // pulls by other VMs
 	Invalid            uint64 // values of the store that could not be decoded
 	IsRelay            bool
-	Watching           bool              // watches the store
-	Revision           revision.Revision // of the replica
-	Age                time.Duration     // since the replica was last known to match the store
-	PermitsHeld        uint64            // for cold targets
+	Watching           bool               // watches the store
+	Revision           revision.Revision  // of the replica
+	Age                time.Duration      // since the replica was last known to match the store
+	PermitsHeld        uint64             // for cold targets
+	Arrivals           [relay.Ways]uint64 // updates that changed the replica, by relay.Way
+	LongestBehind      time.Duration      // the longest time that any of them may have been late
 }
 
-// input is one event for the deciding duty. One field is set.
+// input is one event for the deciding duty. One field is set, beside queuedAt.
 type input struct {
+	queuedAt     time.Duration // kernel time
 	heartbeat    *receivedHeartbeat
 	store        *catalogwatch.Result
 	pull         *pulls.Result // of a pull by this VM
@@ -154,6 +157,7 @@
 // Service is the service "relay".
 type Service struct {
 	config  Config
+	kernel  *kernel.Kernel
 	machine *relay.Machine
 	log     logs.Log
 	packets Packets
@@ -166,10 +170,11 @@
 	gate *kernel.Gate
 	in   *kernel.Ring[input]
 
-	pending        []packets.Input // not yet passed to "packets"
-	watching       bool            // as last set at "catalogwatch"
-	wasRelay       bool            // as last logged
-	synced         bool            // the marker of a complete replica was queued
+	pending        []packets.Input    // not yet passed to "packets"
+	storeWaits     catalogwatch.Waits // of the store's client, since the last update that changed the replica
+	watching       bool               // as last set at "catalogwatch"
+	wasRelay       bool               // as last logged
+	synced         bool               // the marker of a complete replica was queued
 	nextRegister   time.Duration
 	nextLoadReport time.Duration
 	backlog        relay.LinkBacklog // of answers to pulls
@@ -189,6 +194,8 @@
 	revision           atomic.Int64
 	age                atomic.Int64
 	permitsHeld        atomic.Uint64
+	arrivals           [relay.Ways]atomic.Uint64
+	longestBehind      atomic.Int64
 }
 
 // New returns the service.
@@ -215,6 +222,7 @@
 		}
 		s.conn = conn
 	}
+	s.kernel = k
 	s.gate = kernel.NewGate()
 	s.in = kernel.NewRing[input](k, "relay.in", inputCapacity, kernel.Block, s.gate)
 	return nil
@@ -246,7 +254,13 @@
 }
 
 // HandleStoreResult implements catalogwatch.Inbox.
-func (s *Service) HandleStoreResult(r catalogwatch.Result) error { return s.in.Put(input{store: &r}) }
+func (s *Service) HandleStoreResult(r catalogwatch.Result) error { return s.queue(input{store: &r}) }
+
+// queue queues an input for the deciding duty.
+func (s *Service) queue(in input) error {
+	in.queuedAt = s.kernel.Now()
+	return s.in.Put(in)
+}
 
 // SetReport implements packets.ReportReceiver: loads are caused by this VM's callers, by
 // service, and samples and reports are its observations of targets. Reports are dropped while half
@@ -254,7 +268,7 @@
 func (s *Service) SetReport(loads []relay.Load, samples []relay.Sample, targets []relay.TargetReport) {
 	if s.in.Available() > inputCapacity/2 {
 		// A dropped report is replaced by the next one.
-		_ = s.in.Put(input{report: &report{loads: loads, samples: samples, targets: targets}})
+		_ = s.queue(input{report: &report{loads: loads, samples: samples, targets: targets}})
 	}
 }
 
@@ -262,7 +276,7 @@
 // the input ring or more is in use.
 func (s *Service) Announce(unansweredBy []uint32, unopened []relay.UnopenedFlow) {
 	if s.in.Available() > inputCapacity/2 {
-		_ = s.in.Put(input{announcement: &announcement{unansweredBy: unansweredBy, unopened: unopened}})
+		_ = s.queue(input{announcement: &announcement{unansweredBy: unansweredBy, unopened: unopened}})
 	}
 }
 
@@ -297,7 +311,7 @@
 		return nil
 	}
 	s.heartbeatsReceived.Add(1)
-	return s.in.Put(input{heartbeat: &receivedHeartbeat{from: from, heartbeat: heartbeat}})
+	return s.queue(input{heartbeat: &receivedHeartbeat{from: from, heartbeat: heartbeat}})
 }
 
 // step handles queued inputs, then carries out the machine's output. It returns the time
@@ -311,6 +325,7 @@
 			break
 		}
 		s.handle(now, in)
+		s.logArrivals(now, in)
 	}
 	next := s.machine.Tick(now)
 	s.perform(now, s.machine.TakeOutput())
@@ -395,7 +410,7 @@
 
 // Stats returns the counters and the state. It is safe for concurrent use.
 func (s *Service) Stats() Stats {
-	return Stats{
+	stats := Stats{
 		HeartbeatsSent:     s.heartbeatsSent.Load(),
 		HeartbeatsReceived: s.heartbeatsReceived.Load(),
 		Malformed:          s.malformed.Load(),
@@ -408,5 +423,10 @@
 		Revision:           revision.Revision(s.revision.Load()),
 		Age:                time.Duration(s.age.Load()),
 		PermitsHeld:        s.permitsHeld.Load(),
+		LongestBehind:      time.Duration(s.longestBehind.Load()),
+	}
+	for i := range s.arrivals {
+		stats.Arrivals[i] = s.arrivals[i].Load()
 	}
+	return stats
 }
