--- a/lab/day/disruptions.go
+++ b/lab/day/disruptions.go
@@ -72,7 +72,7 @@
 	"domain_evacuate": {"the targets of a failure domain are to get nothing new for a time; how: cold (they are cold at the end), warm", Disruption{For: seconds(8), Variant: evacuateCold}, (*disruptor).evacuateDomain},
 	"target_crash":    {"targets end without a word", Disruption{Share: 0.15}, (*disruptor).crashTargets},
 	"target_release":  {"targets are replaced in turn, as planned", Disruption{Share: 0.5, Interval: seconds(1)}, (*disruptor).releaseTargets},
-	"target_leave":    {"targets leave as planned", Disruption{Share: 0.15}, (*disruptor).drainTargets},
+	"target_leave":    {"targets leave as planned, and serve on for some time beyond the bound", Disruption{Share: 0.15}, (*disruptor).drainTargets},
 	"target_add":      {"targets are added", Disruption{Count: 2}, (*disruptor).addTargets},
 	"target_reuse":    {"targets crash, and others of another service get their addresses", Disruption{Share: 0.1}, (*disruptor).reuseAddresses},
 	"target_slow":     {"targets work x times as long", Disruption{Share: 0.15, For: seconds(8), Magnitude: 4}, (*disruptor).slowTargets},
@@ -381,7 +381,7 @@
 		s.timeline.after(time.Duration(i)*d.Interval.D(), func() {
 			if t.up {
 				s.newTarget(t.service, t.node.domain)
-				t.drain()
+				t.drain(0)
 			}
 		})
 	}
@@ -393,7 +393,7 @@
 
 func (s *disruptor) drainTargets(d Disruption) {
 	for _, t := range s.chooseTargets(d) {
-		t.drain()
+		t.drain(d.For.D())
 	}
 }
 
--- a/lab/day/fleet.go
+++ b/lab/day/fleet.go
@@ -78,6 +78,8 @@
 	}
 	v := &vm{fleet: f, name: fmt.Sprintf("vm-%s-%d", f.site.Domains[domain], sameDomain+1), ip: vmIP(domain, sameDomain+1)}
 	v.node.domain = domain
+	rate := bytesPerSecond(f.site.LinkMbps)
+	v.uplink, v.downlink = &link{timeline: f.timeline, rate: rate}, &link{timeline: f.timeline, rate: rate}
 	f.vms = append(f.vms, v)
 	f.timeline.after(uniform(f.rng, 0, checkInterval), func() {
 		f.timeline.every(checkInterval, func() bool { v.checkReadiness(); return !v.removed })
--- a/lab/day/oracle_test.go
+++ b/lab/day/oracle_test.go
@@ -83,7 +83,7 @@
 		}},
 		{Drained, func(t *testing.T, w *world) {
 			x := w.targets.all[0]
-			x.drain()
+			x.drain(0)
 			w.stepper.Advance(w.day.Site.Bounds.DrainWithin.D() + 500*time.Millisecond)
 			f := w.openFlow(t)
 			k := f.key
--- a/lab/day/site.go
+++ b/lab/day/site.go
@@ -31,15 +31,18 @@
 
 // Site describes a deployment.
 type Site struct {
-	Domains      []string  `toml:"domains"` // failure domains
-	VMsPerDomain int       `toml:"vms"`
-	Fabric       string    `toml:"fabric"` // how routers hash flows to VMs: steady or mod
-	Delays       Delays    `toml:"delays"`
-	Bounds       Bounds    `toml:"bounds"`
-	Services     []Service `toml:"service"`
-	Kinds        []Kind    `toml:"kind"`
-	Wave         Wave      `toml:"wave"`
-	Tail         Tail      `toml:"tail"`
+	Domains      []string `toml:"domains"` // failure domains
+	VMsPerDomain int      `toml:"vms"`
+	Fabric       string   `toml:"fabric"` // how routers hash flows to VMs: steady or mod
+	// LinkMbps is the rate of each VM's link, in each direction, for answers of the store and to
+	// pulls; 0: they take no time.
+	LinkMbps float64   `toml:"link_mbps"`
+	Delays   Delays    `toml:"delays"`
+	Bounds   Bounds    `toml:"bounds"`
+	Services []Service `toml:"service"`
+	Kinds    []Kind    `toml:"kind"`
+	Wave     Wave      `toml:"wave"`
+	Tail     Tail      `toml:"tail"`
 }
 
 // Delays are the one-way delays of the network, and the response time of the store.
@@ -202,6 +205,9 @@
 	if min(s.Delays.IntraDomain, s.Delays.InterDomain, s.Delays.Caller, s.Delays.Store) <= 0 {
 		add("delays must be above 0")
 	}
+	if s.LinkMbps < 0 {
+		add("link_mbps must not be negative")
+	}
 	b := s.Bounds
 	if min(b.ApplyWithin, b.DrainWithin, b.MaxMisroute, b.SettleTime, b.ReuseDelay, b.IdleTimeout, b.MaxFlowAge, b.Heartbeat, b.RestartDelay) <= 0 {
 		add("bounds must be above 0")
--- a/lab/day/storeclient.go
+++ b/lab/day/storeclient.go
@@ -1,6 +1,7 @@
 package day
 
 import (
+	"encoding/base64"
 	"errors"
 	"time"
 
@@ -31,6 +32,7 @@
 	callID       int    // the current call; results of earlier ones are ignored
 	callPending  bool
 	firstWatch   bool // the next call is the first one of a watch
+	callDeadline time.Duration
 }
 
 func newStoreClient(v *vm, seed uint64) *storeClient {
@@ -114,6 +116,7 @@
 	}
 	c.pausing = false
 	c.store.calls++
+	c.callDeadline = c.store.timeline.now() + callTimeout
 	if c.lastRevision == 0 {
 		c.finish(callID, c.store.responseTime(), c.readAll)
 		return
@@ -124,6 +127,7 @@
 		wait = times.FirstWatchWait()
 	}
 	c.firstWatch = false
+	c.callDeadline += wait
 	c.awaitChange(callID, c.store.timeline.now()+wait)
 }
 
@@ -145,9 +149,10 @@
 	c.store.timeline.at(deadline, wake)
 }
 
-// finish ends a call with the result of read after responseTime, or with an error after
-// the timeout.
+// finish ends a call with the result of read after responseTime and the transfer of the answer, or
+// with an error at the call's deadline.
 func (c *storeClient) finish(callID int, responseTime time.Duration, read func() (relay.Update, bool)) {
+	deadline := c.callDeadline
 	if !c.storeAnswers() || responseTime > callTimeout {
 		c.store.timeline.after(callTimeout, func() { c.fail(callID) })
 		return
@@ -167,10 +172,34 @@
 			c.failWith(callID, catalogwatch.ErrHistoryLost)
 			return
 		}
-		c.deliver(update)
+		c.receive(callID, deadline, update)
 	})
 }
 
+// receive transfers an answer over the VM's link, until the deadline.
+func (c *storeClient) receive(callID int, deadline time.Duration, update relay.Update) {
+	cancel := c.vm.downlink.send(answerSize(update), func() {
+		if c.isCurrent(callID) {
+			c.deliver(update)
+		}
+	})
+	c.store.timeline.at(deadline, func() {
+		cancel()
+		if c.isCurrent(callID) && c.callPending {
+			c.fail(callID)
+		}
+	})
+}
+
+// answerSize returns the size in bytes of the store's answer with an update: values are in base64.
+func answerSize(update relay.Update) int {
+	size := storeAnswerOverhead
+	for _, item := range update.Items {
+		size += storeItemOverhead + len(item.Key) + base64.StdEncoding.EncodedLen(len(item.Value))
+	}
+	return size
+}
+
 func (c *storeClient) readAll() (relay.Update, bool) {
 	return relay.Update{Revision: c.store.revision, Items: c.store.snapshot(), Complete: true}, true
 }
--- a/lab/day/targets.go
+++ b/lab/day/targets.go
@@ -23,8 +23,8 @@
 	// maxEntryDelay is the longest time after an outage of the store until the targets whose
 	// entries expired in it have written them again.
 	maxEntryDelay = 2 * time.Second
-	// drainTime is the time for which a draining target continues to serve its flows.
-	drainTime = 4 * time.Second
+	// drainMargin is the shortest time beyond Bounds.DrainWithin for which a draining target serves.
+	drainMargin = time.Second
 )
 
 // targetNumber returns the target's number from the encapsulation of a packet.
@@ -272,9 +272,9 @@
 	})
 }
 
-// drain drains the target: it stops some time after the store has accepted the entry
-// with state draining.
-func (t *target) drain() {
+// drain drains the target: after the store has accepted the entry with state draining, it serves
+// for the time in which it may get new flows, drainMargin and extra.
+func (t *target) drain(extra time.Duration) {
 	if !t.up || t.draining {
 		return
 	}
@@ -285,7 +285,7 @@
 		if t.drainStoredAt == 0 {
 			return true
 		}
-		t.targets.timeline.after(drainTime, func() {
+		t.targets.timeline.after(t.targets.site.Bounds.DrainWithin.D()+drainMargin+extra, func() {
 			t.stopProcess()
 			t.removeEntry()
 		})
--- a/lab/day/vm.go
+++ b/lab/day/vm.go
@@ -37,6 +37,8 @@
 	name  string
 	ip    netip.Addr
 	node  node
+	// uplink and downlink carry answers to pulls and answers of the store.
+	uplink, downlink *link
 
 	started       bool // at least once
 	up            bool
--- a/lab/day/vmservices.go
+++ b/lab/day/vmservices.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"github.com/gypsumspan/gypsumspan/decide/relay"
 	"github.com/gypsumspan/gypsumspan/events"
@@ -11,6 +12,7 @@
 	"github.com/gypsumspan/gypsumspan/services/logs"
 	"github.com/gypsumspan/gypsumspan/services/pulls"
 	"github.com/gypsumspan/gypsumspan/services/readiness"
+	"github.com/gypsumspan/gypsumspan/wire/relaywire"
 )
 
 // Names of services of a VM that are replaced by fakes.
@@ -105,7 +107,7 @@
 	}
 	peer := f.byIP(pull.From.Addr())
 	if peer == nil || !v.reaches(&peer.node) || peer.paused {
-		f.timeline.after(callTimeout, func() { reply(relay.Update{}, pulls.ErrPull) })
+		f.timeline.after(pulls.Timeout, func() { reply(relay.Update{}, pulls.ErrPull) })
 		return
 	}
 	delay := f.network.delay(&v.node, &peer.node)
@@ -115,11 +117,35 @@
 			return
 		}
 		_ = peer.relay.ChangesSince(pull.After, func(update relay.Update) {
-			f.timeline.after(delay, func() { reply(update, nil) })
+			p.transfer(peer, update, startedAt, func(err error) {
+				f.timeline.after(delay, func() { reply(update, err) })
+			})
 		})
 	})
 }
 
+// transfer sends the answer to a pull over the link of the VM that answers, and reports whether it
+// has arrived before the pull's timeout.
+func (p *puller) transfer(peer *vm, update relay.Update, startedAt time.Duration, report func(err error)) {
+	body, err := relaywire.EncodeUpdate(update)
+	if err != nil {
+		report(err)
+		return
+	}
+	ended := false
+	end := func(err error) {
+		if !ended {
+			ended = true
+			report(err)
+		}
+	}
+	cancel := peer.uplink.send(len(body), func() { end(nil) })
+	p.vm.fleet.timeline.at(startedAt+pulls.Timeout, func() {
+		cancel()
+		end(pulls.ErrPull)
+	})
+}
+
 // readySwitch is a fake of the service "readiness".
 type readySwitch struct {
 	baseService
--- a/services/pulls/pulls.go
+++ b/services/pulls/pulls.go
@@ -31,8 +31,8 @@
 )
 
 const (
-	// timeout bounds one pull, including the read of the response.
-	timeout = 800 * time.Millisecond
+	// Timeout bounds one pull, including the read of the response.
+	Timeout = 800 * time.Millisecond
 	// maxResponseSize is the largest response to a pull, in bytes.
 	maxResponseSize = 64 << 20
 	// inboxName is the name of the service that implements Inbox.
@@ -66,7 +66,7 @@
 // New returns the service.
 func New() *Service {
 	return &Service{client: &http.Client{
-		Timeout:   timeout,
+		Timeout:   Timeout,
 		Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
 	}}
 }
