Bound pulls and calls to the store by progress; compress answers to pulls

What callers saw: resets on routes that had been added, service by routes that had been removed, and flows at targets that had said that they leave, 5 s and more after the store's acknowledgement, behind large configurations.

Cause: time limits that ignore the size of what they limit. A configuration of 1,440 routes is some 250 kB, 350 kB in the store's answers. A relay sent it to each VM of its domain, 40 times and more over a link of 10 Mbit/s, and all pulls ended after 0.8 s, in the middle. The VMs then watched the store, whose answer has every version since their last one: from the second or third version on, the time-out of the first call of a watch ended the answer in the middle, and the next attempt began anew, with more to receive. All changes wait behind that, drains too.

Change: a call fails when its answer makes no progress (less than 250 kB/s beyond its time-out), not when it is long. Answers to pulls are compressed, the changes once for all VMs that pull them; builds that don't ask for it get them as before. An answer of a watch above 1.5 MB is not received: the keys are read, which have the last version only. The link's backlog counts the bytes that are sent.

--- a/decide/relay/backlog.go
+++ b/decide/relay/backlog.go
@@ -31,6 +31,3 @@
 
 // Delaying reports whether packets of callers are delayed, or were until a short time ago.
 func (b *LinkBacklog) Delaying(now time.Duration) bool { return now < b.delayingUntil }
-
-// Size returns the size of the keys and values of an update in bytes.
-func (u Update) Size() int { return sizeOf(u.Items) }
--- a/services/catalogwatch/catalogwatch.go
+++ b/services/catalogwatch/catalogwatch.go
@@ -28,8 +28,8 @@
 var ErrStore = errors.New("store did not deliver the catalog")
 
 // ErrHistoryLost means that the store has answered, but does not have the changes that a
-// watch was to continue with: it has dropped them, or has returned from an older copy
-// (store.ErrRewound). The store is then read again.
+// watch was to continue with: it has dropped them, they are too large (store.ErrBacklog), or it has
+// returned from an older copy (store.ErrRewound). The store is then read again.
 var ErrHistoryLost = errors.New("changes are no longer available")
 
 // Result is the outcome of a read or watch of the store.
@@ -118,7 +118,7 @@
 	lastRevision  atomic.Int64  // a revision.Revision; a watch continues after it; 0: read the whole store first
 	newestEra     atomic.Uint32 // the latest era of the store that the VM knows
 	pacing        *Pacing
-	historyLost   bool // the last call failed since the store had dropped its history
+	historyLost   bool // the last call failed since the store could not deliver its history
 	slowRetry     atomic.Bool
 	batchPacing   *BatchPacing  // of the blocker "catalogwatch.read"
 	waits         Waits         // of the blocker "catalogwatch.read", since its last successful result
@@ -225,7 +225,7 @@
 		case err == nil || taskCtx.Err() != nil:
 			continue
 		}
-		compacted := errors.Is(err, store.ErrCompacted)
+		compacted := errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrBacklog)
 		historyLost := compacted || errors.Is(err, store.ErrRewound)
 		s.historyLost = compacted
 		if historyLost {
@@ -323,7 +323,7 @@
 // snapshotError returns the error of the watch after a snapshot: ErrSnapshot if the store
 // does not have all changes after it.
 func snapshotError(err error) error {
-	if errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrRewound) {
+	if errors.Is(err, store.ErrCompacted) || errors.Is(err, store.ErrRewound) || errors.Is(err, store.ErrBacklog) {
 		return fmt.Errorf("%w: %w", ErrSnapshot, err)
 	}
 	return fmt.Errorf("read changes after the snapshot: %w", err)
--- a/services/pulls/pulls.go
+++ b/services/pulls/pulls.go
@@ -7,13 +7,13 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/decide/relay"
 	"github.com/gypsumspan/gypsumspan/decide/revision"
+	"github.com/gypsumspan/gypsumspan/httpbody"
 	"github.com/gypsumspan/gypsumspan/kernel"
 	"github.com/gypsumspan/gypsumspan/wire/relaywire"
 )
@@ -31,7 +31,8 @@
 )
 
 const (
-	// Timeout bounds one pull, including the read of the response.
+	// Timeout bounds one pull. A large response may take longer while it makes progress; see package
+	// httpbody.
 	Timeout = 800 * time.Millisecond
 	// maxResponseSize is the largest response to a pull, in bytes.
 	maxResponseSize = 64 << 20
@@ -65,10 +66,7 @@
 
 // New returns the service.
 func New() *Service {
-	return &Service{client: &http.Client{
-		Timeout:   Timeout,
-		Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true},
-	}}
+	return &Service{client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 }
 
 // Name implements kernel.Service.
@@ -114,6 +112,8 @@
 
 func (s *Service) pull(ctx context.Context, from netip.AddrPort, after revision.Revision) (relay.Update, error) {
 	url := fmt.Sprintf("http://%s%s?%s=%d&%s=%d", from, Path, AfterParameter, after.Number(), EraParameter, after.Era())
+	ctx, deadline := httpbody.Start(ctx, Timeout)
+	defer deadline.Stop()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return relay.Update{}, fmt.Errorf("%w: %w", ErrPull, err)
@@ -126,7 +126,7 @@
 	if response.StatusCode != http.StatusOK {
 		return relay.Update{}, fmt.Errorf("status %d: %w", response.StatusCode, ErrPull)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseSize))
+	body, err := deadline.ReadAll(response.Body, response.ContentLength, maxResponseSize)
 	if err != nil {
 		return relay.Update{}, fmt.Errorf("%w: %w", ErrPull, err)
 	}
--- a/services/relay/era_test.go
+++ b/services/relay/era_test.go
@@ -134,6 +134,9 @@
 		is.True(ok)
 		s.handle(time.Second, in)
 		<-done
+		sent, ok := s.in.Take()
+		is.True(ok)
+		is.Equal(sent.sentBytes, recorder.Body.Len())
 		update, err := relaywire.DecodeUpdate(recorder.Body.Bytes())
 		is.NoErr(err)
 		return update
--- a/services/relay/pull.go
+++ b/services/relay/pull.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/decide/relay"
@@ -14,6 +15,9 @@
 	"github.com/gypsumspan/gypsumspan/wire/relaywire"
 )
 
+// gzipEncoding is the content coding of compressed answers.
+const gzipEncoding = "gzip"
+
 // answerTimeout bounds the time that a pull of another VM waits for the deciding duty.
 const answerTimeout = 500 * time.Millisecond
 
@@ -46,11 +50,19 @@
 	if r.withoutEra {
 		update = s.machine.AnswerPullWithoutEra(now, r.after.Number())
 	}
-	s.backlog.Add(now, update.Size())
+	r.respond(update)
+}
+
+// RecordSent tells the deciding duty that an answer to a pull of the given size in bytes is sent. It
+// returns an error when the VM is stopping.
+func (s *Service) RecordSent(size int) error { return s.queue(input{sentBytes: size}) }
+
+// addBacklog records an answer to a pull that is sent.
+func (s *Service) addBacklog(now time.Duration, size int) {
+	s.backlog.Add(now, size)
 	if s.backlog.Delaying(now) {
 		s.nextLoadReport = now // "packets" is told at once that it must not judge targets
 	}
-	r.respond(update)
 }
 
 // servePull is the HTTP handler for pulls by other VMs.
@@ -71,12 +83,19 @@
 	defer timer.Stop()
 	select {
 	case update := <-result:
-		s.writeResponse(w, update)
+		s.writeResponse(w, r, after, update)
 	case <-timer.C:
 		http.Error(w, "VM is busy", http.StatusServiceUnavailable)
 	}
 }
 
+// EncodeAnswer encodes the answer to a pull of the changes after a revision, compressed.
+func (s *Service) EncodeAnswer(after revision.Revision, update relay.Update) ([]byte, error) {
+	s.compressorLock.Lock()
+	defer s.compressorLock.Unlock()
+	return s.compressor.EncodeUpdate(int64(after), update)
+}
+
 // parsePosition returns the revision after which a pull asks for changes. VMs of builds that
 // know no eras send none.
 func parsePosition(query url.Values) (revision.Revision, error) {
@@ -88,12 +107,24 @@
 	return revision.New(uint32(era), after), err
 }
 
-func (s *Service) writeResponse(w http.ResponseWriter, update relay.Update) {
-	body, err := relaywire.EncodeUpdate(update)
+// writeResponse writes the answer to a pull, compressed if the other VM accepts that.
+func (s *Service) writeResponse(w http.ResponseWriter, r *http.Request, after revision.Revision, update relay.Update) {
+	var body []byte
+	var err error
+	if strings.Contains(r.Header.Get("Accept-Encoding"), gzipEncoding) {
+		w.Header().Set("Content-Encoding", gzipEncoding)
+		body, err = s.EncodeAnswer(after, update)
+	} else {
+		body, err = relaywire.EncodeUpdate(update)
+	}
 	if err != nil {
+		w.Header().Del("Content-Encoding")
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	if s.RecordSent(len(body)) != nil {
+		return // the VM is stopping
+	}
 	s.pullsAnswered.Add(1)
 	// An error means that the other VM closed the connection; it pulls again.
 	_, _ = w.Write(body)
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -127,6 +128,7 @@
 	request      *pullRequest
 	report       *report
 	announcement *announcement
+	sentBytes    int // of an answer to a pull of another VM
 }
 
 // report is a report of the service "packets".
@@ -180,6 +182,9 @@
 	backlog        relay.LinkBacklog // of answers to pulls
 	buf            []byte
 	cold           coldTargets
+	// compressor is shared by the handlers of pulls, which the service "control" runs.
+	compressorLock sync.Mutex
+	compressor     relaywire.Compressor
 
 	// What Stats returns.
 	heartbeatsSent     atomic.Uint64
@@ -360,6 +365,8 @@
 		s.completePull(now, in.pull)
 	case in.request != nil:
 		s.answerPull(now, in.request)
+	case in.sentBytes > 0:
+		s.addBacklog(now, in.sentBytes)
 	case in.announcement != nil:
 		s.machine.Announce(now, in.announcement.unansweredBy, in.announcement.unopened)
 	case in.report != nil:
--- a/store/errors.go
+++ b/store/errors.go
@@ -21,6 +21,9 @@
 	// ErrRewound means that the store has returned from an older copy of its data, so that
 	// revisions that the caller knows no longer apply.
 	ErrRewound = errors.New("store has returned from an older copy")
+	// ErrBacklog means that the changes to be delivered exceed what is useful to receive: reading the
+	// keys takes less.
+	ErrBacklog = errors.New("changes are larger than the keys")
 	// ErrTooLarge means that a value or a transaction exceeds the store's limits.
 	ErrTooLarge = errors.New("value or transaction is too large for the store")
 	// ErrLeaseUnknown means that a lease has expired or never existed.
--- a/wire/relaywire/relaywire.go
+++ b/wire/relaywire/relaywire.go
@@ -133,13 +133,31 @@
 
 // EncodeUpdate encodes the answer to a pull.
 func EncodeUpdate(u relay.Update) ([]byte, error) {
-	m := &relaypb.News{
-		Revision:  u.Revision.Number(),
-		Era:       eraToPB(u.Revision, u.WithoutEra),
-		Confirmed: confirmationToPB(u.Confirmed),
-		Complete:  u.Complete,
-		Items:     itemsToPB(u.Items),
+	data, err := EncodeChanges(u)
+	if err != nil {
+		return nil, err
 	}
+	confirmed, err := EncodeConfirmation(u.Confirmed)
+	return append(data, confirmed...), err
+}
+
+// EncodeChanges encodes an update without its confirmation. Followed by the result of
+// EncodeConfirmation it is the whole update, since concatenated protobuf messages are one.
+func EncodeChanges(u relay.Update) ([]byte, error) {
+	return marshalNews(&relaypb.News{
+		Revision: u.Revision.Number(),
+		Era:      eraToPB(u.Revision, u.WithoutEra),
+		Complete: u.Complete,
+		Items:    itemsToPB(u.Items),
+	})
+}
+
+// EncodeConfirmation encodes the confirmation of an update, which changes with time.
+func EncodeConfirmation(c relay.Confirmation) ([]byte, error) {
+	return marshalNews(&relaypb.News{Confirmed: confirmationToPB(c)})
+}
+
+func marshalNews(m *relaypb.News) ([]byte, error) {
 	data, err := proto.Marshal(m)
 	if err != nil {
 		return nil, fmt.Errorf("update: %w: %w", ErrMalformed, err)
