End the delays of retries when nobody else, or somebody else, has the news

Cause: a VM of low rank leaves frequent retries to those above it and waits 2 to 6 s, also when it reaches none of them, and also when it has heard that they have changes and its pull has failed: the delay of the retry, once chosen, went on whatever the VM learned. 6 s are longer than the time for a change by themselves.

Change: a VM retries at long intervals only while it hears a VM above it. A failed or empty pull ends the delay, and so does the last VM above falling silent.

--- a/decide/relay/era_test.go
+++ b/decide/relay/era_test.go
@@ -149,9 +149,9 @@
 		at := revision.New(2, int64(8+i))
 		m.HandleStoreUpdate(0, Update{Revision: at, Items: []Item{{Key: other.Key(prefix), Value: other.Value(), Revision: at}}})
 	}
-	is.True(m.UsesSlowRetry())
 	m.PullFailed(0)
 	hear(early, nil)(m)
+	is.True(m.UsesSlowRetry(time.Second))
 	is.True(m.ShouldWatch(time.Second))
 }
 
--- a/decide/relay/heartbeats.go
+++ b/decide/relay/heartbeats.go
@@ -75,7 +75,7 @@
 	const freshDivisor = 2
 	fromUpstream := p != nil && b.Reply && p.Domain == m.config.Self.Domain
 	confirmsOwnEra := b.Confirmed.Revision > 0 && b.Confirmed.Revision.Era() == m.replica.Revision().Era()
-	if fromUpstream && m.UsesSlowRetry() && confirmsOwnEra && b.Confirmed.Age < m.config.MaxAge/freshDivisor {
+	if fromUpstream && m.UsesSlowRetry(now) && confirmsOwnEra && b.Confirmed.Age < m.config.MaxAge/freshDivisor {
 		m.directUntil = min(m.directUntil, now)
 	}
 }
--- a/decide/relay/relay.go
+++ b/decide/relay/relay.go
@@ -243,13 +243,13 @@
 	m.pull = nil
 	answer, usable := m.updateInOwnEra(answer)
 	if !usable {
-		m.watchDirectly(now)
+		m.watchForMissed(now)
 		return
 	}
 	if answer.Revision == 0 {
 		// The other VM's replica is empty, or a full snapshot would have been too large.
 		if m.replica.Revision() > 0 {
-			m.watchDirectly(now)
+			m.watchForMissed(now)
 		}
 		return
 	}
@@ -273,7 +273,7 @@
 func (m *Machine) PullFailed(now time.Duration) {
 	m.waits.pullsFailed++
 	m.pull = nil
-	m.watchDirectly(now)
+	m.watchForMissed(now)
 }
 
 // merge merges an update into the replica and schedules the notification of subscribers.
@@ -324,6 +324,13 @@
 // watchDirectly makes the VM watch the store itself for directWatchTime.
 func (m *Machine) watchDirectly(now time.Duration) { m.directUntil = now + directWatchTime }
 
+// watchForMissed makes the VM read the changes that another VM has, and has not delivered, from the
+// store itself. The delay after a failed call ends, which may be longer than the time for a change.
+func (m *Machine) watchForMissed(now time.Duration) {
+	m.watchDirectly(now)
+	m.out.RetryNow = m.replica.Revision() > 0
+}
+
 // Tick does the work that is due at now and returns the time of the next call.
 func (m *Machine) Tick(now time.Duration) time.Duration {
 	m.chooseRole(now)
--- a/decide/relay/roles.go
+++ b/decide/relay/roles.go
@@ -45,10 +45,12 @@
 
 // UsesSlowRetry reports whether the VM retries a failing store at long intervals. Only the
 // relay and fastRetryVMs others retry often, so that the number of calls does not grow
-// with the number of VMs.
-func (m *Machine) UsesSlowRetry() bool {
-	ownScore := scoreOf(m.config.Self.Domain, m.config.Self.Name)
-	return !m.isRelay && len(m.higherRanked(ownScore)) >= fastRetryVMs
+// with the number of VMs. A VM that hears none of those above it retries often as well: none of
+// them would tell it that the store answers again.
+func (m *Machine) UsesSlowRetry(now time.Duration) bool {
+	higherRanked := m.higherRanked(scoreOf(m.config.Self.Domain, m.config.Self.Name))
+	hears := func(p *peer) bool { return p.everHeard && now-p.lastHeardAt < m.intervals.deadAfter }
+	return !m.isRelay && len(higherRanked) >= fastRetryVMs && slices.ContainsFunc(higherRanked, hears)
 }
 
 // upstreams returns the VMs of the own domain that this VM polls, in order of preference.
--- a/decide/relay/types.go
+++ b/decide/relay/types.go
@@ -149,6 +149,10 @@
 	// StoreLostLast is set if both are set and the store was lost after it was regained.
 	StoreLostLast bool
 	RegainedAt    time.Duration
+	// RetryNow is set when the VM has to read the store itself since it knows that it lacks changes
+	// and another VM did not deliver them. A failed call to the store is then repeated at once: the
+	// other VM has got the changes from it.
+	RetryNow bool
 	// RemoveEntry is the store entry of a dead VM, to be deleted if the entry is still at
 	// the item's revision.
 	RemoveEntry *Item
--- a/lab/day/storeclient.go
+++ b/lab/day/storeclient.go
@@ -29,6 +29,7 @@
 	pacing    *catalogwatch.Pacing
 	batches   *catalogwatch.BatchPacing
 	pausing   bool // the current call is scheduled after a pause
+	retrying  bool // the current call is scheduled after the delay of a retry
 	slowRetry bool
 
 	watching     bool
@@ -66,13 +67,20 @@
 	}
 	if !on {
 		c.callID++
-		c.callPending, c.pausing = false, false
+		c.callPending, c.pausing, c.retrying = false, false, false
 	}
 }
 
 // SetSlowRetry implements the interface that the service "relay" uses.
 func (c *storeClient) SetSlowRetry(slowRetry bool) { c.slowRetry = slowRetry }
 
+// RetryNow implements the interface CatalogWatch of the service "relay".
+func (c *storeClient) RetryNow() {
+	if c.retrying {
+		c.scheduleCall(0)
+	}
+}
+
 // ShortenPauses implements the interface CatalogWatch of the service "relay".
 func (c *storeClient) ShortenPauses() {
 	c.batches.ShortenPauses()
@@ -119,7 +127,7 @@
 	if !c.isCurrent(callID) {
 		return
 	}
-	c.pausing = false
+	c.pausing, c.retrying = false, false
 	c.store.calls++
 	c.callDeadline = c.store.timeline.now() + callTimeout
 	if c.lastRevision == 0 {
@@ -249,5 +257,6 @@
 	_ = c.vm.relay.HandleStoreResult(catalogwatch.Result{Err: err}) // dropped if the ring is full; the next failure is reported again
 	if c.watching || c.lastRevision == 0 {
 		c.scheduleCall(c.pacing.Failed(err == catalogwatch.ErrHistoryLost, c.slowRetry))
+		c.retrying = true
 	}
 }
--- a/services/catalogwatch/catalogwatch.go
+++ b/services/catalogwatch/catalogwatch.go
@@ -123,6 +123,7 @@
 	batchPacing   *BatchPacing  // of the blocker "catalogwatch.read"
 	waits         Waits         // of the blocker "catalogwatch.read", since its last successful result
 	shortenPauses chan struct{} // capacity 1: ShortenPauses was called
+	retryNow      chan struct{} // capacity 1: RetryNow was called
 	gate          *kernel.Gate
 	writes        *kernel.Ring[Write]
 
@@ -136,7 +137,7 @@
 func New(config Config) *Service {
 	s := &Service{
 		config: config, tasks: taskswitch.New[task](), pacing: NewPacing(config.Seed),
-		batchPacing: NewBatchPacing(config.BatchPause), shortenPauses: make(chan struct{}, 1),
+		batchPacing: NewBatchPacing(config.BatchPause), shortenPauses: make(chan struct{}, 1), retryNow: make(chan struct{}, 1),
 	}
 	s.tasks.Set(readTask)
 	return s
@@ -190,15 +191,30 @@
 // SetSlowRetry selects the longer retry delays, of seconds, for failed calls.
 func (s *Service) SetSlowRetry(slowRetry bool) { s.slowRetry.Store(slowRetry) }
 
-// ShortenPauses ends the pause after the last batch of a watch and shortens the next ones: further changes
-// are expected that must be known at once.
-func (s *Service) ShortenPauses() {
+// RetryNow ends the delay before a failed call is repeated. During a call it ends the delay that
+// follows if the call fails.
+func (s *Service) RetryNow() { signal(s.retryNow) }
+
+// discardRetryNow forgets calls of RetryNow that came before the present call to the store.
+func (s *Service) discardRetryNow() {
 	select {
-	case s.shortenPauses <- struct{}{}:
+	case <-s.retryNow:
 	default:
 	}
 }
 
+// signal sends to a channel of capacity 1 unless it is full.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
+// ShortenPauses ends the pause after the last batch of a watch and shortens the next ones: further changes
+// are expected that must be known at once.
+func (s *Service) ShortenPauses() { signal(s.shortenPauses) }
+
 // Write queues a write. It is dropped if the queue is full. The outcome is not reported:
 // it shows in later results.
 func (s *Service) Write(w Write) {
@@ -218,6 +234,7 @@
 			return nil
 		}
 		started := time.Now()
+		s.discardRetryNow()
 		err = s.work(taskCtx, t)
 		switch {
 		case errors.Is(err, kernel.ErrRingClosed):
@@ -237,7 +254,7 @@
 		if s.inbox.HandleStoreResult(Result{Err: fmt.Errorf("%w: %w", ErrStore, err)}) != nil {
 			return nil
 		}
-		s.waits.RetryDelays += sleep(taskCtx, s.pacing.Failed(historyLost, s.slowRetry.Load()))
+		s.waits.RetryDelays += s.delayRetry(taskCtx, s.pacing.Failed(historyLost, s.slowRetry.Load()))
 	}
 }
 
@@ -475,13 +492,14 @@
 	return w.Item.Revision > 0 && w.Item.Revision.Era() < s.newestEra.Load()
 }
 
-// sleep waits for d or until ctx ends, and returns how long that was.
-func sleep(ctx context.Context, d time.Duration) time.Duration {
+// delayRetry waits for d, until RetryNow is called or until ctx ends, and returns how long that was.
+func (s *Service) delayRetry(ctx context.Context, d time.Duration) time.Duration {
 	started := time.Now()
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
+	case <-s.retryNow:
 	case <-ctx.Done():
 	}
 	return time.Since(started)
--- a/services/catalogwatch/catalogwatch_test.go
+++ b/services/catalogwatch/catalogwatch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -239,3 +240,38 @@
 	cancel()
 	is.NoErr(<-done)
 }
+
+// failingStore fails each watch.
+type failingStore struct{ store.Store }
+
+func (failingStore) Watch(context.Context, store.Span, int64) (store.Watcher, error) {
+	return nil, store.ErrUnavailable
+}
+
+// Guards against a delay after a failed call that goes on although there is news, and against an
+// earlier call of RetryNow that ends it.
+func TestRetryNowEndsTheDelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := New(Config{Store: failingStore{}, Seed: 1})
+		results := make(resultChannel)
+		s.inbox = results
+		s.SetSlowRetry(true)
+		s.RetryNow()
+		s.SetWatching(true, 1048)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error)
+		go func() { done <- s.run(ctx) }()
+		is.True((<-results).Err != nil)
+		failedAt := time.Now()
+		is.True((<-results).Err != nil)
+		is.True(time.Since(failedAt) >= minSlowRetryDelay)
+		failedAt = time.Now()
+		synctest.Wait()
+		s.RetryNow()
+		is.True((<-results).Err != nil)
+		is.Equal(time.Since(failedAt), time.Duration(0))
+		cancel()
+		is.NoErr(<-done)
+	})
+}
--- a/services/relay/era_test.go
+++ b/services/relay/era_test.go
@@ -37,6 +37,7 @@
 func (f *fakes) Log(e *events.Event, _ ...events.Field) { f.logged = append(f.logged, e) }
 func (f *fakes) SetWatching(bool, revision.Revision)    {}
 func (f *fakes) SetSlowRetry(bool)                      {}
+func (f *fakes) RetryNow()                              {}
 func (f *fakes) ShortenPauses()                         { f.shortened++ }
 func (f *fakes) Transact(catalogwatch.Transaction)      {}
 func (f *fakes) Write(w catalogwatch.Write)             { f.writes = append(f.writes, w) }
--- a/services/relay/output.go
+++ b/services/relay/output.go
@@ -46,7 +46,7 @@
 	if out.Snapshot != nil {
 		s.writeSnapshot(*out.Snapshot)
 	}
-	s.updateWatch(now)
+	s.updateWatch(now, out.RetryNow)
 }
 
 // reportStoreLost logs the loss of the store and passes it to "packets".
@@ -78,19 +78,24 @@
 	s.log.Log(events.SnapshotWritten, events.F("revision", snapshot.Update.Revision), events.F("keys", len(snapshot.Update.Items)), events.F("bytes", len(value)))
 }
 
-// updateWatch starts or stops the watch of the store as the machine's role requires, and
-// logs a change of the role.
-func (s *Service) updateWatch(now time.Duration) {
+// updateWatch starts or stops the watch of the store as the machine's role requires, ends the delay
+// before a retry if that is requested, and logs a change of the role.
+func (s *Service) updateWatch(now time.Duration, retryNow bool) {
 	revision := s.machine.Replica().Revision()
 	if revision == 0 {
 		// The first read of the store has not finished.
 		return
 	}
 	watching := s.machine.ShouldWatch(now)
-	s.watch.SetSlowRetry(s.machine.UsesSlowRetry())
+	slowRetry := s.machine.UsesSlowRetry(now)
+	s.watch.SetSlowRetry(slowRetry)
+	retryNow = retryNow || s.slowRetry && !slowRetry
+	s.slowRetry = slowRetry
 	if watching != s.watching {
 		s.watching = watching
 		s.watch.SetWatching(watching, revision)
+	} else if retryNow {
+		s.watch.RetryNow()
 	}
 	if isRelay := s.machine.IsRelay(); isRelay != s.wasRelay {
 		s.wasRelay = isRelay
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -76,6 +76,8 @@
 	SetWatching(on bool, revision revision.Revision)
 	// SetSlowRetry selects the longer retry delays, of seconds, for failed calls.
 	SetSlowRetry(slowRetry bool)
+	// RetryNow ends the delay before a failed call is repeated.
+	RetryNow()
 	// ShortenPauses shortens the pauses of the watch between batches of changes for a short time.
 	ShortenPauses()
 	// Write queues a write of an entry.
@@ -175,6 +177,7 @@
 	pending        []packets.Input    // not yet passed to "packets"
 	storeWaits     catalogwatch.Waits // of the store's client, since the last update that changed the replica
 	watching       bool               // as last set at "catalogwatch"
+	slowRetry      bool               // as last set at "catalogwatch"
 	wasRelay       bool               // as last logged
 	synced         bool               // the marker of a complete replica was queued
 	nextRegister   time.Duration
