Keep copies of SYNs from services that the route no longer names

What callers saw: a flow run by the old service although the VM had used the new configuration for other flows before: it looks like an older version that came back.

Cause: since the first copy of a SYN stays with its target, which asks exclusion() whether the target may still get it. exclusion() knows drains, evacuations, regions and limits, but not the services of the route, since choose() only ever offers their targets. A SYN that is sent again with another cookie, and a duplicate, asked the same.

Change: exclusion() has the reason not_routed. A duplicate of a SYN is dropped when its target is excluded by now.

--- a/decide/catalog/catalog.go
+++ b/decide/catalog/catalog.go
@@ -4,6 +4,7 @@
 package catalog
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/decide/flow"
@@ -51,6 +52,11 @@
 	Shares  []Share // at least one, each with a weight above 0
 }
 
+// Names reports whether new flows of the route may go to a service.
+func (r *Route) Names(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service })
+}
+
 // ColdStart is how the targets of a service behave after their start.
 type ColdStart struct {
 	Duration time.Duration // for which a target is cold
--- a/decide/catalog/view.go
+++ b/decide/catalog/view.go
@@ -474,10 +474,8 @@
 		return first
 	}
 	for t := first; t != nil; t = t.next {
-		for _, share := range route.Shares {
-			if share.Service == t.Service {
-				return t
-			}
+		if route.Names(t.Service) {
+			return t
 		}
 	}
 	return first
--- a/decide/forward/exclusion.go
+++ b/decide/forward/exclusion.go
@@ -14,6 +14,7 @@
 // The exclusions.
 const (
 	notExcluded    exclusion = iota
+	notRouted                // the route does not name its service, or no longer does
 	notAccepting             // it is gone, draining, or its entry is malformed
 	evacuated                // the operators have evacuated its failure domain
 	outsideRegions           // its region is none of the route's
@@ -23,12 +24,14 @@
 
 // String returns the exclusion as it appears in explanations.
 func (e exclusion) String() string {
-	return [...]string{"", "not_accepting", "evacuated", "outside_regions", "unreachable", "cold_limit"}[e]
+	return [...]string{"", "not_routed", "not_accepting", "evacuated", "outside_regions", "unreachable", "cold_limit"}[e]
 }
 
 // exclusion returns why t gets no new flow of route.
 func (f *Forwarder) exclusion(now time.Duration, t *catalog.Target, route *catalog.Route) exclusion {
 	switch {
+	case !route.Names(t.Service):
+		return notRouted
 	case !t.AcceptsFlows(now):
 		return notAccepting
 	case f.view.Evacuated(t.Domain):
--- a/decide/forward/exclusion_test.go
+++ b/decide/forward/exclusion_test.go
@@ -123,3 +123,20 @@
 	r.f.SetDomainLoads(5*time.Second, loads)
 	r.Equal(r.f.Receive(5*time.Second, syn(3, 0)).Target.Domain, "b")
 }
+
+// Guards against a SYN that goes to a target of a service that the route no longer names: the copies
+// of a SYN from before the change went there, which looks like an older configuration.
+func TestRetransmissionLeavesAServiceThatTheRouteNoLongerNames(t *testing.T) {
+	for _, at := range [][]time.Duration{{100 * ms, 200 * ms, 600 * ms}, {200 * ms, 600 * ms, 900 * ms}} {
+		r := newHarness(t)
+		first := r.f.Receive(0, syn(1, 0))
+		r.Equal(first.Target.Service, "s")
+		r.configure(catalog.Idempotent, "u")
+		for i, now := range at {
+			v := r.f.Receive(now, syn(1, uint32(i)))
+			r.True(v.Action == Drop || v.Target.Service == "u")
+		}
+		r.Equal(r.f.Receive(time.Second, syn(1, 2)).Target.Service, "u")
+		r.True(!r.f.mayGetSYN(time.Second, first.Target, r.f.View().Route(service1)))
+	}
+}
--- a/decide/forward/retry.go
+++ b/decide/forward/retry.go
@@ -79,7 +79,8 @@
 // queued at this VM with the original.
 func (f *Forwarder) receiveDuplicateSYN(now time.Duration, r *record, route *catalog.Route) Verdict {
 	t := r.target
-	if r.leftOut || f.cold.isLimited(now, t, &f.evidence[t.Slot]) {
+	excluded := f.exclusion(now, t, route)
+	if r.leftOut || excluded != notExcluded && excluded != coldLimit || f.cold.isLimited(now, t, &f.evidence[t.Slot]) {
 		return Verdict{Action: Drop, Reason: f.leaveOutReason(now, t), Target: t, Route: route}
 	}
 	return f.forwardTo(now, r, route, t, Placed, false)
