Drop SYNs for unknown routes while the VM knows that its catalog is old

What callers saw: a reset on a route that had been added, at a VM that had heard of a later revision, or had lost the store.

Cause: a missing route was always refused, whatever the VM knew of its own catalog.

Change: the service relay tells packets when another VM has reported a later revision and when this VM has it.

--- a/decide/catalog/view.go
+++ b/decide/catalog/view.go
@@ -159,6 +159,9 @@
 // StoreLost records that the store has become unreachable.
 func (v *View) StoreLost() { v.storeLost = true }
 
+// StoreIsLost reports whether the store is unreachable.
+func (v *View) StoreIsLost() bool { return v.storeLost }
+
 // StoreRegained records that an outage of the store has ended at the given time, also one
 // that this VM has not noticed.
 func (v *View) StoreRegained(at time.Duration) {
--- a/decide/forward/forward.go
+++ b/decide/forward/forward.go
@@ -125,6 +125,7 @@
 	latenesses     map[string]*routeLateness // by name of the route
 	lateRoutes     []LateRoute
 
+	lacksChanges bool                 // see SetLacksChanges
 	unopened     []relay.UnopenedFlow // not yet returned by TakeUnopened
 	unansweredBy []uint32             // not yet returned by TakeUnanswered
 
@@ -240,6 +241,9 @@
 // StoreLost records that the store has become unreachable.
 func (f *Forwarder) StoreLost() { f.view.StoreLost() }
 
+// SetLacksChanges sets whether other VMs have changes of the catalog that this one lacks.
+func (f *Forwarder) SetLacksChanges(lacks bool) { f.lacksChanges = lacks }
+
 // StoreRegained records that an outage of the store has ended at the given time.
 func (f *Forwarder) StoreRegained(at time.Duration) { f.view.StoreRegained(at) }
 
--- a/decide/forward/packets_test.go
+++ b/decide/forward/packets_test.go
@@ -294,3 +294,27 @@
 	r.put(605*ms, entry(int(first.Number), "s", "a", catalog.Draining))
 	r.Equal(len(open(r, *second).Superseded), 0)
 }
+
+// Guards against a route that was added and is refused by a VM that knows that its catalog is old.
+func TestUnknownRouteIsNotRefusedByAnOldCatalog(t *testing.T) {
+	r := newHarness(t)
+	unknown := syn(1, 0)
+	unknown.Flow.Address.Port++
+	cases := []struct {
+		change func()
+		action Action
+		reason Reason
+	}{
+		{func() {}, Reset, NoRoute},
+		{func() { r.f.SetLacksChanges(true) }, Drop, UnknownRoute},
+		{func() { r.f.SetLacksChanges(false) }, Reset, NoRoute},
+		{r.f.StoreLost, Drop, UnknownRoute},
+		{func() { r.f.StoreRegained(0) }, Reset, NoRoute},
+	}
+	for _, c := range cases {
+		c.change()
+		v := r.f.Receive(0, unknown)
+		r.Equal(v.Action, c.action)
+		r.Equal(v.Reason, c.reason)
+	}
+}
--- a/decide/forward/placement.go
+++ b/decide/forward/placement.go
@@ -20,7 +20,7 @@
 	route := f.view.Route(p.Flow.Address)
 	if route == nil {
 		f.forget(p.Flow)
-		return Verdict{Action: Reset, Reason: NoRoute, NewDecision: true}
+		return f.refuseUnknownRoute()
 	}
 	r := f.flows.get(p.Flow)
 	if r != nil && r.phase != opening {
@@ -72,6 +72,16 @@
 	return f.forwardTo(now, r, route, t, reason, true)
 }
 
+// refuseUnknownRoute returns the verdict on a SYN whose route the catalog lacks. While the VM knows
+// that the catalog may be old it does not refuse what a newer configuration may allow: the caller
+// sends the SYN again.
+func (f *Forwarder) refuseUnknownRoute() Verdict {
+	if f.lacksChanges || f.view.StoreIsLost() {
+		return Verdict{Action: Drop, Reason: UnknownRoute, NewDecision: true}
+	}
+	return Verdict{Action: Reset, Reason: NoRoute, NewDecision: true}
+}
+
 // forwardTo returns the verdict that forwards a SYN to t. A new decision is recorded in
 // r and in the evidence of t.
 func (f *Forwarder) forwardTo(now time.Duration, r *record, route *catalog.Route, t *catalog.Target, reason Reason, newDecision bool) Verdict {
--- a/decide/forward/verdict.go
+++ b/decide/forward/verdict.go
@@ -55,6 +55,7 @@
 	ColdLimit                       // only cold targets are left, and this VM may send them no more flows now
 	TooLate                         // new flow whose request can't be answered before the route's timeout
 	Outdated                        // SYN that has waited at this VM until the caller sent the next one
+	UnknownRoute                    // no route for this address, but the VM knows that its catalog may be old
 	reasons
 )
 
@@ -66,7 +67,7 @@
 	names := [Reasons]string{"placed", "placed_again", "repeated", "continued", "not_ready", "no_route",
 		"route_removed", "no_target", "target_gone", "target_silent", "domain_unreachable",
 		"unknown_cookie", "unknown_for_long", "no_cookie", "shed", "held", "deferred", "evacuated", "cold_limit",
-		"too_late", "outdated"}
+		"too_late", "outdated", "unknown_route"}
 	return names[r]
 }
 
--- a/decide/relay/arrivals.go
+++ b/decide/relay/arrivals.go
@@ -59,12 +59,17 @@
 }
 
 // learnOfLater records that a VM has reported a later revision than that of the replica.
-func (w *waits) learnOfLater(now time.Duration) {
-	if !w.isKnown {
-		w.isKnown, w.knownAt = true, now
+func (m *Machine) learnOfLater(now time.Duration, r revision.Revision) {
+	m.latestKnown = max(m.latestKnown, r)
+	if !m.waits.isKnown {
+		m.waits.isKnown, m.waits.knownAt = true, now
 	}
 }
 
+// LacksChanges reports whether another VM has a later revision than this one, as far as this one
+// knows.
+func (m *Machine) LacksChanges() bool { return m.latestKnown > m.replica.Revision() }
+
 // recordArrival adds an update that changed the given number of keys to the output.
 // confirmedAt is the last confirmation before it, if there was one.
 func (m *Machine) recordArrival(now time.Duration, source Source, keys int, confirmedAt time.Duration, hadConfirmed bool) {
--- a/decide/relay/heartbeats.go
+++ b/decide/relay/heartbeats.go
@@ -63,7 +63,7 @@
 	case b.HasItems && b.After <= m.replica.Revision() && m.replica.Revision() > 0 && m.replica.accepts(b.Revision, false):
 		m.merge(now, Update{Revision: b.Revision, Confirmed: b.Confirmed, Items: b.Items, Source: m.sourceOf(now, p, b)})
 	case p != nil:
-		m.waits.learnOfLater(now)
+		m.learnOfLater(now, b.Revision)
 		m.startPull(now, p)
 	}
 }
--- a/decide/relay/relay.go
+++ b/decide/relay/relay.go
@@ -110,7 +110,9 @@
 	eras     eraState
 	grants   grants
 	waits    waits
-	arrivals []Arrival // not yet taken
+	// latestKnown is the latest revision that another VM has reported.
+	latestKnown revision.Revision
+	arrivals    []Arrival // not yet taken
 
 	out Output
 }
@@ -296,6 +298,9 @@
 	}
 	m.out.Changes = append(m.out.Changes, changed...)
 	m.confirm(now, update.Confirmed)
+	if len(changed) == 0 && !m.LacksChanges() {
+		m.waits.isKnown = false
+	}
 	if len(changed) > 0 {
 		m.recordArrival(now, update.Source, len(changed), confirmedAt, hadConfirmed)
 	}
--- a/decide/relay/retries_test.go
+++ b/decide/relay/retries_test.go
@@ -73,3 +73,16 @@
 	is.True(m.TakeOutput().RetryNow)
 	is.True(m.ShouldWatch(3 * time.Second))
 }
+
+// Guards against a VM that does not know that it lacks changes, or believes so after it has them.
+func TestLacksChanges(t *testing.T) {
+	is := is.New(t)
+	m, others := newLowRankedMachine(3)
+	is.True(!m.LacksChanges())
+	hearFrom(m, time.Second, others[0], 101)
+	is.True(m.LacksChanges())
+	m.HandlePullAnswer(time.Second, time.Second, Update{Revision: 100})
+	is.True(m.LacksChanges())
+	m.HandleStoreUpdate(time.Second, Update{Revision: 101})
+	is.True(!m.LacksChanges())
+}
--- a/services/packets/logging.go
+++ b/services/packets/logging.go
@@ -25,6 +25,9 @@
 	case StoreRewound:
 		s.forwarder.StoreRewound(now)
 		return
+	case ChangesLacking, ChangesComplete:
+		s.forwarder.SetLacksChanges(in.Store == ChangesLacking)
+		return
 	}
 	if in.Do != nil {
 		in.Do.run(now, s.forwarder)
--- a/services/packets/packets.go
+++ b/services/packets/packets.go
@@ -155,10 +155,12 @@
 
 // The values of StoreState.
 const (
-	StoreUnchanged StoreState = iota
-	StoreLost                 // the catalog may be out of date
-	StoreRegained             // the catalog is up to date again
-	StoreRewound              // the store has returned from an older copy; changes of its new era follow
+	StoreUnchanged  StoreState = iota
+	StoreLost                  // the catalog may be out of date
+	StoreRegained              // the catalog is up to date again
+	StoreRewound               // the store has returned from an older copy; changes of its new era follow
+	ChangesLacking             // other VMs have changes that this one lacks
+	ChangesComplete            // this VM has them
 )
 
 // Service is the service "packets".
--- a/services/relay/output.go
+++ b/services/relay/output.go
@@ -24,6 +24,7 @@
 		s.reportStoreLost()
 	}
 	s.forwardChanges(now, out.Changes, out.EraChanges)
+	s.reportLacking()
 	s.receiveGrants(now, out.Grants)
 	if len(out.Unanswered) > 0 {
 		s.pending = append(s.pending, packets.Input{Unanswered: out.Unanswered})
@@ -49,6 +50,20 @@
 	s.updateWatch(now, out.RetryNow)
 }
 
+// reportLacking tells "packets" when this VM learns that it lacks changes, and when it has them.
+func (s *Service) reportLacking() {
+	lacking := s.machine.LacksChanges()
+	if lacking == s.lacking {
+		return
+	}
+	s.lacking = lacking
+	state := packets.ChangesComplete
+	if lacking {
+		state = packets.ChangesLacking
+	}
+	s.pending = append(s.pending, packets.Input{Store: state})
+}
+
 // reportStoreLost logs the loss of the store and passes it to "packets".
 func (s *Service) reportStoreLost() {
 	s.log.Log(events.StoreLost, events.F("revision", s.machine.Replica().Revision()))
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -178,6 +178,7 @@
 	storeWaits     catalogwatch.Waits // of the store's client, since the last update that changed the replica
 	watching       bool               // as last set at "catalogwatch"
 	slowRetry      bool               // as last set at "catalogwatch"
+	lacking        bool               // changes, as last reported to "packets"
 	wasRelay       bool               // as last logged
 	synced         bool               // the marker of a complete replica was queued
 	nextRegister   time.Duration
