--- a/decide/relay/heartbeats.go
+++ b/decide/relay/heartbeats.go
@@ -98,6 +98,9 @@
 		return
 	}
 	m.pull = &Pull{From: p.PullAddr, Name: p.Name, After: m.replica.Revision()}
+	if m.wantsSnapshot && m.storeLost {
+		m.pull.After = 0 // a VM that the store answers reads it there
+	}
 	m.pullStartedAt = now
 	m.out.Pull = m.pull
 }
--- a/decide/relay/relay.go
+++ b/decide/relay/relay.go
@@ -87,7 +87,8 @@
 	directUntil   time.Duration
 	pull          *Pull
 	pullStartedAt time.Duration
-	nextSeed      int // index of the seed to pull from next, modulo their number
+	wantsSnapshot bool // another VM has left the missing changes to the store, since they are a full snapshot
+	nextSeed      int  // index of the seed to pull from next, modulo their number
 	nextPrune     time.Duration
 
 	notifyAfter  revision.Revision // revision up to which subscribers have been notified
@@ -251,6 +252,7 @@
 	if answer.Revision == 0 {
 		// The other VM's replica is empty, or a full snapshot would have been too large.
 		if m.replica.Revision() > 0 {
+			m.wantsSnapshot = true
 			m.watchForMissed(now)
 		}
 		return
@@ -287,6 +289,7 @@
 		}
 		return
 	}
+	m.wantsSnapshot = false
 	oldRevision := m.replica.Revision()
 	confirmedAt, hadConfirmed := m.confirmedAt, m.hasConfirmed
 	eraRose := m.enterEra(now, update.Revision.Era())
--- a/decide/relay/retries_test.go
+++ b/decide/relay/retries_test.go
@@ -86,3 +86,26 @@
 	m.HandleStoreUpdate(time.Second, Update{Revision: 101})
 	is.True(!m.LacksChanges())
 }
+
+// Guards against a VM that can't reach the store and gets no changes from others, since they are so many
+// that it should read the store.
+func TestVMWithoutStorePullsASnapshot(t *testing.T) {
+	is := is.New(t)
+	m, others := newLowRankedMachine(8)
+	pullAfter := func(now time.Duration) revision.Revision {
+		hearFrom(m, now, others[0], 200)
+		pull := m.TakeOutput().Pull
+		is.True(pull != nil)
+		return pull.After
+	}
+	is.Equal(pullAfter(time.Second), revision.Revision(100))
+	m.HandlePullAnswer(time.Second, time.Second, Update{})
+	is.Equal(pullAfter(time.Second), revision.Revision(100)) // the store may answer
+	m.HandlePullAnswer(time.Second, time.Second, Update{})
+	m.StoreFailed(2 * time.Second)
+	is.Equal(pullAfter(2*time.Second), revision.Revision(0))
+	items, _ := m.replica.Since(0)
+	m.HandlePullAnswer(2*time.Second, 2*time.Second, Update{Revision: 150, Items: items, Complete: true})
+	is.Equal(m.replica.Revision(), revision.Revision(150))
+	is.Equal(pullAfter(3*time.Second), revision.Revision(150))
+}
--- a/logtrace/changes.go
+++ b/logtrace/changes.go
@@ -59,7 +59,9 @@
 	}
 	list := make([]Change, 0, len(changes))
 	for _, c := range changes {
-		list = append(list, *c)
+		if len(c.Arrivals) > 0 {
+			list = append(list, *c)
+		}
 	}
 	return list
 }
@@ -80,8 +82,12 @@
 	}
 }
 
-// add records the first line of a VM on the change. received is the VM's last GS6127 line, if any.
+// add records the first line of a VM on the change. received is the VM's last GS6127 line, if any. A
+// process that has just started is not late, so that its first update does not count.
 func (c *Change) add(line, received Line) {
+	if received.Fields["behind_ms"] == float64(0) {
+		return
+	}
 	if slices.ContainsFunc(c.Arrivals, func(a Arrival) bool { return a.VM == line.VM }) {
 		return
 	}
