--- a/lab/day/changes_test.go
+++ b/lab/day/changes_test.go
@@ -36,3 +36,31 @@
 		})
 	}
 }
+
+// Guards against a change that was acknowledged last and is not in force after a loss of power of all
+// VMs, which then have nothing but the store and each other: available at once, later, slow, without
+// its history, or as an older copy.
+func TestLastChangeIsInForceAfterALossOfPower(t *testing.T) {
+	stores := []Disruption{
+		{Kind: "vm_add", At: seconds(6)},
+		{Kind: "store_down", At: seconds(5), For: seconds(6)},
+		{Kind: "store_slow", At: seconds(5), For: seconds(6), Magnitude: 100},
+		{Kind: "history_dropped", At: seconds(6)},
+		{Kind: "store_rewind", At: seconds(6), For: seconds(3), Magnitude: 4},
+		{Kind: "store_refuses", At: seconds(5), For: seconds(6), Share: 0.5},
+	}
+	for _, store := range stores {
+		t.Run(store.Kind, func(t *testing.T) {
+			t.Parallel()
+			site := largeSite(t)
+			site.LinkMbps = 10
+			d := newDay(site, 22*time.Second,
+				Disruption{Kind: "config_big", At: seconds(2), Count: 1400},
+				Disruption{Kind: "config_change", At: Duration(4990 * time.Millisecond)},
+				Disruption{Kind: "vm_power_loss", At: seconds(5), For: seconds(3), Share: 1}, store)
+			for _, v := range playDay(t, d, Options{Seed: 1}).Violations {
+				t.Errorf("%s at %s: %s", v.Promise, v.At, v.Text)
+			}
+		})
+	}
+}
--- a/lab/day/mixes.go
+++ b/lab/day/mixes.go
@@ -10,6 +10,8 @@
 	mixProbability = 0.3
 	// mixedColdPerSecond is the limit of cold targets on days on which targets restart together.
 	mixedColdPerSecond = 4
+	// mixedLinkMbps is the rate of the links on days of large configurations.
+	mixedLinkMbps = 10
 )
 
 // addMixes adds mixes of disruptions to a random day.
@@ -27,6 +29,10 @@
 		d.Site = d.Site.withColdLimit(mixedColdPerSecond)
 		d.Disruptions = append(d.Disruptions, restartsOfADomain(rng, d.Site, latest)...)
 	}
+	if rng.Float64() < mixProbability {
+		d.Site = d.Site.withLinks(mixedLinkMbps)
+		d.Disruptions = append(d.Disruptions, changesAsVMsReturn(rng, d.Site, latest)...)
+	}
 }
 
 // withColdLimit returns a copy of the site whose targets bear only so many requests per second while
@@ -40,6 +46,33 @@
 	return &limited
 }
 
+// withLinks returns a copy of the site whose VMs have links of a rate in Mbit/s.
+func (s *Site) withLinks(mbps float64) *Site {
+	limited := *s
+	limited.LinkMbps = mbps
+	return &limited
+}
+
+// changesAsVMsReturn returns short cuts of VMs, and changes of the configuration and leaving targets at
+// the moment at which the bounds hold for these again. The configuration may be large, and the changes
+// follow each other. The store is left alone, so that nothing excuses a late change.
+func changesAsVMsReturn(rng *rand.Rand, site *Site, latest time.Duration) (list []Disruption) {
+	if rng.IntN(2) == 0 {
+		list = append(list, Disruption{Kind: "config_big", At: inMilliseconds(uniform(rng, 0, latest/4)), Count: 300 + rng.IntN(1100)})
+	}
+	at := uniform(rng, 0, latest/2)
+	for range 1 + rng.IntN(3) {
+		length := uniform(rng, 300*time.Millisecond, 6*time.Second)
+		returnAt := min(at+length+uniform(rng, 0, site.Bounds.SettleTime.D()), latest)
+		list = append(list,
+			Disruption{Kind: "vm_cut", At: inMilliseconds(at), For: inMilliseconds(length), Share: uniformFloat(rng, 0.05, 0.4)},
+			Disruption{Kind: "config_storm", At: inMilliseconds(returnAt), For: inMilliseconds(uniform(rng, 0, 4*time.Second)), Interval: inMilliseconds(uniform(rng, 100*time.Millisecond, time.Second))},
+			Disruption{Kind: "target_leave", At: inMilliseconds(min(returnAt+uniform(rng, 0, time.Second), latest)), For: inMilliseconds(uniform(rng, 0, 6*time.Second)), Share: uniformFloat(rng, 0.05, 0.3)})
+		at = min(returnAt+uniform(rng, 0, 3*time.Second), latest)
+	}
+	return list
+}
+
 // workAfterLostAnswers returns a loss of answers to SYNs, and planned stops of VMs while targets may
 // still repeat these answers.
 func workAfterLostAnswers(rng *rand.Rand, latest time.Duration) []Disruption {
--- a/lab/day/operator.go
+++ b/lab/day/operator.go
@@ -40,6 +40,7 @@
 	routeHistory    map[flow.Endpoint][]routeChange
 	allowedServices map[flow.Endpoint]map[string]bool // services that a route has ever had
 	changeCount     int
+	writtenAt       time.Duration                 // of the last write that the store accepted
 	evacuations     map[string]*evacuationRequest // by failure domain
 }
 
@@ -107,6 +108,7 @@
 	}
 	o.changeCount++
 	now := o.timeline.now()
+	o.writtenAt = now
 	exists := make(map[flow.Endpoint]bool)
 	for _, r := range o.config.Routes {
 		exists[r.Address] = true
--- a/lab/day/oracle.go
+++ b/lab/day/oracle.go
@@ -255,6 +255,18 @@
 	}
 }
 
+// checkVersions checks at the end of a day that the last configuration is in force at all settled VMs.
+func (o *oracle) checkVersions() {
+	if !o.storeSettled() || o.now()-o.operator.writtenAt <= o.site.Bounds.ApplyWithin.D() {
+		return
+	}
+	for _, v := range o.fleet.vms {
+		if v.baseline == nil && v.isReady() && o.vmSettled(v) && v.appliedVersion != o.operator.config.Version {
+			o.recordViolation(Stale, "%s ends with version %d, the last one is %d", v.name, v.appliedVersion, o.operator.config.Version)
+		}
+	}
+}
+
 // changeBoundApplies reports whether Bounds.ApplyWithin holds for the VM of a probe.
 func (o *oracle) changeBoundApplies(f *flowState) bool {
 	return o.vmSettled(f.viaVM) && o.storeSettled()
--- a/lab/day/rewind.go
+++ b/lab/day/rewind.go
@@ -86,6 +86,7 @@
 		o.timeline.after(evacuationPause, o.rewrite)
 		return
 	}
+	o.writtenAt = o.timeline.now()
 	for _, domain := range o.site.Domains {
 		e := catalog.Evacuation{Domain: domain, Active: o.evacuations[domain] != nil && o.evacuations[domain].accepted}
 		if e.Active || o.store.hasEvacuation(domain) {
--- a/lab/day/world.go
+++ b/lab/day/world.go
@@ -143,6 +143,7 @@
 	})
 	w.disruptor.schedule(loadDelay, w.day.Disruptions)
 	w.stepper.Advance(loadDelay + w.day.Length.D() + cooldown)
+	w.oracle.checkVersions()
 	if w.tally.total.Requests > 0 && w.tally.total.InGoal+w.tally.total.Late == 0 {
 		w.oracle.recordFault("no request was served")
 	}
