Count confirmations from their arrival, also after a stall

Cause: an answer of the store, or a heartbeat, counted as confirmed when the service relay handled it. A process that had stood still, or a machine that had been suspended, took what had waited in its sockets for new: it believed itself up to date, and as a relay told others that an old revision was the newest now. Time in the input ring was not counted either.

Change: time in the ring is added to the age. After a step that is late by 0.3 s or more, by the monotonic clock or the time of day, messages of the next 0.5 s are older by the length of the stall, and after a suspension so is what was known before.

--- a/decide/relay/era_test.go
+++ b/decide/relay/era_test.go
@@ -38,9 +38,9 @@
 func newEraMachine(rewound bool) *Machine {
 	upstream, self := eraMembers()
 	m := New(Config{Self: self, MemberPrefix: prefix, MaxAge: maxAge, SnapshotKey: snapshotKey, SnapshotInterval: snapshotInterval})
-	m.HandleStoreUpdate(0, completeRead(revision.New(1, 9), upstream, self))
+	m.HandleStoreUpdate(0, 0, completeRead(revision.New(1, 9), upstream, self))
 	if rewound {
-		m.HandleStoreUpdate(0, completeRead(revision.New(2, 7), upstream, self))
+		m.HandleStoreUpdate(0, 0, completeRead(revision.New(2, 7), upstream, self))
 	}
 	m.TakeOutput()
 	return m
@@ -52,10 +52,10 @@
 	is := is.New(t)
 	m := newEraMachine(false)
 	start := New(m.config)
-	start.HandleStoreUpdate(0, completeRead(revision.New(3, 5)))
+	start.HandleStoreUpdate(0, 0, completeRead(revision.New(3, 5)))
 	is.Equal(len(start.TakeOutput().EraChanges), 0)
 
-	m.HandleStoreUpdate(time.Second, completeRead(revision.New(2, 7)))
+	m.HandleStoreUpdate(time.Second, 0, completeRead(revision.New(2, 7)))
 	out := m.TakeOutput()
 	is.Equal(out.EraChanges, []EraChange{{Before: 1, After: 2}})
 	is.True(out.StoreRegained && !out.StoreLost)
@@ -77,7 +77,7 @@
 	is.Equal(len(out.EraChanges), 1)
 	for i := range uint32(2) { // again and again, within regainTolerance
 		now := 1100*time.Millisecond + time.Duration(i)*regainTolerance/2
-		m.HandleStoreUpdate(now, completeRead(revision.New(3+i, 6)))
+		m.HandleStoreUpdate(now, 0, completeRead(revision.New(3+i, 6)))
 		out = m.TakeOutput()
 		is.True(out.StoreRegained)
 		is.Equal(out.RegainedAt, now)
@@ -108,7 +108,7 @@
 	extra := []Item{{Key: "targets/extra", Value: []byte("v"), Revision: early}}
 	hear := func(r revision.Revision, items []Item) func(m *Machine) {
 		return func(m *Machine) {
-			m.HandleHeartbeat(time.Second, upstream.HeartbeatAddr, Heartbeat{
+			m.HandleHeartbeat(time.Second, 0, upstream.HeartbeatAddr, Heartbeat{
 				Name: upstream.Name, Domain: upstream.Domain, Reply: true, Revision: r, Confirmed: Confirmation{Revision: r},
 				HasItems: items != nil, After: 1, Items: items,
 			})
@@ -119,8 +119,8 @@
 		arrives func(m *Machine)
 		direct  bool // the VM then watches the store itself
 	}{
-		{"late read", func(m *Machine) { m.HandleStoreUpdate(time.Second, completeRead(early)) }, false},
-		{"late events", func(m *Machine) { m.HandleStoreUpdate(time.Second, Update{Revision: early, Items: extra}) }, false},
+		{"late read", func(m *Machine) { m.HandleStoreUpdate(time.Second, 0, completeRead(early)) }, false},
+		{"late events", func(m *Machine) { m.HandleStoreUpdate(time.Second, 0, Update{Revision: early, Items: extra}) }, false},
 		{"late pull", func(m *Machine) {
 			m.HandlePullAnswer(time.Second, 0, Update{Revision: early, Items: extra, Confirmed: Confirmation{Revision: early}})
 		}, false},
@@ -147,7 +147,7 @@
 	for i := range 20 {
 		other := Member{Name: fmt.Sprint("x", i), Domain: self.Domain, HeartbeatAddr: self.HeartbeatAddr, PullAddr: self.PullAddr}
 		at := revision.New(2, int64(8+i))
-		m.HandleStoreUpdate(0, Update{Revision: at, Items: []Item{{Key: other.Key(prefix), Value: other.Value(), Revision: at}}})
+		m.HandleStoreUpdate(0, 0, Update{Revision: at, Items: []Item{{Key: other.Key(prefix), Value: other.Value(), Revision: at}}})
 	}
 	m.PullFailed(0)
 	hear(early, nil)(m)
@@ -161,7 +161,7 @@
 	is := is.New(t)
 	m := newEraMachine(false)
 	is.True(m.Registered())
-	m.HandleStoreUpdate(time.Second, completeRead(revision.New(2, 7)))
+	m.HandleStoreUpdate(time.Second, 0, completeRead(revision.New(2, 7)))
 	is.True(!m.Registered())
 	is.Equal(m.Registration().Revision, revision.Revision(0)) // the entry does not exist
 
@@ -171,7 +171,7 @@
 	now := 2 * time.Second
 	is.Equal(snapshotAt(relay, now), nil)
 	newest := revision.New(1, 3)
-	relay.HandleStoreUpdate(now, Update{Revision: newest, Complete: true, Items: []Item{
+	relay.HandleStoreUpdate(now, 0, Update{Revision: newest, Complete: true, Items: []Item{
 		{Key: "targets/t", Revision: revision.New(1, 2)}, {Key: snapshotKey, Revision: newest},
 	}})
 	s := snapshotAt(relay, now)
@@ -180,7 +180,7 @@
 	is.Equal(s.Update.Revision, newest)
 	is.Equal(snapshotAt(relay, now+time.Second), nil) // not before the next interval
 	written := revision.New(1, 4)
-	relay.HandleStoreUpdate(now+time.Second, Update{Revision: written, Items: []Item{{Key: snapshotKey, Revision: written}}})
+	relay.HandleStoreUpdate(now+time.Second, 0, Update{Revision: written, Items: []Item{{Key: snapshotKey, Revision: written}}})
 	is.Equal(snapshotAt(relay, now+time.Minute), nil) // it holds all changes
 }
 
@@ -191,14 +191,14 @@
 	upstream, self := eraMembers()
 	m := New(Config{Self: upstream, MemberPrefix: prefix, MaxAge: maxAge})
 	removalAt := func(now time.Duration) *Item {
-		m.HandleStoreUpdate(now, Update{Revision: m.replica.Revision()})
+		m.HandleStoreUpdate(now, 0, Update{Revision: m.replica.Revision()})
 		m.Tick(now)
 		return m.TakeOutput().RemoveEntry
 	}
-	m.HandleStoreUpdate(0, completeRead(revision.New(1, 9), upstream, self))
+	m.HandleStoreUpdate(0, 0, completeRead(revision.New(1, 9), upstream, self))
 	is.Equal(removalAt(time.Second), nil)
 	rewoundAt := removeEntryAfter
-	m.HandleStoreUpdate(rewoundAt, completeRead(revision.New(2, 7), upstream, self))
+	m.HandleStoreUpdate(rewoundAt, 0, completeRead(revision.New(2, 7), upstream, self))
 	for now := rewoundAt; now < rewoundAt+removeEntryAfter; now += time.Second {
 		is.Equal(removalAt(now), nil)
 	}
@@ -215,19 +215,19 @@
 	upstream, self := eraMembers()
 	m := newEraMachine(false)
 	dead := Member{Name: "dead", Domain: "a", HeartbeatAddr: self.HeartbeatAddr, PullAddr: self.PullAddr}
-	m.HandleStoreUpdate(0, Update{Revision: revision.New(1, 10), Items: []Item{{Key: dead.Key(prefix), Value: dead.Value(), Revision: revision.New(1, 10)}}})
+	m.HandleStoreUpdate(0, 0, Update{Revision: revision.New(1, 10), Items: []Item{{Key: dead.Key(prefix), Value: dead.Value(), Revision: revision.New(1, 10)}}})
 	rewoundAt := 2 * relayStartDelay
-	m.HandleStoreUpdate(rewoundAt, completeRead(revision.New(2, 5)))
+	m.HandleStoreUpdate(rewoundAt, 0, completeRead(revision.New(2, 5)))
 	is.Equal(m.FleetSize(), 3)
 	is.True(!m.Registered())
 	m.Tick(rewoundAt)
 	is.True(!m.IsRelay())
 	back := revision.New(2, 6)
-	m.HandleStoreUpdate(rewoundAt+time.Second, Update{Revision: back, Items: []Item{{Key: upstream.Key(prefix), Value: upstream.Value(), Revision: back}}})
+	m.HandleStoreUpdate(rewoundAt+time.Second, 0, Update{Revision: back, Items: []Item{{Key: upstream.Key(prefix), Value: upstream.Value(), Revision: back}}})
 	removed := map[string]bool{}
 	for now := rewoundAt; now <= rewoundAt+2*removeEntryAfter; now += 5 * time.Second {
-		m.HandleStoreUpdate(now, Update{Revision: back})
-		m.HandleHeartbeat(now, upstream.HeartbeatAddr, Heartbeat{Name: upstream.Name, Domain: upstream.Domain, Reply: true})
+		m.HandleStoreUpdate(now, 0, Update{Revision: back})
+		m.HandleHeartbeat(now, 0, upstream.HeartbeatAddr, Heartbeat{Name: upstream.Name, Domain: upstream.Domain, Reply: true})
 		m.Tick(now)
 		if out := m.TakeOutput(); out.RemoveEntry != nil {
 			removed[out.RemoveEntry.Key] = true
@@ -262,7 +262,7 @@
 	is := is.New(t)
 	m := newEraMachine(false)
 	large := Item{Key: "servers", Value: make([]byte, maxSnapshotBytes+1), Revision: revision.New(2, 3)}
-	m.HandleStoreUpdate(0, Update{Revision: revision.New(2, 7), Items: []Item{large}, Complete: true})
+	m.HandleStoreUpdate(0, 0, Update{Revision: revision.New(2, 7), Items: []Item{large}, Complete: true})
 	is.Equal(m.AnswerPull(0, revision.New(2, 6)), Update{})
 	answer := m.AnswerPull(0, revision.New(1, 9))
 	is.True(answer.Complete)
@@ -288,7 +288,7 @@
 	t.Run("before a rise", func(t *testing.T) {
 		is := is.New(t)
 		m := newEraMachine(false)
-		m.HandleHeartbeat(time.Second, upstream.HeartbeatAddr, withoutEra(upstream, 10))
+		m.HandleHeartbeat(time.Second, 0, upstream.HeartbeatAddr, withoutEra(upstream, 10))
 		is.Equal(m.replica.Revision(), revision.New(1, 10))
 		is.Equal(m.TakeOutput().Changes[0].Revision, revision.New(1, 10))
 		is.Equal(m.confirmation(time.Second).Revision, revision.New(1, 10))
@@ -301,7 +301,7 @@
 	t.Run("after a rise", func(t *testing.T) {
 		is := is.New(t)
 		m := newEraMachine(true)
-		m.HandleHeartbeat(time.Second, upstream.HeartbeatAddr, withoutEra(upstream, 8))
+		m.HandleHeartbeat(time.Second, 0, upstream.HeartbeatAddr, withoutEra(upstream, 8))
 		is.Equal(m.replica.Revision(), revision.New(2, 7))
 		is.Equal(m.confirmation(time.Second).Age, time.Second)
 		out := m.TakeOutput()
@@ -325,9 +325,9 @@
 		poll.Reply, poll.HasItems = false, false
 		m.Tick(notifyInterval) // the notification of the first read
 		m.TakeOutput()
-		m.HandleHeartbeat(time.Second, upstream.HeartbeatAddr, poll)
+		m.HandleHeartbeat(time.Second, 0, upstream.HeartbeatAddr, poll)
 		is.True(!m.TakeOutput().Heartbeats[0].Heartbeat.HasItems)
-		m.HandleStoreUpdate(time.Second, Update{Revision: next, Items: []Item{{Key: "targets/t", Revision: next}}})
+		m.HandleStoreUpdate(time.Second, 0, Update{Revision: next, Items: []Item{{Key: "targets/t", Revision: next}}})
 		m.Tick(time.Second)
 		notified := 0
 		for _, o := range m.TakeOutput().Heartbeats {
@@ -356,7 +356,7 @@
 		is.True(out.Pull == nil)
 		for _, o := range out.Heartbeats {
 			is.Equal(o.To, upstream.HeartbeatAddr)
-			m.HandleHeartbeat(now, upstream.HeartbeatAddr, withoutEra(upstream, 900))
+			m.HandleHeartbeat(now, 0, upstream.HeartbeatAddr, withoutEra(upstream, 900))
 		}
 		if now%(5*time.Second) == 0 {
 			number, writtenAt = number+1, now
@@ -367,7 +367,7 @@
 		watching = m.ShouldWatch(now)
 		behind := m.replica.Revision() < revision.New(2, number)
 		if watching && (behind || now-callAt >= watchWait) {
-			m.HandleStoreUpdate(now, Update{Revision: revision.New(2, number)})
+			m.HandleStoreUpdate(now, 0, Update{Revision: revision.New(2, number)})
 			calls, callAt = calls+1, now
 		} else if behind && now-writtenAt > applyWithin {
 			t.Fatalf("revision %d is missing %s after its write", number, now-writtenAt)
--- a/decide/relay/erafleet_test.go
+++ b/decide/relay/erafleet_test.go
@@ -135,7 +135,7 @@
 // read has a VM read the store. The answer was made now and arrives later.
 func (f *eraFleet) read(v *eraVM) {
 	m, answer := v.machine, f.store.read(v.machine.Replica().Revision())
-	f.send(func() { m.HandleStoreUpdate(f.now, answer) })
+	f.send(func() { m.HandleStoreUpdate(f.now, 0, answer) })
 }
 
 func (f *eraFleet) register(v *eraVM) {
@@ -153,7 +153,7 @@
 	for _, o := range out.Heartbeats {
 		to := slices.IndexFunc(f.vms, func(p *eraVM) bool { return p.member.HeartbeatAddr == o.To })
 		f.checkConfirmation(v, o.Heartbeat.Confirmed)
-		f.send(func() { f.vms[to].machine.HandleHeartbeat(f.now, v.member.HeartbeatAddr, o.Heartbeat) })
+		f.send(func() { f.vms[to].machine.HandleHeartbeat(f.now, 0, v.member.HeartbeatAddr, o.Heartbeat) })
 	}
 	if out.RemoveEntry != nil {
 		item := *out.RemoveEntry
--- a/decide/relay/grants_test.go
+++ b/decide/relay/grants_test.go
@@ -13,7 +13,7 @@
 	got := make(map[string][]Grant)
 	for _, d := range f.inFlight {
 		if len(d.heartbeat.Grants) > 0 && d.from == granter {
-			d.to.machine.HandleHeartbeat(f.now, d.from.member.HeartbeatAddr, d.heartbeat)
+			d.to.machine.HandleHeartbeat(f.now, 0, d.from.member.HeartbeatAddr, d.heartbeat)
 			got[d.to.member.Name] = append(got[d.to.member.Name], d.to.machine.TakeOutput().Grants...)
 		}
 	}
--- a/decide/relay/heartbeats.go
+++ b/decide/relay/heartbeats.go
@@ -25,10 +25,12 @@
 	return b
 }
 
-// HandleHeartbeat handles a heartbeat received from the given address. It answers a poll.
+// HandleHeartbeat handles a heartbeat received from the given address, which has waited at this VM
+// for a time. It answers a poll.
 // If the sender is ahead, it merges the items of the heartbeat or, if they do not suffice
 // and the sender is a known VM, starts a pull.
-func (m *Machine) HandleHeartbeat(now time.Duration, from netip.AddrPort, b Heartbeat) {
+func (m *Machine) HandleHeartbeat(now, waited time.Duration, from netip.AddrPort, b Heartbeat) {
+	b.Confirmed = b.Confirmed.olderBy(waited)
 	key := Member{Name: b.Name, Domain: b.Domain}.Key(m.config.MemberPrefix)
 	if key == m.key {
 		return
--- a/decide/relay/notify_test.go
+++ b/decide/relay/notify_test.go
@@ -21,12 +21,12 @@
 	}
 	update := func(now time.Duration, at int64) {
 		item := Item{Key: "k", Value: []byte("v"), Revision: revision.Revision(at)}
-		m.HandleStoreUpdate(now, Update{Revision: item.Revision, Items: []Item{item}})
+		m.HandleStoreUpdate(now, 0, Update{Revision: item.Revision, Items: []Item{item}})
 	}
-	m.HandleStoreUpdate(0, Update{Revision: revision.Revision(1), Complete: true, Items: []Item{
+	m.HandleStoreUpdate(0, 0, Update{Revision: revision.Revision(1), Complete: true, Items: []Item{
 		{Key: poller.Key(prefix), Value: poller.Value(), Revision: revision.Revision(1)},
 	}})
-	m.HandleHeartbeat(0, poller.HeartbeatAddr, Heartbeat{Name: poller.Name, Domain: poller.Domain, Revision: revision.Revision(1)})
+	m.HandleHeartbeat(0, 0, poller.HeartbeatAddr, Heartbeat{Name: poller.Name, Domain: poller.Domain, Revision: revision.Revision(1)})
 	m.Tick(notifyInterval)
 	m.TakeOutput()
 	notifications := func(now time.Duration) int {
--- a/decide/relay/relay.go
+++ b/decide/relay/relay.go
@@ -215,9 +215,10 @@
 	return out
 }
 
-// HandleStoreUpdate merges an answer of the store. Its revision counts as confirmed now.
-func (m *Machine) HandleStoreUpdate(now time.Duration, update Update) {
-	update.Confirmed = Confirmation{Revision: update.Revision}
+// HandleStoreUpdate merges an answer of the store that has waited at this VM for a time. Its revision
+// counts as confirmed when the answer came.
+func (m *Machine) HandleStoreUpdate(now, waited time.Duration, update Update) {
+	update.Confirmed = Confirmation{Revision: update.Revision, Age: waited}
 	m.merge(now, update)
 }
 
--- a/decide/relay/relay_test.go
+++ b/decide/relay/relay_test.go
@@ -135,7 +135,7 @@
 			continue
 		}
 		if f.reachable(d.from, d.to) {
-			d.to.machine.HandleHeartbeat(f.now, d.from.member.HeartbeatAddr, d.heartbeat)
+			d.to.machine.HandleHeartbeat(f.now, 0, d.from.member.HeartbeatAddr, d.heartbeat)
 			d.to.nextTick = f.now
 		}
 	}
@@ -146,7 +146,7 @@
 	m := v.machine
 	if m.Replica().Revision() == 0 && !v.storeUnreachable && f.store.revision > 0 {
 		f.calls++
-		m.HandleStoreUpdate(f.now, Update{Revision: f.store.revision, Items: f.store.all(), Complete: true})
+		m.HandleStoreUpdate(f.now, 0, Update{Revision: f.store.revision, Items: f.store.all(), Complete: true})
 		if !m.Registered() {
 			f.store.write(m.Registration().Key, false)
 			item := f.store.items[m.key]
@@ -213,7 +213,7 @@
 		if update.Revision.Era() > v.machine.Replica().Revision().Era() {
 			update.Items, update.Complete = f.store.all(), true
 		}
-		v.machine.HandleStoreUpdate(f.now, update)
+		v.machine.HandleStoreUpdate(f.now, 0, update)
 		f.startWatchCall(v)
 	}
 }
@@ -368,12 +368,12 @@
 	config := Config{Self: Member{Name: "me", Domain: "a"}, MemberPrefix: prefix, MaxAge: maxAge}
 	large := Item{Key: "servers", Value: make([]byte, maxSnapshotBytes+1), Revision: 3}
 	m := New(config)
-	m.HandleStoreUpdate(0, Update{Revision: 10, Items: []Item{large}, Complete: true})
+	m.HandleStoreUpdate(0, 0, Update{Revision: 10, Items: []Item{large}, Complete: true})
 	is.Equal(m.AnswerPull(0, 9), Update{})                        // deletions up to 10 may be missing
 	is.Equal(m.AnswerPull(0, 0).Items, []Item{large})             // an empty replica gets a full snapshot
 	is.Equal(m.AnswerPull(0, 10).Revision, revision.Revision(10)) // nothing is missing
 	requester := New(config)
-	requester.HandleStoreUpdate(0, Update{Revision: 9, Items: []Item{large}, Complete: true})
+	requester.HandleStoreUpdate(0, 0, Update{Revision: 9, Items: []Item{large}, Complete: true})
 	requester.HandlePullAnswer(time.Second, time.Second, Update{})
 	is.True(requester.ShouldWatch(time.Second)) // it reads the store's history itself
 }
@@ -447,9 +447,9 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			m := New(Config{Self: self, MemberPrefix: prefix, MaxAge: maxAge})
-			m.HandleStoreUpdate(8*time.Second, Update{Revision: 5, Complete: true})
+			m.HandleStoreUpdate(8*time.Second, 0, Update{Revision: 5, Complete: true})
 			c.heartbeat.Name, c.heartbeat.Domain, c.heartbeat.Reply = "other", "a", true
-			m.HandleHeartbeat(10*time.Second, netip.MustParseAddrPort("10.0.0.2:1"), c.heartbeat)
+			m.HandleHeartbeat(10*time.Second, 0, netip.MustParseAddrPort("10.0.0.2:1"), c.heartbeat)
 			age, ok := m.Age(10 * time.Second)
 			is.True(ok)
 			is.Equal(age, c.age)
@@ -463,10 +463,10 @@
 	is := is.New(t)
 	self := Member{Name: "me", Domain: "a", HeartbeatAddr: netip.MustParseAddrPort("10.0.0.1:1"), PullAddr: netip.MustParseAddrPort("10.0.0.1:2")}
 	m := New(Config{Self: self, MemberPrefix: prefix, MaxAge: maxAge})
-	m.HandleStoreUpdate(8*time.Second, Update{Revision: 5, Complete: true})
+	m.HandleStoreUpdate(8*time.Second, 0, Update{Revision: 5, Complete: true})
 	is.True(!m.TakeOutput().StoreRegained)
 	hear := func(now, sinceRegained time.Duration) Output {
-		m.HandleHeartbeat(now, netip.MustParseAddrPort("10.0.0.2:1"), Heartbeat{
+		m.HandleHeartbeat(now, 0, netip.MustParseAddrPort("10.0.0.2:1"), Heartbeat{
 			Name: "other", Domain: "a", Reply: true, Revision: 5,
 			Confirmed: Confirmation{Revision: 5, HasRegained: true, SinceRegained: sinceRegained},
 		})
@@ -496,7 +496,7 @@
 	is.True(out.StoreRegained && out.StoreLost)
 	is.True(out.StoreLostLast)
 	m.StoreFailed(11 * time.Second)
-	m.HandleStoreUpdate(11*time.Second, Update{Revision: 6})
+	m.HandleStoreUpdate(11*time.Second, 0, Update{Revision: 6})
 	out = m.TakeOutput()
 	is.True(out.StoreRegained)
 	is.True(!out.StoreLostLast)
--- a/decide/relay/retries_test.go
+++ b/decide/relay/retries_test.go
@@ -31,7 +31,7 @@
 	for i, member := range members {
 		update.Items = append(update.Items, Item{Key: member.Key(prefix), Value: member.Value(), Revision: revision.Revision(i + 1)})
 	}
-	m.HandleStoreUpdate(0, update)
+	m.HandleStoreUpdate(0, 0, update)
 	var list []Member
 	for _, p := range m.members.byDomain[self.Domain] {
 		list = append(list, p.Member)
@@ -41,7 +41,7 @@
 
 // hearFrom delivers a reply of another VM at a revision.
 func hearFrom(m *Machine, now time.Duration, from Member, r revision.Revision) {
-	m.HandleHeartbeat(now, from.HeartbeatAddr, Heartbeat{Name: from.Name, Domain: from.Domain, Reply: true, Revision: r, Confirmed: Confirmation{Revision: r}})
+	m.HandleHeartbeat(now, 0, from.HeartbeatAddr, Heartbeat{Name: from.Name, Domain: from.Domain, Reply: true, Revision: r, Confirmed: Confirmation{Revision: r}})
 }
 
 // Guards against a VM that leaves retries to VMs that it does not reach: after a cut it waited for
@@ -83,7 +83,7 @@
 	is.True(m.LacksChanges())
 	m.HandlePullAnswer(time.Second, time.Second, Update{Revision: 100})
 	is.True(m.LacksChanges())
-	m.HandleStoreUpdate(time.Second, Update{Revision: 101})
+	m.HandleStoreUpdate(time.Second, 0, Update{Revision: 101})
 	is.True(!m.LacksChanges())
 }
 
--- a/decide/relay/snapshots_test.go
+++ b/decide/relay/snapshots_test.go
@@ -21,13 +21,13 @@
 	self := Member{Name: "vm-1", Domain: domain, HeartbeatAddr: netip.MustParseAddrPort("10.0.0.1:1"), PullAddr: netip.MustParseAddrPort("10.0.0.1:2")}
 	other := Member{Name: "vm-2", Domain: "b", HeartbeatAddr: netip.MustParseAddrPort("10.0.0.2:1"), PullAddr: netip.MustParseAddrPort("10.0.0.2:2")}
 	m := New(Config{Self: self, MemberPrefix: prefix, MaxAge: maxAge, SnapshotKey: snapshotKey, SnapshotInterval: snapshotInterval})
-	m.HandleStoreUpdate(0, Update{Revision: 5, Complete: true, Items: []Item{{Key: other.Key(prefix), Value: other.Value(), Revision: 4}, {Key: "targets/t", Revision: 5}}})
+	m.HandleStoreUpdate(0, 0, Update{Revision: 5, Complete: true, Items: []Item{{Key: other.Key(prefix), Value: other.Value(), Revision: 4}, {Key: "targets/t", Revision: 5}}})
 	return m
 }
 
 // snapshotAt returns the snapshot that m requests at now, after a confirmation.
 func snapshotAt(m *Machine, now time.Duration) *Snapshot {
-	m.HandleStoreUpdate(now, Update{Revision: m.Replica().Revision()})
+	m.HandleStoreUpdate(now, 0, Update{Revision: m.Replica().Revision()})
 	m.Tick(now)
 	return m.TakeOutput().Snapshot
 }
@@ -47,15 +47,15 @@
 	is.Equal(snapshotAt(last, relayStartDelay), nil) // the turn of domain a
 
 	written := Update{Revision: 6, Items: []Item{{Key: snapshotKey, Revision: 6}}}
-	first.HandleStoreUpdate(2*time.Second, written)
-	last.HandleStoreUpdate(2*time.Second, written)
+	first.HandleStoreUpdate(2*time.Second, 0, written)
+	last.HandleStoreUpdate(2*time.Second, 0, written)
 	is.Equal(first.Replica().Revision(), revision.Revision(6))
 	is.Equal(first.Replica().Len(), 2) // the snapshot is no part of the replica
 	is.Equal(snapshotAt(first, time.Minute), nil)
 
 	change := Update{Revision: 7, Items: []Item{{Key: "targets/u", Revision: 7}}}
-	first.HandleStoreUpdate(time.Minute, change)
-	last.HandleStoreUpdate(time.Minute, change)
+	first.HandleStoreUpdate(time.Minute, 0, change)
+	last.HandleStoreUpdate(time.Minute, 0, change)
 	s = snapshotAt(first, time.Minute)
 	is.True(s != nil)
 	is.Equal(s.Revision, revision.Revision(6)) // replaces the one it knows
@@ -72,7 +72,7 @@
 	m := newSnapshotMachine("a")
 	m.config.SnapshotMinKeys = 3
 	is.Equal(snapshotAt(m, relayStartDelay), nil)
-	m.HandleStoreUpdate(time.Minute, Update{Revision: 7, Items: []Item{{Key: "targets/u", Revision: 7}}})
+	m.HandleStoreUpdate(time.Minute, 0, Update{Revision: 7, Items: []Item{{Key: "targets/u", Revision: 7}}})
 	is.True(snapshotAt(m, time.Minute) != nil)
 }
 
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -174,6 +174,7 @@
 	gate *kernel.Gate
 	in   *kernel.Ring[input]
 
+	stalls         relay.Stalls
 	pending        []packets.Input    // not yet passed to "packets"
 	storeWaits     catalogwatch.Waits // of the store's client, since the last update that changed the replica
 	watching       bool               // as last set at "catalogwatch"
@@ -323,9 +324,26 @@
 	return s.queue(input{heartbeat: &receivedHeartbeat{from: from, heartbeat: heartbeat}})
 }
 
-// step handles queued inputs, then carries out the machine's output. It returns the time
-// of the next step.
+// step runs one step of the deciding duty.
 func (s *Service) step(now time.Duration) time.Duration {
+	s.machine.RecordSuspension(s.stalls.Step(now, s.timeOfDay(now)))
+	next := s.work(now)
+	s.stalls.SetDue(next)
+	return next
+}
+
+// timeOfDay returns the time of day, without a reading of the monotonic clock. That of a stepped
+// kernel runs with its clock.
+func (s *Service) timeOfDay(now time.Duration) time.Time {
+	if s.kernel.Stepped() {
+		return time.Time{}.Add(now)
+	}
+	return time.Now().Round(0)
+}
+
+// work handles queued inputs, then carries out the machine's output. It returns the time of the next
+// step.
+func (s *Service) work(now time.Duration) time.Duration {
 	more := true
 	for range batchSize {
 		in, ok := s.in.Take()
@@ -350,9 +368,10 @@
 }
 
 func (s *Service) handle(now time.Duration, in input) {
+	waited := s.stalls.Waited(now, in.queuedAt)
 	switch {
 	case in.heartbeat != nil:
-		s.machine.HandleHeartbeat(now, in.heartbeat.from, in.heartbeat.heartbeat)
+		s.machine.HandleHeartbeat(now, waited, in.heartbeat.from, in.heartbeat.heartbeat)
 	case in.store != nil && in.store.Transaction != nil:
 		s.completeTransaction(now, in.store.Transaction)
 	case in.store != nil && in.store.Err != nil:
@@ -364,7 +383,7 @@
 		if in.store.SnapshotErr != nil {
 			s.log.Log(events.SnapshotNotUsed, events.F("error", in.store.SnapshotErr))
 		}
-		s.machine.HandleStoreUpdate(now, in.store.Update)
+		s.machine.HandleStoreUpdate(now, waited, in.store.Update)
 	case in.pull != nil:
 		s.completePull(now, in.pull)
 	case in.request != nil:
