--- a/decide/relay/stalls.go
+++ b/decide/relay/stalls.go
@@ -14,13 +14,12 @@
 // that arrived meanwhile is read after it, and says what was true before. The zero value has seen no
 // stall.
 type Stalls struct {
-	due       time.Duration // of the next step
-	lastAt    time.Duration // of the last step, by the monotonic clock
-	lastTime  time.Time     // of the last step, by the time of day
-	stepped   bool
-	endedAt   time.Duration
-	length    time.Duration // of the last stall; 0: there was none
-	suspended time.Duration // part of it that the monotonic clock does not show
+	due      time.Duration // of the next step
+	lastAt   time.Duration // of the last step, by the monotonic clock
+	lastTime time.Time     // of the last step, by the time of day
+	stepped  bool
+	endedAt  time.Duration
+	length   time.Duration // of the last stall; 0: there was none
 }
 
 // Step records a step at a time, whose time of day is given, and returns for how long the machine
--- a/kernel/kernel.go
+++ b/kernel/kernel.go
@@ -79,6 +79,15 @@
 	return k.clock.Now()
 }
 
+// TimeOfDay returns the time of day, without a reading of the monotonic clock. That of a stepped
+// kernel runs with its clock.
+func (k *Kernel) TimeOfDay() time.Time {
+	if k.stepped {
+		return time.Time{}.Add(k.Now())
+	}
+	return time.Now().Round(0)
+}
+
 // Register adds a service. It returns ErrDuplicateName if the name is taken.
 func (k *Kernel) Register(s Service) error {
 	k.mu.Lock()
--- a/services/packets/packets.go
+++ b/services/packets/packets.go
@@ -348,22 +348,13 @@
 	if s.stepDue > 0 && now > s.stepDue+lateThreshold {
 		s.forwarder.MarkStalled(now)
 	}
-	s.clocks = datagramage.Clocks{Monotonic: now, TimeOfDay: s.timeOfDay(now)}
+	s.clocks = datagramage.Clocks{Monotonic: now, TimeOfDay: s.kernel.TimeOfDay()}
 	s.ages.Step(s.clocks)
 	next := s.work(now)
 	s.stepDue = max(next, now)
 	return next
 }
 
-// timeOfDay returns the time of day, without a reading of the monotonic clock. That of a stepped
-// kernel runs with its clock.
-func (s *Service) timeOfDay(now time.Duration) time.Time {
-	if s.kernel.Stepped() {
-		return time.Time{}.Add(now)
-	}
-	return time.Now().Round(0)
-}
-
 // work applies queued inputs, then processes queued datagrams. It returns the time of
 // the next step.
 func (s *Service) work(now time.Duration) time.Duration {
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -326,21 +326,12 @@
 
 // step runs one step of the deciding duty.
 func (s *Service) step(now time.Duration) time.Duration {
-	s.machine.RecordSuspension(s.stalls.Step(now, s.timeOfDay(now)))
+	s.machine.RecordSuspension(s.stalls.Step(now, s.kernel.TimeOfDay()))
 	next := s.work(now)
 	s.stalls.SetDue(next)
 	return next
 }
 
-// timeOfDay returns the time of day, without a reading of the monotonic clock. That of a stepped
-// kernel runs with its clock.
-func (s *Service) timeOfDay(now time.Duration) time.Time {
-	if s.kernel.Stepped() {
-		return time.Time{}.Add(now)
-	}
-	return time.Now().Round(0)
-}
-
 // work handles queued inputs, then carries out the machine's output. It returns the time of the next
 // step.
 func (s *Service) work(now time.Duration) time.Duration {
