--- a/decide/relay/types.go
+++ b/decide/relay/types.go
@@ -112,8 +112,8 @@
 	Revision  revision.Revision
 	Confirmed Confirmation
 	Items     []Item
-	Complete  bool // Items hold every existing key
-	Source    Source
+	Complete  bool   // Items hold every existing key
+	Source    Source // how it has reached this VM; not sent to others
 	// WithoutEra is set if the sender's build knows no eras. All its revisions have era 0.
 	WithoutEra bool
 }
--- a/settings/flowsettings/keys.go
+++ b/settings/flowsettings/keys.go
@@ -65,7 +65,7 @@
 		Meaning: "Address of the platform's store.",
 		Set:     document.AddressSetter(func(s *Settings) *netip.AddrPort { return &s.Store.Address })},
 	durationKey("store.timeout", defaultStoreTimeout, 50*time.Millisecond, 10*time.Second,
-		"Time-out of one call to the store, beside the time for which a watch is held.",
+		"Time-out of one call to the store, beside the time for which a watch is held, and that of an answer which makes progress.",
 		func(s *Settings) *time.Duration { return &s.Store.Timeout }),
 	durationKey("catalog.apply_within", defaultApplyWithin, minApplyWithin, maxApplyWithin,
 		"Time from the acknowledgement of a change in the store until it is in force at every VM. A VM reads the store itself when what it knows is older than 70% of it; watches are held for 45% of it.",
