--- a/lab/day/oracle.go
+++ b/lab/day/oracle.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/decide/catalog"
@@ -247,14 +248,25 @@
 
 // probeRefused checks a probe that did not open a flow. Only a reset before the first
 // retransmission counts as refused: without an answer, the target may be unreachable,
-// and the caller can't distinguish this from a reset.
+// and the caller can't distinguish this from a reset. Without a target that may get the flow, VMs have to
+// refuse it.
 func (o *oracle) probeRefused(f *flowState) {
-	refusedAtOnce := o.now()-f.startedAt < firstSYNRetransmit
+	refusedAtOnce := o.now()-f.startedAt < firstSYNRetransmit && o.hasUsableTarget(f.key.Address)
 	if refusedAtOnce && o.changeBoundApplies(f) && !o.operator.mayBeMissing(f.key.Address, f.startedAt) {
 		o.recordViolation(Stale, "%s refused a flow to %s, whose route exists", f.viaVM.name, f.key.Address)
 	}
 }
 
+// hasUsableTarget reports whether a service of the route of an address has a target that may get new
+// flows: it does not leave, the store has its entry, and its failure domain is not evacuated.
+func (o *oracle) hasUsableTarget(address flow.Endpoint) bool {
+	return slices.ContainsFunc(o.fleet.targets.all, func(t *target) bool {
+		e := o.operator.evacuations[o.site.Domains[t.node.domain]]
+		evacuated := e != nil && e.accepted
+		return !t.draining && !evacuated && o.fleet.store.has(t.id) && o.operator.allows(address, t.service.Name)
+	})
+}
+
 // checkVersions checks at the end of a day that the last configuration is in force at all settled VMs.
 func (o *oracle) checkVersions() {
 	if !o.storeSettled() || o.now()-o.operator.writtenAt <= o.site.Bounds.ApplyWithin.D() {
--- a/lab/day/oracle_test.go
+++ b/lab/day/oracle_test.go
@@ -136,6 +136,15 @@
 	is.Equal(w.oracle.violationCount, 0)
 	is.Equal(w.oracle.brokenFlows, 1) // counted also for disrupted targets
 
+	// With every domain evacuated, no target may get the flow of a probe.
+	for _, domain := range w.day.Site.Domains {
+		w.operator.evacuate(domain)
+	}
+	probe := &flowState{viaVM: w.fleet.vms[0], startedAt: w.timeline.now()}
+	probe.key.Address = routeAddress(0)
+	w.oracle.probeRefused(probe)
+	is.Equal(w.oracle.violationCount, 0)
+
 	settleTime := w.day.Site.Bounds.SettleTime.D()
 	d := &disruptionState{}
 	is.True(d.settled(0, settleTime))
