--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -50,9 +50,6 @@
 	return nil
 }
 
-// zone is the failure domain of all parts of a case that has only one.
-const zone = "luz-a"
-
 // route is a route of the operator's configuration.
 type route struct {
 	Name     string `json:"name"`
@@ -156,6 +153,7 @@
 	cmd     *exec.Cmd
 	exited  chan struct{}
 	misses  int
+	proxy   *proxy
 	inRound bool // in rotation
 }
 
@@ -169,7 +167,12 @@
 func (f *fleet) addVM(number int, zone string) (*vm, error) {
 	v := &vm{fleet: f, name: fmt.Sprintf("front-%s-%d", zone, number), zone: zone, ip: f.ip(vmKind, number)}
 	v.settings = filepath.Join(f.dir, v.name+".toml")
-	if err := f.store.listen(v.storeAddress()); err != nil {
+	behind := netip.AddrPortFrom(f.ip(storeKind, 100+number), storePort).String()
+	if err := f.store.listen(behind); err != nil {
+		return nil, err
+	}
+	var err error
+	if v.proxy, err = newProxy(v.storeAddress(), behind); err != nil {
 		return nil, err
 	}
 	seed := netip.AddrPortFrom(f.ip(vmKind, 1), controlPort)
@@ -182,7 +185,6 @@
 	if err := os.WriteFile(v.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	var err error
 	if v.log, err = os.Create(filepath.Join(f.dir, v.name+".log")); err != nil {
 		return nil, err
 	}
@@ -348,6 +350,7 @@
 		v.mu.Unlock()
 		v.ended(5 * time.Second)
 		_ = v.log.Close()
+		v.proxy.close()
 	}
 	f.tasks.Wait()
 	for _, c := range f.consumers {
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -24,6 +24,7 @@
 
 var scenarios = map[string]scenario{
 	"question": {network: 111, run: question},
+	"silent":   {network: 112, run: silentConnections},
 }
 
 // main runs a case: review3 NAME FOLDER, in the root of the repository. TROUBLE=0 leaves the
--- a/review/standin-3/question.go
+++ b/review/standin-3/question.go
@@ -11,6 +11,7 @@
 )
 
 const (
+	zone = "luz-a"
 	// downTime is how long the backends of the zone are down: cold_return, for_s = 4.5.
 	downTime = 4500 * time.Millisecond
 	// coldTime is cold_start_s.
