--- a/review/standin-3/backend.go
+++ b/review/standin-3/backend.go
@@ -92,9 +92,14 @@
 	value, _ := json.Marshal(entry)
 	same := fmt.Sprint(b.state, cold)
 	write := force || same != b.lastEntry
-	b.lastEntry = same
+	isDown := b.store.isDown()
+	if !isDown {
+		b.lastEntry = same
+	} else {
+		b.lastEntry = "" // the next report has to write it
+	}
 	b.mu.Unlock()
-	if write {
+	if write && !isDown {
 		b.store.write(map[string][]byte{b.key(): value})
 	}
 }
--- a/review/standin-3/consumer.go
+++ b/review/standin-3/consumer.go
@@ -84,9 +84,6 @@
 
 func (f *clientFlow) send(p packet) netip.AddrPort {
 	node := f.consumer.route(f.src, f.dst)
-	if !node.IsValid() {
-		return node
-	}
 	f.mu.Lock()
 	p.echo = f.echo
 	f.mu.Unlock()
--- a/review/standin-3/fleet.go
+++ b/review/standin-3/fleet.go
@@ -288,25 +288,28 @@
 	}
 }
 
-// route returns the node to which routers forward a flow's packets: a steady hash over the nodes in
-// rotation.
+// route returns the node to which routers forward a flow's packets.
 func (f *fleet) route(src, dst netip.AddrPort) netip.AddrPort {
-	if v := f.nodeOf(src, dst); v != nil {
-		return v.at(packetsPort)
-	}
-	return netip.AddrPort{}
+	return f.nodeOf(src, dst).at(packetsPort)
 }
 
+// nodeOf returns the node of a flow by a steady hash over the nodes in rotation, or over all nodes of
+// the zone if fewer than half are in rotation. There is no other zone with nodes.
 func (f *fleet) nodeOf(src, dst netip.AddrPort) *vm {
-	var best *vm
-	var bestScore uint64
+	var nodes []*vm
 	for _, v := range f.vms {
 		v.mu.Lock()
-		in := v.inRound
-		v.mu.Unlock()
-		if !in {
-			continue
+		if v.inRound {
+			nodes = append(nodes, v)
 		}
+		v.mu.Unlock()
+	}
+	if 2*len(nodes) < len(f.vms) {
+		nodes = f.vms
+	}
+	var best *vm
+	var bestScore uint64
+	for _, v := range nodes {
 		h := fnv.New64a()
 		fmt.Fprint(h, src, dst, v.name)
 		// Finalizer of MurmurHash3: FNV alone mixes the last bytes badly.
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -23,6 +23,8 @@
 }
 
 var scenarios = map[string]scenario{
+	"zoneloss": {network: 113, run: zoneLoss},
+	"outage":   {network: 114, run: coldDuringOutage},
 	"question": {network: 111, run: question},
 	"silent":   {network: 112, run: silentConnections},
 }
--- a/review/standin-3/question.go
+++ b/review/standin-3/question.go
@@ -110,9 +110,6 @@
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		flow := c.newFlow(address)
 		v := f.nodeOf(flow.src, flow.dst)
-		if v == nil {
-			continue
-		}
 		tasks.Go(func() {
 			err := flow.open(func(n int) {
 				if n == 1 && ask != nil {
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -39,6 +39,7 @@
 	events   []item
 	changed  chan struct{} // closed at the next write
 	modes    map[string]mode
+	down     bool // for everybody, the operator and the backends included
 	servers  []*http.Server
 }
 
@@ -81,9 +82,28 @@
 func (s *store) modeOf(address string) mode {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.down {
+		return busy
+	}
 	return s.modes[address]
 }
 
+// setDown takes the store down, or back. Waiting watches are cut.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// isDown reports whether the store is down.
+func (s *store) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
 // setMode sets how calls at an address are treated. Waiting watches are not cut.
 func (s *store) setMode(address string, m mode) {
 	s.mu.Lock()
@@ -174,8 +194,12 @@
 				list = append(list, e)
 			}
 		}
-		asOf, changed := s.revision, s.changed
+		asOf, changed, down := s.revision, s.changed, s.down
 		s.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		if len(list) > 0 {
 			reply(w, http.StatusOK, map[string]any{"events": list, "as_of": asOf})
 			return
