--- a/review/standin-3/twolinks.go
+++ b/review/standin-3/twolinks.go
@@ -16,7 +16,7 @@
 	fullLinks  = 2
 	fullTime   = 3 * time.Second
 	fullLoss   = 0.7
-	fullRounds = 5
+	fullRounds = 8
 	// Flows of a consumer with a full link, and of another one, and their longest pauses.
 	busyFlows, restingFlows = 20, 60
 	busyPause, restingPause = 0.3, 8.0 // seconds
