--- a/decide/forward/openflow.go
+++ b/decide/forward/openflow.go
@@ -24,7 +24,8 @@
 		f.forget(p.Flow)
 		return Verdict{Action: Reset, Reason: TargetGone, Target: t, Route: route, NewDecision: true}
 	}
-	if r == nil {
+	adopted := r == nil
+	if adopted {
 		// The flow was opened at another VM, so that its first acknowledgement seen here
 		// is no evidence that the target responds.
 		r = f.flows.add(p.Flow, now)
@@ -49,7 +50,7 @@
 	}
 	return Verdict{
 		Action: Forward, Reason: Continued, Target: t, Cookie: t.Cookie, Route: route,
-		ConnectTime: connectTime, ResponseTime: responseTime, Superseded: superseded,
+		ConnectTime: connectTime, ResponseTime: responseTime, Superseded: superseded, Adopted: adopted,
 	}
 }
 
--- a/decide/forward/unopened.go
+++ b/decide/forward/unopened.go
@@ -69,25 +69,46 @@
 	}
 }
 
+// UnopenedOutcome is what a VM makes of a flow that has not opened at another one.
+type UnopenedOutcome uint8
+
+// The outcomes.
+const (
+	UnopenedUnknown    UnopenedOutcome = iota // this VM has no record of the flow, or not of the target
+	UnopenedSameTarget                        // the flow has opened at that target, or that is known to be another one
+	UnopenedOpening                           // the flow is opening here: its target will be known
+	UnopenedExcluded                          // the other target may get no SYN now
+	UnopenedSuperseded                        // the other target gets the cookie of the flow's target
+)
+
+// String returns the outcome as it appears in logs.
+func (o UnopenedOutcome) String() string {
+	return [...]string{"unknown", "same_target", "opening", "excluded", "superseded"}[o]
+}
+
 // HandleUnopened handles a flow that has not opened at another VM, which has sent its SYN to a
 // target. If it has opened here at another target, the verdict has the first one as superseded; if it
-// is opening here, it will have.
-func (f *Forwarder) HandleUnopened(now time.Duration, u relay.UnopenedFlow) Verdict {
+// is opening here, it will have. The verdict also has the flow's target here.
+func (f *Forwarder) HandleUnopened(now time.Duration, u relay.UnopenedFlow) (Verdict, UnopenedOutcome) {
 	route := f.view.Route(u.Flow.Address)
 	t := f.view.ByCookie(flow.Cookie(u.TargetCookie), route)
 	r := f.flows.get(u.Flow)
-	if t == nil || r == nil || r.target == nil || r.target == t || r.wasTried(t) {
-		return Verdict{}
+	if t == nil || r == nil || r.target == nil {
+		return Verdict{}, UnopenedUnknown
 	}
-	if r.phase == opening {
+	v := Verdict{Target: r.target, Cookie: r.target.Cookie}
+	switch {
+	case r.target == t || r.wasTried(t):
+		return v, UnopenedSameTarget
+	case r.phase == opening:
 		if r.tries < maxTries {
 			r.tried[r.tries] = t
 			r.tries++
 		}
-		return Verdict{}
-	}
-	if !f.mayGetSYN(now, t, route) {
-		return Verdict{}
+		return v, UnopenedOpening
+	case !f.mayGetSYN(now, t, route):
+		return v, UnopenedExcluded
 	}
-	return Verdict{Target: r.target, Cookie: r.target.Cookie, Superseded: []*catalog.Target{t}}
+	v.Superseded = []*catalog.Target{t}
+	return v, UnopenedSuperseded
 }
--- a/decide/forward/unopened_test.go
+++ b/decide/forward/unopened_test.go
@@ -29,16 +29,23 @@
 		superseded := []*catalog.Target{other.f.View().Target(first.ID)}
 		if openFirst {
 			other.f.Receive(210*ms, ackPacket(1, second.Cookie, 101, 500, 10))
-			v := other.f.HandleUnopened(700*ms, u)
+			v, outcome := other.f.HandleUnopened(700*ms, u)
+			other.Equal(outcome, UnopenedSuperseded)
 			other.Equal(v.Superseded, superseded)
 			other.Equal(v.Cookie, second.Cookie)
 		} else {
-			other.Equal(len(other.f.HandleUnopened(205*ms, u).Superseded), 0)
+			v, outcome := other.f.HandleUnopened(205*ms, u)
+			other.Equal(outcome, UnopenedOpening)
+			other.Equal(len(v.Superseded), 0)
 			other.Equal(other.f.Receive(210*ms, ackPacket(1, second.Cookie, 101, 500, 10)).Superseded, superseded)
 		}
 		// A flow that opened at that target, and one that this VM does not know.
-		other.Equal(len(other.f.HandleUnopened(time.Second, relay.UnopenedFlow{Flow: key(1), TargetCookie: uint32(second.Cookie)}).Superseded), 0)
-		other.Equal(len(other.f.HandleUnopened(time.Second, relay.UnopenedFlow{Flow: key(9), TargetCookie: uint32(second.Cookie)}).Superseded), 0)
+		v, outcome := other.f.HandleUnopened(time.Second, relay.UnopenedFlow{Flow: key(1), TargetCookie: uint32(second.Cookie)})
+		other.Equal(outcome, UnopenedSameTarget)
+		other.Equal(len(v.Superseded), 0)
+		v, outcome = other.f.HandleUnopened(time.Second, relay.UnopenedFlow{Flow: key(9), TargetCookie: uint32(second.Cookie)})
+		other.Equal(outcome, UnopenedUnknown)
+		other.Equal(len(v.Superseded), 0)
 	}
 }
 
--- a/decide/forward/verdict.go
+++ b/decide/forward/verdict.go
@@ -88,6 +88,8 @@
 	// VM without a record of the flow would believe theirs. They get the SYN once more with the
 	// cookie of Target, which their further answers then carry.
 	Superseded []*catalog.Target
+	// Adopted is set on the first packet of an open flow that the VM had no record of.
+	Adopted bool
 	// NewDecision is set on placements except of duplicate SYNs, on resets, and on the first
 	// drop of a flow for UnknownCookie. Only these are logged.
 	NewDecision bool
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -392,6 +392,18 @@
 	CookieRealigned = declare(Event{Number: "GS6214", Level: Info, Name: "cookie_realigned", Limited: true,
 		Message: "target that may repeat its answer to a flow that is open elsewhere got the SYN again with the cookie of the flow's target",
 		Fields:  []string{"caller", "address", "target", "superseded"}})
+	// FlowUnopened is written when the VM tells others of a flow that has not opened here.
+	FlowUnopened = declare(Event{Number: "GS6215", Level: Info, Name: "flow_unopened", Limited: true, Rate: flowRate, Burst: flowBurst,
+		Message: "flow has not opened through this VM, its target may repeat its answer; other VMs are told",
+		Fields:  []string{"caller", "address", "target"}})
+	// UnopenedFlowReceived is written when another VM names a flow that this VM has a record of.
+	UnopenedFlowReceived = declare(Event{Number: "GS6216", Level: Info, Name: "unopened_flow_received", Limited: true, Rate: flowRate, Burst: flowBurst,
+		Message: "another VM has sent a SYN of this flow, which has not opened there",
+		Fields:  []string{"caller", "address", "target", "other", "outcome"}})
+	// FlowAdopted is written for the first packet of an open flow that the VM has no record of.
+	FlowAdopted = declare(Event{Number: "GS6217", Level: Info, Name: "flow_adopted", Limited: true, Rate: flowRate, Burst: flowBurst,
+		Message: "open flow has moved to this VM",
+		Fields:  []string{"caller", "address", "target", "by"}})
 )
 
 // all lists the events in order of declaration.
--- a/services/packets/announce.go
+++ b/services/packets/announce.go
@@ -6,6 +6,7 @@
 
 	"github.com/gypsumspan/gypsumspan/decide/flow"
 	"github.com/gypsumspan/gypsumspan/decide/forward"
+	"github.com/gypsumspan/gypsumspan/decide/relay"
 	"github.com/gypsumspan/gypsumspan/events"
 )
 
@@ -24,6 +25,7 @@
 		return
 	}
 	s.nextAnnounce = now + announceInterval
+	s.logUnopened(flows)
 	s.reports.Announce(slices.Clone(cookies), slices.Clone(flows))
 }
 
@@ -44,3 +46,34 @@
 			events.F("target", v.Target.ID), events.F("superseded", t.ID))
 	}
 }
+
+// handleUnopened handles a flow that has not opened at another VM.
+func (s *Service) handleUnopened(now time.Duration, u relay.UnopenedFlow) {
+	v, outcome := s.forwarder.HandleUnopened(now, u)
+	if outcome == forward.UnopenedUnknown {
+		return
+	}
+	text := outcome.String()
+	if outcome == forward.UnopenedSuperseded && !s.syns.has(u.Flow) {
+		text = "no_syn"
+	}
+	s.log.Log(events.UnopenedFlowReceived, events.F("caller", u.Flow.Caller), events.F("address", u.Flow.Address),
+		events.F("target", v.Target.ID), events.F("other", s.targetID(u)), events.F("outcome", text))
+	s.resendSYN(u.Flow, v)
+}
+
+// targetID returns the id of the target of an unopened flow, or an empty one.
+func (s *Service) targetID(u relay.UnopenedFlow) string {
+	view := s.forwarder.View()
+	if t := view.ByCookie(flow.Cookie(u.TargetCookie), view.Route(u.Flow.Address)); t != nil {
+		return t.ID
+	}
+	return ""
+}
+
+// logUnopened logs the flows that other VMs are told of.
+func (s *Service) logUnopened(flows []relay.UnopenedFlow) {
+	for _, u := range flows {
+		s.log.Log(events.FlowUnopened, events.F("caller", u.Flow.Caller), events.F("address", u.Flow.Address), events.F("target", s.targetID(u)))
+	}
+}
--- a/services/packets/logging.go
+++ b/services/packets/logging.go
@@ -46,7 +46,7 @@
 	}
 	if in.Unopened != nil {
 		for _, u := range in.Unopened {
-			s.resendSYN(u.Flow, s.forwarder.HandleUnopened(now, u))
+			s.handleUnopened(now, u)
 		}
 		return
 	}
@@ -194,6 +194,11 @@
 		events.F("waited_ms", p.Age.Milliseconds()))
 }
 
+// logAdopted logs the first packet of a flow that the VM had no record of.
+func (s *Service) logAdopted(k flow.Key, v forward.Verdict) {
+	s.log.Log(events.FlowAdopted, events.F("caller", k.Caller), events.F("address", k.Address), events.F("target", v.Target.ID), events.F("by", "cookie"))
+}
+
 // copyOf returns how often a SYN was sent before; 0 for any other packet.
 func copyOf(p flow.Packet) uint32 {
 	if !p.Flags.Has(flow.SYN) {
--- a/services/packets/packets.go
+++ b/services/packets/packets.go
@@ -432,6 +432,9 @@
 	if v.NewDecision {
 		s.logDecision(p, v)
 	}
+	if v.Adopted {
+		s.logAdopted(p.Flow, v)
+	}
 	if p.Flags.Has(flow.SYN) && v.Reason == forward.PlacedAgain {
 		s.syns.keep(now, p.Flow, b.bytes[:headroom+b.n])
 	}
--- a/services/packets/synstore.go
+++ b/services/packets/synstore.go
@@ -40,6 +40,12 @@
 	}
 }
 
+// has reports whether the SYN of a flow is kept.
+func (s *synStore) has(k flow.Key) bool {
+	_, ok := s.syns[k]
+	return ok
+}
+
 // take removes and returns the SYN of a flow.
 func (s *synStore) take(k flow.Key) (datagram []byte, ok bool) {
 	syn, ok := s.syns[k]
