--- a/decide/forward/coldlimit_test.go
+++ b/decide/forward/coldlimit_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/gypsumspan/gypsumspan/decide/catalog"
+	"github.com/gypsumspan/gypsumspan/decide/halfopen"
 	"github.com/gypsumspan/gypsumspan/decide/relay"
 )
 
@@ -228,7 +229,7 @@
 	first := r.f.Receive(0, syn(1, 0)).Target
 	if first.ID != "i-2" { // the domain is depleted
 		first = r.f.View().Target("i-2")
-		r.f.HandleUnopened(10*ms, relay.UnopenedFlow{Flow: key(1), TargetCookie: uint32(first.Cookie)})
+		r.f.HandleUnopened(10*ms, halfopen.Unopened{Flow: key(1), TargetCookie: uint32(first.Cookie)})
 	}
 	r.Equal(r.f.Receive(200*ms, syn(1, 1)).Action, Forward)
 	second := r.f.Receive(600*ms, syn(1, 2)).Target
--- /dev/null
+++ b/decide/forward/contested.go
@@ -0,0 +1,198 @@
+package forward
+
+import (
+	"slices"
+	"time"
+
+	"github.com/gypsumspan/gypsumspan/decide/catalog"
+	"github.com/gypsumspan/gypsumspan/decide/flow"
+	"github.com/gypsumspan/gypsumspan/decide/halfopen"
+)
+
+const (
+	// maxContested bounds the contested flows of a VM. Further ones are not protected.
+	maxContested = 4096
+	// maxContestedNamed bounds the result of TakeContested, and maxNamingQueue what waits for it.
+	maxContestedNamed = 48
+	maxNamingQueue    = 1024
+)
+
+// contestedNamings are the times after a flow has become contested at which other VMs are told of it,
+// and the other targets get its cookie: again, since a datagram may be lost, and as long as the other
+// targets may take a SYN (halfopen.MaxCorrectionAge).
+var contestedNamings = [...]time.Duration{0, time.Second, 3 * time.Second, 6 * time.Second}
+
+// contestedFlow is the state of a flow that has opened here, while another target may hold it
+// half-open.
+type contestedFlow struct {
+	since   time.Duration
+	namings int // how many of contestedNamings are done
+}
+
+// Correction is a flow whose SYN other targets get again, with the cookie of the one at which it is
+// open.
+type Correction struct {
+	Flow       flow.Key
+	Target     *catalog.Target
+	Superseded []*catalog.Target
+}
+
+// isContested reports whether another target may hold a flow that now opens here: several have got its
+// SYN, or the caller has sent one that has not come here, before the first one here or after the last.
+func (r *record) isContested(now time.Duration) bool {
+	if r.copied || r.tries > 1 {
+		return true
+	}
+	return now-r.synAt >= synIntervals[0]
+}
+
+// contest records that the flow of r, which is open, is contested by other targets, if these are known.
+// A flow whose SYN is not known can't be told apart from others of its four-tuple.
+func (f *Forwarder) contest(now time.Duration, k flow.Key, r *record, others ...triedTarget) {
+	if r.untracked || r.tries == 0 && !r.sawHandshake {
+		return
+	}
+	for _, other := range others {
+		r.addTried(other)
+	}
+	if r.contested {
+		return
+	}
+	if len(f.contested) >= maxContested {
+		f.flowsNotTold++
+		return
+	}
+	r.contested = true
+	c := &contestedFlow{since: now}
+	f.contested[k] = c
+	f.nameContested(now, k, r, c)
+}
+
+// nameContested queues a contested flow for TakeContested.
+func (f *Forwarder) nameContested(now time.Duration, k flow.Key, r *record, c *contestedFlow) {
+	c.namings++
+	f.queueNaming(halfopen.Opened{Flow: k, TargetCookie: uint32(r.target.Cookie), SYNSeq: r.synSeq, Age: now - c.since})
+}
+
+func (f *Forwarder) queueNaming(o halfopen.Opened) {
+	if len(f.contestedToName) >= maxNamingQueue {
+		f.flowsNotTold++
+		return
+	}
+	f.contestedToName = append(f.contestedToName, o)
+}
+
+// recordAdopted records a flow without a record whose first packet may end its handshake: the VM that
+// has sent its SYN does not know that it has opened. Other packets have a later sequence number than
+// the flow's SYN says, and match no unopened flow.
+func (f *Forwarder) recordAdopted(p flow.Packet, r *record, t *catalog.Target) {
+	if p.Len > 0 || p.Flags != flow.ACK || p.Cookie != t.Cookie {
+		return
+	}
+	r.sawHandshake, r.synSeq = true, p.Seq-1
+	if len(f.adopted) < maxContestedNamed {
+		f.adopted = append(f.adopted, halfopen.Opened{Flow: p.Flow, TargetCookie: uint32(t.Cookie), SYNSeq: r.synSeq})
+	} else {
+		f.flowsNotTold++
+	}
+}
+
+// TakeAdopted returns the flows of recordAdopted since the last call, for their keepers. The slice is
+// valid until the next call of any method.
+func (f *Forwarder) TakeAdopted() []halfopen.Opened {
+	taken := f.adopted
+	f.adopted = f.adopted[:0]
+	return taken
+}
+
+// TakeContested returns contested flows that other VMs are to be told of, the oldest first. The slice is
+// valid until the next call of any method.
+func (f *Forwarder) TakeContested() []halfopen.Opened {
+	n := min(len(f.contestedToName), maxContestedNamed)
+	taken := f.contestedToName[:n:n]
+	f.contestedToName = f.contestedToName[n:]
+	return taken
+}
+
+// TakeCorrections returns the corrections that are due since the last call. The slice is valid until the
+// next call of any method.
+func (f *Forwarder) TakeCorrections() []Correction {
+	taken := f.corrections
+	f.corrections = f.corrections[:0]
+	return taken
+}
+
+// IsContested reports whether a flow is contested.
+func (f *Forwarder) IsContested(k flow.Key) bool { return f.contested[k] != nil }
+
+// Contested returns the number of contested flows.
+func (f *Forwarder) Contested() int { return len(f.contested) }
+
+// sweepContested names the contested flows that are due, in the order of their hashes, and forgets those
+// that have ended.
+func (f *Forwarder) sweepContested(now time.Duration) {
+	var due []flow.Key
+	for k, c := range f.contested {
+		r := f.flows.get(k)
+		switch {
+		case r == nil || !r.contested:
+			delete(f.contested, k)
+		case r.phase != open || r.target == nil:
+			r.contested = false
+			delete(f.contested, k)
+		case c.namings < len(contestedNamings) && now-c.since >= contestedNamings[c.namings]:
+			due = append(due, k)
+		}
+	}
+	slices.SortFunc(due, compareHashes)
+	for _, k := range due {
+		r := f.flows.get(k)
+		f.nameContested(now, k, r, f.contested[k])
+		f.correct(now, k, r)
+	}
+}
+
+// correct queues a correction of the other targets of a contested flow.
+func (f *Forwarder) correct(now time.Duration, k flow.Key, r *record) {
+	others := f.holders(now, r.tried[:r.tries], r.target, f.view.Route(k.Address))
+	if len(others) > 0 {
+		f.corrections = append(f.corrections, Correction{Flow: k, Target: r.target, Superseded: others})
+	}
+}
+
+// foreignEcho handles the cookie of a packet of an open flow. One of another target shows that this one
+// holds the flow half-open and has answered last: it is returned as superseded. The right one ends the
+// danger once no target repeats its answer any more.
+func (f *Forwarder) foreignEcho(now time.Duration, p flow.Packet, r *record, t *catalog.Target, route *catalog.Route) []*catalog.Target {
+	if p.Cookie == t.Cookie {
+		if r.contested && now-f.contested[p.Flow].since >= halfopen.RepeatTime {
+			r.contested = false
+			delete(f.contested, p.Flow)
+		}
+		return nil
+	}
+	if p.Cookie == 0 || r.phase != open || r.tries == 0 && !r.sawHandshake {
+		return nil
+	}
+	other := f.view.ByCookie(p.Cookie, route)
+	if other == nil || other == t || r.wasTried(other) {
+		return nil
+	}
+	shown := triedTarget{other, other.Born}
+	f.contest(now, p.Flow, r, shown)
+	return f.holders(now, []triedTarget{shown}, t, route)
+}
+
+// StartLeaving has the VM tell others of all its contested flows and hints at once, and of unopened
+// flows as soon as they are: it will be gone.
+func (f *Forwarder) StartLeaving(now time.Duration) {
+	f.leaving = true
+	f.nextSweep = now
+	for k, c := range f.contested {
+		if r := f.flows.get(k); r != nil && r.target != nil {
+			f.queueNaming(halfopen.Opened{Flow: k, TargetCookie: uint32(r.target.Cookie), SYNSeq: r.synSeq, Age: now - c.since})
+		}
+	}
+	f.queueHints(now)
+	slices.SortFunc(f.contestedToName, func(a, b halfopen.Opened) int { return compareHashes(a.Flow, b.Flow) })
+}
--- a/decide/forward/flowtable.go
+++ b/decide/forward/flowtable.go
@@ -26,14 +26,17 @@
 	untracked bool // not stored, since the table was full
 
 	phase  phase
-	target *catalog.Target           // of an opening flow, the one tried last
-	tried  [maxTries]*catalog.Target // targets that a SYN was sent to, in order
-	tries  int                       // number of them
+	target *catalog.Target       // of an opening flow, the one tried last
+	tried  [maxTries]triedTarget // targets that a SYN was sent to, in order
+	tries  int                   // number of them
 
-	synSeq       uint32        // sequence number of the SYN, valid if tries > 0
+	synSeq       uint32        // sequence number of the SYN, valid if tries > 0 or sawHandshake
+	firstSYNAt   time.Duration // first SYN here
 	synAt        time.Duration // last SYN that was placed or left out; not its duplicates
 	repeated     bool          // a retransmitted SYN was left to target
-	announced    bool          // TakeUnopened has returned the flow since synAt
+	copied       bool          // its first SYN here was a copy: another VM may have got the one before
+	sawHandshake bool          // adopted with what may be the end of its handshake; synSeq is valid then
+	contested    bool          // it is in Forwarder.contested
 	leftOut      bool          // the last SYN was not sent to target
 	lastSeen     time.Duration // last packet
 	unknownSince time.Duration // first packet with an unknown cookie; 0: none
@@ -58,6 +61,22 @@
 	stuck       bool // counted as stuck since then
 }
 
+// triedTarget is a target that a SYN of a flow was sent to. It holds the flow as long as its process
+// lives, which started at the given Unix millisecond; 0: not known.
+type triedTarget struct {
+	*catalog.Target
+	born int64
+}
+
+// addTried records that a SYN of the flow was sent to a target, here or by another VM, if there is
+// room.
+func (r *record) addTried(t triedTarget) {
+	if r.tries < maxTries {
+		r.tried[r.tries] = t
+		r.tries++
+	}
+}
+
 // newer reports whether sequence number a is after b, modulo 2^32.
 func newer(a, b uint32) bool { return int32(a-b) > 0 }
 
--- a/decide/forward/forward.go
+++ b/decide/forward/forward.go
@@ -15,7 +15,7 @@
 	"github.com/gypsumspan/gypsumspan/decide/evidence"
 	"github.com/gypsumspan/gypsumspan/decide/flood"
 	"github.com/gypsumspan/gypsumspan/decide/flow"
-	"github.com/gypsumspan/gypsumspan/decide/relay"
+	"github.com/gypsumspan/gypsumspan/decide/halfopen"
 )
 
 const (
@@ -125,9 +125,18 @@
 	latenesses     map[string]*routeLateness // by name of the route
 	lateRoutes     []LateRoute
 
-	lacksChanges bool                 // see SetLacksChanges
-	unopened     []relay.UnopenedFlow // not yet returned by TakeUnopened
-	unansweredBy []uint32             // not yet returned by TakeUnanswered
+	lacksChanges bool     // see SetLacksChanges
+	unansweredBy []uint32 // not yet returned by TakeUnanswered
+
+	unopened        map[flow.Key]*unopenedFlow
+	unopenedToName  []halfopen.Unopened // not yet returned by TakeUnopened
+	contested       map[flow.Key]*contestedFlow
+	contestedToName []halfopen.Opened // not yet returned by TakeContested
+	adopted         []halfopen.Opened // not yet returned by TakeAdopted
+	corrections     []Correction      // not yet returned by TakeCorrections
+	hints           map[flow.Key]hint
+	flowsNotTold    uint64 // see FlowsNotTold
+	leaving         bool   // see StartLeaving
 
 	nextSweep time.Duration
 }
@@ -153,6 +162,9 @@
 		activeByDomain:       make(map[serviceDomain]int),
 		pressures:            make(map[string]float64),
 		latenesses:           make(map[string]*routeLateness),
+		unopened:             make(map[flow.Key]*unopenedFlow),
+		contested:            make(map[flow.Key]*contestedFlow),
+		hints:                make(map[flow.Key]hint),
 	}
 }
 
@@ -376,17 +388,17 @@
 // Tick expires flows, requests and targets, counts overdue requests as failed, and resets the
 // flows of targets that are gone. It returns the time of the next call.
 func (f *Forwarder) Tick(now time.Duration) time.Duration {
-	const interval = 500 * time.Millisecond
+	const interval, leavingInterval = 500 * time.Millisecond, 100 * time.Millisecond
 	settled := f.cold.settle(now)
 	if now < f.nextSweep {
 		return min(f.nextSweep, settled)
 	}
 	f.nextSweep = now + interval
-	f.cold.forget(now, f.view)
-	idle := f.view.IdleTimeout()
-	if idle == 0 {
-		idle = defaultIdleTimeout
+	if f.leaving {
+		f.nextSweep = now + leavingInterval
 	}
+	f.cold.forget(now, f.view)
+	idle := f.idleTimeout()
 	for _, c := range f.view.TakeHeld(now) {
 		f.deferredChanges = append(f.deferredChanges, DeferredChange{Change: c, Effect: f.Apply(now, c)})
 	}
@@ -407,10 +419,18 @@
 			f.setActive(r, r.target, false)
 		}
 	}
+	f.sweepUnopened(now)
+	f.sweepContested(now)
+	f.sweepHints(now)
 	f.view.Tick(now, func(t *catalog.Target) bool { return f.loads[t.Slot].Flows > 0 })
 	return min(f.nextSweep, settled)
 }
 
+// idleTimeout returns the time after which a flow without packets may be discarded.
+func (f *Forwarder) idleTimeout() time.Duration {
+	return cmp.Or(f.view.IdleTimeout(), defaultIdleTimeout)
+}
+
 // requestTimeout returns the time after which a request of flow k no longer counts as
 // in progress.
 func (f *Forwarder) requestTimeout(k flow.Key) time.Duration {
--- a/decide/forward/openflow.go
+++ b/decide/forward/openflow.go
@@ -24,20 +24,22 @@
 		f.forget(p.Flow)
 		return Verdict{Action: Reset, Reason: TargetGone, Target: t, Route: route, NewDecision: true}
 	}
-	adopted := r == nil
-	if adopted {
+	adopted := NotAdopted
+	if r == nil {
+		adopted = adoptedBy(p, t)
 		// The flow was opened at another VM, so that its first acknowledgement seen here
 		// is no evidence that the target responds.
 		r = f.flows.add(p.Flow, now)
 		r.phase = open
 		r.ack = p.Ack
+		f.recordAdopted(p, r, t)
 	}
 	f.assign(r, t)
 	if f.shouldHold(now, r, p, route) {
 		r.lastSeen = now
 		return Verdict{Action: Drop, Reason: Held, Target: t, Route: route}
 	}
-	superseded := f.supersededTargets(now, r, t, route)
+	superseded := f.supersededTargets(now, p, r, t, route)
 	connectTime, responseTime := f.updateFlow(now, r, t, p)
 	f.recordOutcome(now, r, t, route, p, responseTime)
 	f.resetDead(now, t)
@@ -54,15 +56,26 @@
 	}
 }
 
-// supersededTargets returns the targets other than t that got a SYN of a flow which now opens at t.
-// Targets that would get no new flow of the route are left out.
-func (f *Forwarder) supersededTargets(now time.Duration, r *record, t *catalog.Target, route *catalog.Route) (list []*catalog.Target) {
-	if r.phase != opening || route == nil {
-		return nil
+// supersededTargets returns the targets other than t that hold a flow half-open, as a packet of the flow
+// shows: those that got its SYN, when it opens at t, and later the one whose cookie it carries.
+func (f *Forwarder) supersededTargets(now time.Duration, p flow.Packet, r *record, t *catalog.Target, route *catalog.Route) (list []*catalog.Target) {
+	if r.phase != opening {
+		return f.foreignEcho(now, p, r, t, route)
+	}
+	if r.isContested(now) {
+		f.contest(now, p.Flow, r)
 	}
-	for _, tried := range r.tried[:r.tries] {
-		if tried != t && f.mayGetSYN(now, tried, route) {
-			list = append(list, tried)
+	return f.holders(now, r.tried[:r.tries], t, route)
+}
+
+// holders returns those of the targets that got a SYN of a flow which may hold it half-open, while it is
+// open at t. One that has started again since holds nothing, and would take the SYN for a new flow.
+// Targets that would get no new flow of the route are left out.
+func (f *Forwarder) holders(now time.Duration, tried []triedTarget, t *catalog.Target, route *catalog.Route) (list []*catalog.Target) {
+	for _, other := range tried {
+		restarted := other.born != 0 && other.born != other.Born
+		if other.Target != t && !restarted && f.mayGetSYN(now, other.Target, route) {
+			list = append(list, other.Target)
 		}
 	}
 	return list
@@ -79,16 +92,19 @@
 }
 
 // targetOf returns the target of an open flow: the recorded one, unless it is gone and
-// the target of the cookie is not; without a recorded one the target of the cookie, or
-// nil. The recorded one takes precedence, since the caller returns the cookie that it
-// received last: with two answers to its SYNs it may be that of another target. While the
-// flow is opening only the cookie shows which target has answered.
+// the target of the cookie is not; without a recorded one the target that another VM has told of, or
+// that of the cookie, or nil. The recorded one takes precedence, since the caller returns the cookie
+// that it received last: with two answers to its SYNs it may be that of another target. While the
+// flow is opening here only the cookie and other VMs show which target has answered.
 func (f *Forwarder) targetOf(now time.Duration, p flow.Packet, route *catalog.Route, r *record) *catalog.Target {
 	var fromCookie *catalog.Target
 	if p.Cookie != 0 {
 		fromCookie = f.view.ByCookie(p.Cookie, route)
 	}
 	if r == nil || r.phase == opening || r.target == nil {
+		if hinted := f.hintedTarget(now, p, route); hinted != nil {
+			return hinted
+		}
 		return fromCookie
 	}
 	if r.target.Gone(now) && fromCookie != nil && !fromCookie.Gone(now) {
@@ -97,6 +113,14 @@
 	return r.target
 }
 
+// adoptedBy returns what names t as the target of the first packet of a flow without a record.
+func adoptedBy(p flow.Packet, t *catalog.Target) Adoption {
+	if p.Cookie == t.Cookie {
+		return AdoptedByCookie
+	}
+	return AdoptedByHint
+}
+
 // receiveUnknownTarget returns the verdict on a packet whose target is unknown.
 func (f *Forwarder) receiveUnknownTarget(now time.Duration, p flow.Packet, route *catalog.Route, r *record) Verdict {
 	if p.Cookie == 0 {
--- a/decide/forward/placement.go
+++ b/decide/forward/placement.go
@@ -23,6 +23,9 @@
 		return f.refuseUnknownRoute()
 	}
 	r := f.flows.get(p.Flow)
+	if r == nil && f.isKnownOpen(now, p) {
+		return Verdict{Action: Drop, Reason: Continued, Route: route}
+	}
 	if r != nil && r.phase != opening {
 		if r.phase == open && p.Ack > 0 || r.tries > 0 && r.synSeq == p.Seq {
 			// A delayed retransmission or duplicate; the flow is open, or has been, by now.
@@ -46,7 +49,7 @@
 	}
 	if r == nil {
 		r = f.flows.add(p.Flow, now)
-		r.synSeq = p.Seq
+		r.synSeq, r.copied, r.firstSYNAt = p.Seq, p.Ack > 0, now
 	} else if r.target != nil {
 		f.evidence[r.target.Slot].RecordUnanswered(now, r.synAt)
 		f.cold.recordSilence(now, r.synAt, r.target)
@@ -87,13 +90,10 @@
 func (f *Forwarder) forwardTo(now time.Duration, r *record, route *catalog.Route, t *catalog.Target, reason Reason, newDecision bool) Verdict {
 	r.lastSeen = now
 	if newDecision {
-		if r.tries < maxTries {
-			r.tried[r.tries] = t
-			r.tries++
-		}
+		r.addTried(triedTarget{t, t.Born})
 		f.assign(r, t)
 		r.synAt = now
-		r.repeated, r.leftOut, r.announced = false, false, false
+		r.repeated, r.leftOut = false, false
 		f.evidence[t.Slot].RecordPlacement(now)
 		f.cold.recordPlacement(now, t)
 		f.recordPlaced(now, t.Service)
@@ -183,7 +183,7 @@
 
 func (r *record) wasTried(t *catalog.Target) bool {
 	for _, tried := range r.tried[:r.tries] {
-		if tried == t {
+		if tried.Target == t {
 			return true
 		}
 	}
--- a/decide/forward/retry.go
+++ b/decide/forward/retry.go
@@ -58,7 +58,7 @@
 // retrySame returns the verdict on a retransmitted SYN that is not sent to another target.
 func (f *Forwarder) retrySame(now time.Duration, r *record, route *catalog.Route, action retryAction) Verdict {
 	r.lastSeen, r.synAt = now, now
-	r.repeated, r.leftOut, r.announced = true, action == leaveOut, false
+	r.repeated, r.leftOut = true, action == leaveOut
 	t := r.target
 	if action == tryAgain {
 		return Verdict{Action: Forward, Reason: Repeated, Target: t, Cookie: t.Cookie, Route: route, NewDecision: true}
--- a/decide/forward/verdict.go
+++ b/decide/forward/verdict.go
@@ -71,6 +71,19 @@
 	return names[r]
 }
 
+// Adoption is how a VM finds the target of an open flow that it has no record of.
+type Adoption uint8
+
+// The ways.
+const (
+	NotAdopted      Adoption = iota // it has a record
+	AdoptedByCookie                 // the packet carries the target's cookie
+	AdoptedByHint                   // another VM has told of the target, against the cookie
+)
+
+// String returns the way as it appears in logs.
+func (a Adoption) String() string { return [...]string{"", "cookie", "hint"}[a] }
+
 // Verdict is the decision about one packet.
 type Verdict struct {
 	Action Action
@@ -89,7 +102,7 @@
 	// cookie of Target, which their further answers then carry.
 	Superseded []*catalog.Target
 	// Adopted is set on the first packet of an open flow that the VM had no record of.
-	Adopted bool
+	Adopted Adoption
 	// NewDecision is set on placements except of duplicate SYNs, on resets, and on the first
 	// drop of a flow for UnknownCookie. Only these are logged.
 	NewDecision bool
--- a/decide/relay/heartbeats.go
+++ b/decide/relay/heartbeats.go
@@ -44,7 +44,7 @@
 	m.recordSamples(now, p, b)
 	b, usable := m.heartbeatInOwnEra(b)
 	m.handleGrants(p, b)
-	m.out.Unopened = append(m.out.Unopened, b.Unopened...)
+	m.receiveFlows(now, waited, from, b)
 	for _, cookie := range b.UnansweredBy {
 		m.out.Unanswered = append(m.out.Unanswered, UnansweredSYN{TargetCookie: cookie, VM: b.Name})
 	}
--- a/decide/relay/relay.go
+++ b/decide/relay/relay.go
@@ -19,6 +19,7 @@
 import (
 	"time"
 
+	"github.com/gypsumspan/gypsumspan/decide/halfopen"
 	"github.com/gypsumspan/gypsumspan/decide/revision"
 )
 
@@ -111,6 +112,7 @@
 	eras     eraState
 	grants   grants
 	waits    waits
+	matcher  halfopen.Matcher
 	// latestKnown is the latest revision that another VM has reported.
 	latestKnown revision.Revision
 	arrivals    []Arrival // not yet taken
--- a/decide/relay/types.go
+++ b/decide/relay/types.go
@@ -4,7 +4,7 @@
 	"net/netip"
 	"time"
 
-	"github.com/gypsumspan/gypsumspan/decide/flow"
+	"github.com/gypsumspan/gypsumspan/decide/halfopen"
 	"github.com/gypsumspan/gypsumspan/decide/revision"
 )
 
@@ -33,13 +33,6 @@
 	Tokens       uint32 // new flows in any second
 }
 
-// UnopenedFlow is a flow whose SYN a VM has sent to a target, and of which it has received nothing
-// since: routers may have moved the flow, or its caller has given up.
-type UnopenedFlow struct {
-	Flow         flow.Key
-	TargetCookie uint32 // identifies the target
-}
-
 // UnansweredSYN says that a target has left a SYN of a VM unanswered.
 type UnansweredSYN struct {
 	TargetCookie uint32 // identifies the target
@@ -93,8 +86,12 @@
 	Grantee uint64
 	// Reports are those of the sender or, in a reply, of its failure domain.
 	Reports []TargetReport
-	// Unopened are flows that have not opened at the sender, for VMs at which they may have.
-	Unopened []UnopenedFlow
+	// Unopened are flows that have not opened at the sender, for VMs at which they may have, and Opened
+	// flows that have opened there, for VMs to which routers may move them. With Keep the receiver is a
+	// keeper of all of them; see package halfopen.
+	Unopened []halfopen.Unopened
+	Opened   []halfopen.Opened
+	Keep     bool
 	// UnansweredBy are the cookies of targets that have just left a SYN of the sender unanswered.
 	UnansweredBy []uint32
 	// Items are the writes after revision After and up to Revision. They are included,
@@ -160,8 +157,10 @@
 	Snapshot *Snapshot
 	// Grants are those that this process has received.
 	Grants []Grant
-	// Unopened are flows that other VMs have sent a SYN of.
-	Unopened []UnopenedFlow
+	// Unopened are flows that other VMs have sent a SYN of, and Opened flows that have opened at other
+	// VMs.
+	Unopened []halfopen.Unopened
+	Opened   []halfopen.Opened
 	// Unanswered are targets that have left SYNs of other VMs unanswered.
 	Unanswered []UnansweredSYN
 }
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -399,7 +399,7 @@
 	// UnopenedFlowReceived is written when another VM names a flow that this VM has a record of.
 	UnopenedFlowReceived = declare(Event{Number: "GS6216", Level: Info, Name: "unopened_flow_received", Limited: true, Rate: flowRate, Burst: flowBurst,
 		Message: "another VM has sent a SYN of this flow, which has not opened there",
-		Fields:  []string{"caller", "address", "target", "other", "outcome"}})
+		Fields:  []string{"caller", "address", "target", "other", "outcome", "age_ms"}})
 	// FlowAdopted is written for the first packet of an open flow that the VM has no record of.
 	FlowAdopted = declare(Event{Number: "GS6217", Level: Info, Name: "flow_adopted", Limited: true, Rate: flowRate, Burst: flowBurst,
 		Message: "open flow has moved to this VM",
--- a/lab/day/callers.go
+++ b/lab/day/callers.go
@@ -67,6 +67,7 @@
 	open           bool
 	target         *target // of an open flow
 	handshakeDone  bool    // its target has received the ACK of the SYN-ACK
+	lastVM         *vm     // that got its last packet; nil if there was none
 	cookie         flow.Cookie
 	seq            uint32 // of the next byte to send
 	ack            uint32 // next byte expected
@@ -269,7 +270,7 @@
 		c.fleet.deliverTo(f.viaVM, p)
 		return
 	}
-	c.fleet.routePacket(p)
+	f.lastVM = c.fleet.routePacket(p)
 }
 
 // sendRequest sends the data of the flow's request.
@@ -316,7 +317,7 @@
 	switch {
 	case p.flags.Has(flow.RST):
 		if f.open && f.target != t {
-			c.oracle.resetByOtherTarget(f)
+			c.oracle.resetByOtherTarget(t, f)
 		}
 		c.handleReset(f)
 	case p.flags.Has(flow.SYN):
--- a/lab/day/disruptions.go
+++ b/lab/day/disruptions.go
@@ -63,6 +63,7 @@
 	"vm_cut":          {"VMs are cut off from VMs, targets and the store", Disruption{Share: 0.1, For: seconds(5)}, (*disruptor).isolateVMs},
 	"domain_cut":      {"a failure domain is cut off from the others and the store", Disruption{For: seconds(6)}, (*disruptor).partitionDomain},
 	"answer_loss":     {"a part x of the targets' answers to SYNs is lost on the way to the callers", Disruption{For: seconds(5), Magnitude: 0.05}, (*disruptor).loseAnswers},
+	"flows_rest":      {"callers of a failure domain or of all open flows, which rest for a time before their first request", Disruption{Count: 50, For: seconds(5)}, (*disruptor).restFlows},
 	"packet_loss":     {"a part x of the packets between domains is lost", Disruption{For: seconds(8), Magnitude: 0.03}, (*disruptor).losePackets},
 	"store_down":      {"the store does not answer; how: keep, lapse (targets' entries expire meanwhile)", Disruption{For: seconds(8), Variant: outageKeep}, (*disruptor).storeDown},
 	"store_refuses":   {"the store answers a share of the VMs no more", Disruption{Share: 0.35, For: seconds(8)}, (*disruptor).storeRefuses},
--- a/lab/day/fleet.go
+++ b/lab/day/fleet.go
@@ -133,11 +133,14 @@
 	return best
 }
 
-// routePacket sends a packet of a caller to the VM that the routers select.
-func (f *fleet) routePacket(p flow.Packet) {
-	if v := f.route(p.Flow); v != nil {
+// routePacket sends a packet of a caller to the VM that the routers select, and returns it. It returns
+// nil if there is none.
+func (f *fleet) routePacket(p flow.Packet) *vm {
+	v := f.route(p.Flow)
+	if v != nil {
 		f.deliverTo(v, p)
 	}
+	return v
 }
 
 // deliverTo sends a packet of a caller to a VM.
--- a/lab/day/mixes.go
+++ b/lab/day/mixes.go
@@ -33,6 +33,9 @@
 		d.Site = d.Site.withLinks(mixedLinkMbps)
 		d.Disruptions = append(d.Disruptions, changesAsVMsReturn(rng, d.Site, latest)...)
 	}
+	if rng.Float64() < mixProbability {
+		d.Disruptions = append(d.Disruptions, openingsAsADomainReturns(rng, d.Site, latest)...)
+	}
 }
 
 // withColdLimit returns a copy of the site whose targets bear only so many requests per second while
@@ -84,6 +87,31 @@
 	}
 }
 
+// openingsAsADomainReturns returns the loss of all VMs of a failure domain, one way or another, while
+// callers open flows and answers to SYNs are lost, so that the SYNs of a flow go to VMs of two failure
+// domains. The flows rest, VMs stop, end or come in one of the domains, and the flows are used. Between
+// the loss and the use there is time for VMs to settle, so that nothing excuses a broken flow.
+func openingsAsADomainReturns(rng *rand.Rand, site *Site, latest time.Duration) []Disruption {
+	domains := rng.Perm(len(site.Domains))
+	lost, other := site.Domains[domains[0]], site.Domains[domains[len(domains)-1]]
+	rest := uniform(rng, site.Bounds.SettleTime.D()+3*time.Second, 13*time.Second)
+	at := uniform(rng, 0, max(latest-rest, time.Second)/2)
+	away := uniform(rng, 1500*time.Millisecond, 3*time.Second)
+	openAt := at + uniform(rng, away-restSpread, away+restSpread)
+	workAt := openAt + rest - uniform(rng, 0, 2*time.Second)
+	loss := Disruption{Kind: []string{"vm_power_loss", "vm_power_loss", "vm_pause", "vm_cut", "vm_roll"}[rng.IntN(5)], At: inMilliseconds(at), For: inMilliseconds(away), Share: 1, Domain: lost}
+	if loss.Kind == "vm_roll" {
+		loss.Interval = inMilliseconds(uniform(rng, 50*time.Millisecond, 400*time.Millisecond))
+	}
+	work := Disruption{Kind: []string{"vm_roll", "vm_roll", "vm_kill", "vm_add"}[rng.IntN(4)], At: inMilliseconds(workAt), Share: uniformFloat(rng, 0.2, 1), Domain: []string{lost, lost, other}[rng.IntN(3)]}
+	return []Disruption{
+		loss,
+		{Kind: "answer_loss", At: inMilliseconds(at), For: inMilliseconds(away + 2*restSpread), Magnitude: []float64{0.03, 0.1, 0.4}[rng.IntN(3)]},
+		{Kind: "flows_rest", At: inMilliseconds(openAt), For: inMilliseconds(rest), Count: 50 + rng.IntN(400), Domain: lost},
+		work,
+	}
+}
+
 // pauses returns several pauses of VMs, after which flows that opened meanwhile come back to them.
 func pauses(rng *rand.Rand, latest time.Duration) (list []Disruption) {
 	for range 1 + rng.IntN(3) {
--- a/lab/day/oracle.go
+++ b/lab/day/oracle.go
@@ -207,28 +207,35 @@
 	return f.target != nil && f.target.up && f.target.conns[f.key] != nil
 }
 
-// resetByVM checks a reset of an open flow by a VM. Flows that have exceeded their age or
-// idle timeout, or whose route was removed, may be reset.
+// resetByVM checks a reset of an open flow by a VM.
 func (o *oracle) resetByVM(v *vm, f *flowState) {
-	if !f.handshakeDone || !o.targetHasFlow(f) {
-		return
+	if o.isBrokenByReset(f) && o.targetSettled(f.target) && o.vmSettled(v) {
+		o.recordViolation(FlowReset, "%s reset flow %s, which %s has", v.name, f.key, f.target.id)
 	}
-	o.brokenFlows++
-	now := o.now()
-	expired := now-f.startedAt > o.site.Bounds.MaxFlowAge.D() || now-f.lastUsedAt > o.site.Bounds.IdleTimeout.D()
-	if expired || !o.operator.exists(f.key.Address) {
+}
+
+// resetByOtherTarget checks a reset of an open flow by a target other than its own, to which a VM has
+// forwarded a packet of the flow.
+func (o *oracle) resetByOtherTarget(t *target, f *flowState) {
+	if !o.isBrokenByReset(f) || !o.targetSettled(f.target) {
 		return
 	}
-	if o.targetSettled(f.target) && o.vmSettled(v) {
-		o.recordViolation(FlowReset, "%s reset flow %s, which %s has", v.name, f.key, f.target.id)
+	if f.lastVM == nil || o.vmSettled(f.lastVM) {
+		o.recordViolation(FlowReset, "%s reset flow %s, which %s has", t.id, f.key, f.target.id)
 	}
 }
 
-// resetByOtherTarget records a reset by a target other than the flow's own.
-func (o *oracle) resetByOtherTarget(f *flowState) {
-	if f.handshakeDone && o.targetHasFlow(f) {
-		o.brokenFlows++
+// isBrokenByReset counts a reset of an open flow, unless its target does not have it, and reports
+// whether the flow must not be reset. Flows that have exceeded their age or idle timeout, or whose
+// route was removed, may be.
+func (o *oracle) isBrokenByReset(f *flowState) bool {
+	if !f.handshakeDone || !o.targetHasFlow(f) {
+		return false
 	}
+	o.brokenFlows++
+	now := o.now()
+	expired := now-f.startedAt > o.site.Bounds.MaxFlowAge.D() || now-f.lastUsedAt > o.site.Bounds.IdleTimeout.D()
+	return !expired && o.operator.exists(f.key.Address)
 }
 
 // flowTimedOut records that a caller abandons a flow because of a request timeout.
--- a/lab/day/randomday.go
+++ b/lab/day/randomday.go
@@ -25,7 +25,7 @@
 )
 
 // mixedKinds are kinds of disruption that random days have in certain mixes only.
-var mixedKinds = []string{"answer_loss", "target_restart"}
+var mixedKinds = []string{"answer_loss", "target_restart", "flows_rest"}
 
 // RandomDay returns a day of random disruptions at a site, with some of the mixes that have shown
 // faults before. It is determined by the seed.
--- a/lab/day/vm.go
+++ b/lab/day/vm.go
@@ -178,6 +178,9 @@
 	}
 	v.leaving = true
 	v.readiness.Leave()
+	if v.packets != nil {
+		v.packets.StartLeaving()
+	}
 	generation := v.generation
 	v.fleet.timeline.after(shutdownTime, func() {
 		if v.generation == generation {
--- a/services/drain/drain.go
+++ b/services/drain/drain.go
@@ -25,9 +25,12 @@
 	routerDetectionTime = 1500 * time.Millisecond
 )
 
-// Receiver tells when the VM received its last datagram; it is the service "packets".
+// Receiver is the service "packets".
 type Receiver interface {
+	// LastReceived tells when the VM received its last datagram.
 	LastReceived() time.Duration
+	// StartLeaving has the VM tell others what they need to know of its flows.
+	StartLeaving()
 }
 
 // Leaver makes the VM not ready for good; it is the service "readiness".
@@ -75,6 +78,7 @@
 // them, and other VMs forward them.
 func (s *Service) Stop(ctx context.Context) error {
 	s.leaver.Leave()
+	s.receiver.StartLeaving()
 	startedAt := s.kernel.Now()
 	for {
 		now := s.kernel.Now()
--- a/services/flowmetrics/flowmetrics.go
+++ b/services/flowmetrics/flowmetrics.go
@@ -129,6 +129,8 @@
 func (s *Service) addPacketMetrics(scope tally.Scope) {
 	stats := s.packets.Stats()
 	scope.Gauge("flows_remembered").Update(float64(stats.Flows))
+	scope.Gauge("flows_contested").Update(float64(stats.Contested))
+	scope.Gauge("flows_hinted").Update(float64(stats.Hints))
 	scope.Gauge("targets_put_aside").Update(float64(stats.Outliers))
 	scope.Gauge("cold_tokens").Update(float64(stats.ColdTokens))
 	scope.Gauge("targets_load_spread").Update(stats.LoadSpread)
@@ -138,6 +140,8 @@
 		"packets_malformed_total": stats.Malformed,
 		"packets_forwarded_total": stats.Forwarded,
 		"packets_realigned_total": stats.Realigned,
+		"flows_by_hint_total":     stats.AdoptedByHint,
+		"flows_not_told_total":    stats.FlowsNotTold,
 		"packets_resets_total":    stats.Resets,
 		"packets_dropped_total":   stats.Dropped,
 		"packets_failed_total":    stats.Failed,
@@ -161,17 +165,19 @@
 	scope.Gauge("cold_permits_held").Update(float64(stats.PermitsHeld))
 	watch := s.watch.Stats()
 	exposition.AddCounters(scope, map[string]uint64{
-		"relay_beats_sent_total":       stats.HeartbeatsSent,
-		"relay_beats_received_total":   stats.HeartbeatsReceived,
-		"relay_beats_malformed_total":  stats.Malformed,
-		"relay_pulls_total":            stats.Pulls,
-		"relay_pulls_failed_total":     stats.PullsFailed,
-		"relay_pulls_answered_total":   stats.PullsAnswered,
-		"catalog_values_invalid_total": stats.Invalid,
-		"store_reads_total":            watch.Reads,
-		"store_polls_total":            watch.WatchBatches,
-		"store_writes_total":           watch.Writes,
-		"store_failures_total":         watch.Failures,
+		"relay_beats_sent_total":            stats.HeartbeatsSent,
+		"relay_beats_received_total":        stats.HeartbeatsReceived,
+		"relay_beats_malformed_total":       stats.Malformed,
+		"relay_pulls_total":                 stats.Pulls,
+		"relay_pulls_failed_total":          stats.PullsFailed,
+		"relay_pulls_answered_total":        stats.PullsAnswered,
+		"relay_flows_not_kept_total":        stats.FlowsNotKept,
+		"relay_announcements_dropped_total": stats.AnnouncementsDropped,
+		"catalog_values_invalid_total":      stats.Invalid,
+		"store_reads_total":                 watch.Reads,
+		"store_polls_total":                 watch.WatchBatches,
+		"store_writes_total":                watch.Writes,
+		"store_failures_total":              watch.Failures,
 	})
 }
 
--- a/services/packets/logging.go
+++ b/services/packets/logging.go
@@ -50,6 +50,16 @@
 		}
 		return
 	}
+	if in.Opened != nil {
+		for _, o := range in.Opened {
+			s.handleOpened(now, o)
+		}
+		return
+	}
+	if in.Leaving {
+		s.startLeaving(now)
+		return
+	}
 	if in.Loads != nil {
 		s.coldTokens.Store(uint64(s.forwarder.ColdTokens(now)))
 		s.forwarder.SetOverloaded(in.Overloaded)
@@ -196,7 +206,10 @@
 
 // logAdopted logs the first packet of a flow that the VM had no record of.
 func (s *Service) logAdopted(k flow.Key, v forward.Verdict) {
-	s.log.Log(events.FlowAdopted, events.F("caller", k.Caller), events.F("address", k.Address), events.F("target", v.Target.ID), events.F("by", "cookie"))
+	if v.Adopted == forward.AdoptedByHint {
+		s.adoptedHints.Add(1)
+	}
+	s.log.Log(events.FlowAdopted, events.F("caller", k.Caller), events.F("address", k.Address), events.F("target", v.Target.ID), events.F("by", v.Adopted))
 }
 
 // copyOf returns how often a SYN was sent before; 0 for any other packet.
--- a/services/packets/packets.go
+++ b/services/packets/packets.go
@@ -17,6 +17,7 @@
 	"github.com/gypsumspan/gypsumspan/decide/datagramage"
 	"github.com/gypsumspan/gypsumspan/decide/flow"
 	"github.com/gypsumspan/gypsumspan/decide/forward"
+	"github.com/gypsumspan/gypsumspan/decide/halfopen"
 	"github.com/gypsumspan/gypsumspan/decide/relay"
 	"github.com/gypsumspan/gypsumspan/kernel"
 	"github.com/gypsumspan/gypsumspan/services/logs"
@@ -84,9 +85,8 @@
 // samples of the targets' behaviour for outlier detection, and the load and response times
 // of each target.
 type ReportReceiver interface {
-	// Announce passes on the cookies of targets that have left a SYN of this VM unanswered, and flows
-	// that have not opened at this VM.
-	Announce(unansweredBy []uint32, unopened []relay.UnopenedFlow)
+	// Announce passes on what other VMs are to be told of targets and flows.
+	Announce(a relay.Announcement)
 	SetReport(loads []relay.Load, samples []relay.Sample, reports []relay.TargetReport)
 }
 
@@ -94,7 +94,8 @@
 const reportReceiverName = "relay"
 
 // Input is a message of another service to the forwarding duty. It holds one of Change,
-// Store, Loads, Grants or Do; Change is used if the others are not set.
+// Store, Loads, Grants, Unopened, Opened, Unanswered, Leaving or Do; Change is used if the others
+// are not set.
 type Input struct {
 	Change catalog.Change
 	// QueuedAt is when the service "relay" had the change.
@@ -112,8 +113,12 @@
 	Reports    []relay.ReceivedReport // also with Loads: of the other VMs of the failure domain
 	// Grants are grants of this process: it may send new flows to cold targets.
 	Grants []relay.Grant
-	// Unopened are flows that have not opened at other VMs.
-	Unopened []relay.UnopenedFlow
+	// Unopened are flows that have not opened at other VMs, and Opened flows that have opened there
+	// while another target may hold them.
+	Unopened []halfopen.Unopened
+	Opened   []halfopen.Opened
+	// Leaving says that the VM stops as planned.
+	Leaving bool
 	// Unanswered are targets that have left SYNs of other VMs unanswered.
 	Unanswered []relay.UnansweredSYN
 	Do         *Command
@@ -186,7 +191,8 @@
 	lateRoutes      []string
 	outliers        []string // ejected targets, as last logged
 	nextReport      time.Duration
-	nextAnnounce    time.Duration      // of targets that have left a SYN unanswered
+	nextAnnounce    time.Duration      // see announce
+	leaving         bool               // the VM stops as planned
 	stepDue         time.Duration      // latest time at which the next step is due
 	clocks          datagramage.Clocks // of the present step
 	ages            datagramage.Estimator
@@ -197,6 +203,10 @@
 	malformed    atomic.Uint64
 	forwarded    atomic.Uint64
 	realigned    atomic.Uint64
+	contested    atomic.Uint64
+	hints        atomic.Uint64
+	adoptedHints atomic.Uint64
+	flowsNotTold atomic.Uint64
 	resets       atomic.Uint64
 	dropped      atomic.Uint64
 	failed       atomic.Uint64
@@ -324,6 +334,10 @@
 	}
 }
 
+// StartLeaving tells the forwarding duty that the VM stops as planned: other VMs are told at once of
+// what they need when routers move its flows to them.
+func (s *Service) StartLeaving() { s.TryPut(Input{Leaving: true}) }
+
 // Deliver passes a datagram to the forwarding duty in place of the receiver, for a stepped kernel.
 // emptyAt is the last time before it at which the socket's buffer was empty. Deliver returns false
 // while the catalog is not in force or no buffer is free; a real datagram would then wait in the
@@ -365,11 +379,11 @@
 		if !ok {
 			wake := min(s.forwarder.Tick(now), s.report(now), now+wakeInterval)
 			s.resetEndedFlows()
+			s.correctCookies(now)
 			s.announce(now)
 			s.logJudgements()
 			s.logDeferredChanges()
-			s.flows.Store(uint64(s.forwarder.Flows()))
-			s.keptFromCold.Store(s.forwarder.FlowsKeptFromColdTargets())
+			s.publishStats()
 			if more {
 				return now
 			}
@@ -432,13 +446,11 @@
 	if v.NewDecision {
 		s.logDecision(p, v)
 	}
-	if v.Adopted {
+	if v.Adopted != forward.NotAdopted {
 		s.logAdopted(p.Flow, v)
 	}
-	if p.Flags.Has(flow.SYN) && v.Reason == forward.PlacedAgain {
-		s.syns.keep(now, p.Flow, b.bytes[:headroom+b.n])
-	}
-	s.resendSYN(p.Flow, v)
+	s.keepSYN(now, p, v, b.bytes[:headroom+b.n])
+	s.resendSYN(now, p.Flow, v.Target, v.Superseded)
 	switch v.Action {
 	case forward.Forward:
 		s.config.Codec.Encapsulate(b.bytes, v.Target.Number, v.Cookie)
--- a/services/relay/output.go
+++ b/services/relay/output.go
@@ -32,6 +32,9 @@
 	if len(out.Unopened) > 0 {
 		s.pending = append(s.pending, packets.Input{Unopened: out.Unopened})
 	}
+	if len(out.Opened) > 0 {
+		s.pending = append(s.pending, packets.Input{Opened: out.Opened})
+	}
 	for _, o := range out.Heartbeats {
 		s.sendHeartbeat(o)
 	}
--- a/services/relay/relay.go
+++ b/services/relay/relay.go
@@ -119,6 +119,9 @@
 	PermitsHeld        uint64             // for cold targets
 	Arrivals           [relay.Ways]uint64 // updates that changed the replica, by relay.Way
 	LongestBehind      time.Duration      // the longest time that any of them may have been late
+
+	AnnouncementsDropped uint64 // not sent to other VMs, since the input ring was half full
+	FlowsNotKept         uint64 // flows of other VMs that this keeper had no room for
 }
 
 // input is one event for the deciding duty. One field is set, beside queuedAt.
@@ -129,7 +132,7 @@
 	pull         *pulls.Result // of a pull by this VM
 	request      *pullRequest
 	report       *report
-	announcement *announcement
+	announcement *relay.Announcement
 	sentBytes    int // of an answer to a pull of another VM
 }
 
@@ -140,12 +143,6 @@
 	targets []relay.TargetReport
 }
 
-// announcement is what the service "packets" tells other VMs.
-type announcement struct {
-	unansweredBy []uint32
-	unopened     []relay.UnopenedFlow
-}
-
 type receivedHeartbeat struct {
 	from      netip.AddrPort
 	heartbeat relay.Heartbeat
@@ -206,6 +203,9 @@
 	permitsHeld        atomic.Uint64
 	arrivals           [relay.Ways]atomic.Uint64
 	longestBehind      atomic.Int64
+
+	announcementsDropped atomic.Uint64
+	flowsNotKept         atomic.Uint64
 }
 
 // New returns the service.
@@ -283,10 +283,10 @@
 }
 
 // Announce implements packets.ReportReceiver. Like reports, announcements are dropped while half of
-// the input ring or more is in use.
-func (s *Service) Announce(unansweredBy []uint32, unopened []relay.UnopenedFlow) {
-	if s.in.Available() > inputCapacity/2 {
-		_ = s.queue(input{announcement: &announcement{unansweredBy: unansweredBy, unopened: unopened}})
+// the input ring or more is in use, and counted.
+func (s *Service) Announce(a relay.Announcement) {
+	if s.in.Available() <= inputCapacity/2 || s.queue(input{announcement: &a}) != nil {
+		s.announcementsDropped.Add(1)
 	}
 }
 
@@ -382,7 +382,7 @@
 	case in.sentBytes > 0:
 		s.addBacklog(now, in.sentBytes)
 	case in.announcement != nil:
-		s.machine.Announce(now, in.announcement.unansweredBy, in.announcement.unopened)
+		s.machine.Announce(now, *in.announcement)
 	case in.report != nil:
 		s.machine.SetLoads(in.report.loads)
 		s.machine.SetSamples(in.report.samples)
@@ -427,6 +427,7 @@
 	s.revision.Store(int64(s.machine.Replica().Revision()))
 	s.isRelay.Store(s.machine.IsRelay())
 	s.watchingNow.Store(s.watching)
+	s.flowsNotKept.Store(s.machine.FlowsNotKept())
 }
 
 // Stats returns the counters and the state. It is safe for concurrent use.
@@ -445,6 +446,9 @@
 		Age:                time.Duration(s.age.Load()),
 		PermitsHeld:        s.permitsHeld.Load(),
 		LongestBehind:      time.Duration(s.longestBehind.Load()),
+
+		AnnouncementsDropped: s.announcementsDropped.Load(),
+		FlowsNotKept:         s.flowsNotKept.Load(),
 	}
 	for i := range s.arrivals {
 		stats.Arrivals[i] = s.arrivals[i].Load()
--- a/wire/relaywire/relaywire.go
+++ b/wire/relaywire/relaywire.go
@@ -3,14 +3,12 @@
 package relaywire
 
 import (
-	"encoding/binary"
 	"errors"
 	"fmt"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 
-	"github.com/gypsumspan/gypsumspan/decide/flow"
 	"github.com/gypsumspan/gypsumspan/decide/relay"
 	"github.com/gypsumspan/gypsumspan/decide/revision"
 	"github.com/gypsumspan/gypsumspan/wire/relaypb"
@@ -42,6 +40,7 @@
 		Grantee:   h.Grantee,
 
 		UnansweredBy: h.UnansweredBy,
+		Keep:         h.Keep,
 	}
 	for _, l := range h.Loads {
 		m.Loads = append(m.Loads, &relaypb.Load{Domain: l.Domain, At: l.TargetDomain, Service: l.Service, Flows: l.Flows, Busy: l.ActiveRequests})
@@ -52,12 +51,7 @@
 	for _, g := range h.Grants {
 		m.Grants = append(m.Grants, &relaypb.Grant{Target: g.TargetCookie, Born: g.Born, Tokens: g.Tokens})
 	}
-	for _, u := range h.Unopened {
-		m.Unopened = append(m.Unopened, &relaypb.UnopenedFlow{
-			CallerIp: ipToPB(u.Flow.Caller), CallerPort: uint32(u.Flow.Caller.Port),
-			AddressIp: ipToPB(u.Flow.Address), AddressPort: uint32(u.Flow.Address.Port), Target: u.TargetCookie,
-		})
-	}
+	addFlows(m, h)
 	for _, r := range h.Reports {
 		m.Reports = append(m.Reports, &relaypb.TargetReport{Target: r.TargetCookie, Flows: r.Flows, Busy: r.ActiveRequests, Requests: r.Requests, RelativeTime: r.RelativeTime})
 	}
@@ -94,6 +88,7 @@
 		Grantee:    m.GetGrantee(),
 
 		UnansweredBy: m.GetUnansweredBy(),
+		Keep:         m.GetKeep(),
 	}
 	if h.HasItems {
 		h.Items = itemsFromPB(m.GetItems())
@@ -107,30 +102,13 @@
 	for _, g := range m.GetGrants() {
 		h.Grants = append(h.Grants, relay.Grant{TargetCookie: g.GetTarget(), Born: g.GetBorn(), Tokens: g.GetTokens()})
 	}
-	for _, u := range m.GetUnopened() {
-		h.Unopened = append(h.Unopened, relay.UnopenedFlow{
-			Flow: flow.Key{
-				Caller:  endpointFromPB(u.GetCallerIp(), u.GetCallerPort()),
-				Address: endpointFromPB(u.GetAddressIp(), u.GetAddressPort()),
-			},
-			TargetCookie: u.GetTarget(),
-		})
-	}
+	h.Unopened, h.Opened = flowsFromPB(&m)
 	for _, r := range m.GetReports() {
 		h.Reports = append(h.Reports, relay.TargetReport{TargetCookie: r.GetTarget(), Flows: r.GetFlows(), ActiveRequests: r.GetBusy(), Requests: r.GetRequests(), RelativeTime: r.GetRelativeTime()})
 	}
 	return h, nil
 }
 
-// ipToPB returns the IPv4 address of an endpoint as a number.
-func ipToPB(e flow.Endpoint) uint32 { return binary.BigEndian.Uint32(e.IP[:]) }
-
-func endpointFromPB(ip, port uint32) flow.Endpoint {
-	e := flow.Endpoint{Port: uint16(port)}
-	binary.BigEndian.PutUint32(e.IP[:], ip)
-	return e
-}
-
 // EncodeUpdate encodes the answer to a pull.
 func EncodeUpdate(u relay.Update) ([]byte, error) {
 	data, err := EncodeChanges(u)
--- a/wire/relaywire/relaywire_test.go
+++ b/wire/relaywire/relaywire_test.go
@@ -10,12 +10,17 @@
 	"github.com/matryer/is"
 
 	"github.com/gypsumspan/gypsumspan/decide/flow"
+	"github.com/gypsumspan/gypsumspan/decide/halfopen"
 	"github.com/gypsumspan/gypsumspan/decide/relay"
 )
 
 // Guards against heartbeat fields that are lost or mixed up by the codec.
 func TestHeartbeatRoundTrip(t *testing.T) {
 	is := is.New(t)
+	key := flow.Key{
+		Caller:  flow.Endpoint{IP: [4]byte{100, 64, 0, 7}, Port: 40001},
+		Address: flow.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443},
+	}
 	h := relay.Heartbeat{
 		Name:     "vm-1",
 		Domain:   "west-a",
@@ -30,16 +35,12 @@
 		Grants:       []relay.Grant{{TargetCookie: 0xfedcba98, Born: 1_790_000_000_000, Tokens: 11}},
 		Grantee:      0xfedcba9876543211,
 		UnansweredBy: []uint32{0xfedcba98, 1},
-		Unopened: []relay.UnopenedFlow{{
-			Flow: flow.Key{
-				Caller:  flow.Endpoint{IP: [4]byte{100, 64, 0, 7}, Port: 40001},
-				Address: flow.Endpoint{IP: [4]byte{198, 18, 0, 1}, Port: 443},
-			},
-			TargetCookie: 0xfedcba98,
-		}},
-		HasItems: true,
-		After:    39,
-		Items:    []relay.Item{{Key: "targets/a", Value: []byte("x"), Revision: 40}, {Key: "targets/b", Revision: 40, Deleted: true}},
+		Unopened:     []halfopen.Unopened{{Flow: key, TargetCookie: 0xfedcba98, TargetBorn: 1_790_000_000_000, SYNSeq: 0xfedcba97, Copy: true, Age: 450 * time.Millisecond}},
+		Opened:       []halfopen.Opened{{Flow: key, TargetCookie: 7, SYNSeq: 0x11223344, Age: 9 * time.Second}},
+		Keep:         true,
+		HasItems:     true,
+		After:        39,
+		Items:        []relay.Item{{Key: "targets/a", Value: []byte("x"), Revision: 40}, {Key: "targets/b", Revision: 40, Deleted: true}},
 	}
 	data, err := AppendHeartbeat(nil, h)
 	is.NoErr(err)
@@ -109,3 +110,26 @@
 	_, err = DecodeSnapshot(data)
 	is.True(errors.Is(err, ErrMalformed))
 }
+
+// Guards against a datagram of flows that is too large to be sent: the largest that package relay makes.
+func TestLargestAnnouncementsFit(t *testing.T) {
+	const flows, cookies = 20, 64
+	is := is.New(t)
+	h := relay.Heartbeat{
+		Name: strings.Repeat("n", 40), Domain: strings.Repeat("d", 30), Reply: true, Revision: 1 << 40, Boot: 1 << 63,
+		Confirmed: relay.Confirmation{Revision: 1 << 40, Age: time.Hour, SinceRegained: time.Hour, HasRegained: true},
+	}
+	key := flow.Key{Caller: flow.Endpoint{IP: [4]byte{255, 255, 255, 255}, Port: 65535}, Address: flow.Endpoint{IP: [4]byte{255, 255, 255, 255}, Port: 65535}}
+	first, second := h, h
+	for range flows {
+		first.Unopened = append(first.Unopened, halfopen.Unopened{Flow: key, TargetCookie: 1 << 31, TargetBorn: 1_790_000_000_000, SYNSeq: 1 << 31, Copy: true, Age: 9 * time.Second})
+		second.Opened = append(second.Opened, halfopen.Opened{Flow: key, TargetCookie: 1 << 31, SYNSeq: 1 << 31, Age: 40 * time.Second})
+	}
+	for range cookies {
+		first.UnansweredBy = append(first.UnansweredBy, 1<<31)
+	}
+	for _, h := range []relay.Heartbeat{first, second} {
+		_, err := AppendHeartbeat(nil, h)
+		is.NoErr(err)
+	}
+}
