--- a/services/packets/packets.go
+++ b/services/packets/packets.go
@@ -194,7 +194,7 @@
 	nextAnnounce    time.Duration      // see announce
 	leaving         bool               // the VM stops as planned
 	stepDue         time.Duration      // latest time at which the next step is due
-	clocks          datagramage.Clocks // of the present step
+	clocks          datagramage.Clocks // as last read
 	ages            datagramage.Estimator
 	syns            synStore
 	openedAt        time.Duration // time at which the socket was opened
@@ -362,9 +362,7 @@
 	if s.stepDue > 0 && now > s.stepDue+lateThreshold {
 		s.forwarder.MarkStalled(now)
 	}
-	s.clocks = datagramage.Clocks{Monotonic: now, TimeOfDay: s.kernel.TimeOfDay()}
-	s.ages.Step(s.clocks)
-	next := s.work(now)
+	next := s.work(s.readClocks())
 	s.stepDue = max(next, now)
 	return next
 }
@@ -389,7 +387,7 @@
 			}
 			return wake
 		}
-		s.handleDatagram(now, b)
+		now = s.handleDatagram(now, b)
 		s.resetEndedFlows()
 		s.logJudgements()
 		// The ring has room for all buffers.
@@ -423,10 +421,18 @@
 	return true
 }
 
-// handleDatagram decodes a datagram and carries out the forwarder's verdict on it.
-func (s *Service) handleDatagram(now time.Duration, b *buffer) {
+// readClocks reads the clocks in the middle of a step, so that a pause of the process since the last
+// reading shows. It returns the time.
+func (s *Service) readClocks() time.Duration {
+	s.clocks = datagramage.Clocks{Monotonic: s.kernel.Now(), TimeOfDay: s.kernel.TimeOfDay()}
+	s.ages.Step(s.clocks)
+	return s.clocks.Monotonic
+}
+
+// handleDatagram decodes a datagram and carries out the forwarder's verdict on it. It returns the time.
+func (s *Service) handleDatagram(now time.Duration, b *buffer) time.Duration {
 	if b.n == 0 {
-		return
+		return now
 	}
 	s.received.Add(1)
 	s.lastReceived.Store(int64(now))
@@ -435,9 +441,10 @@
 	if err != nil {
 		s.malformed.Add(1)
 		s.logMalformed(err)
-		return
+		return now
 	}
 	if p.Flags.Has(flow.SYN) {
+		now = s.readClocks()
 		p.Age = s.ages.Age(s.clocks, b.arrival)
 	}
 	v := s.forwarder.Receive(now, p)
@@ -460,6 +467,7 @@
 	default:
 		s.dropped.Add(1)
 	}
+	return now
 }
 
 func (s *Service) sendReset(p flow.Packet) {
