Tell the domain of contested flows twice, and of none that ends at once

Each of four messages about a contested flow cost a datagram to each VM of the domain, also for flows of a single request.

--- a/decide/forward/contested.go
+++ b/decide/forward/contested.go
@@ -17,10 +17,14 @@
 	maxNamingQueue    = 1024
 )
 
-// contestedNamings are the times after a flow has become contested at which other VMs are told of it,
+// contestedNamings are the times after a flow has become contested at which its keepers are told of it,
 // and the other targets get its cookie: again, since a datagram may be lost, and as long as the other
-// targets may take a SYN (halfopen.MaxCorrectionAge).
-var contestedNamings = [...]time.Duration{0, time.Second, 3 * time.Second, 6 * time.Second}
+// targets may take a SYN (halfopen.MaxCorrectionAge). Flows of a single request have ended before the
+// first. VMs of the own domain, each of which costs a datagram, are told at some of these times.
+var contestedNamings = [...]struct {
+	after    time.Duration
+	toDomain bool
+}{{250 * time.Millisecond, true}, {time.Second, false}, {3 * time.Second, true}, {6 * time.Second, false}}
 
 // contestedFlow is the state of a flow that has opened here, while another target may hold it
 // half-open.
@@ -63,15 +67,18 @@
 		return
 	}
 	r.contested = true
-	c := &contestedFlow{since: now}
-	f.contested[k] = c
-	f.nameContested(now, k, r, c)
+	f.contested[k] = &contestedFlow{since: now}
 }
 
-// nameContested queues a contested flow for TakeContested.
+// nameContested queues a contested flow for TakeContested or TakeForKeepers.
 func (f *Forwarder) nameContested(now time.Duration, k flow.Key, r *record, c *contestedFlow) {
+	o := halfopen.Opened{Flow: k, TargetCookie: uint32(r.target.Cookie), SYNSeq: r.synSeq, Age: now - c.since}
+	if contestedNamings[c.namings].toDomain {
+		f.queueNaming(o)
+	} else {
+		f.queueForKeepers(o)
+	}
 	c.namings++
-	f.queueNaming(halfopen.Opened{Flow: k, TargetCookie: uint32(r.target.Cookie), SYNSeq: r.synSeq, Age: now - c.since})
 }
 
 func (f *Forwarder) queueNaming(o halfopen.Opened) {
@@ -82,6 +89,14 @@
 	f.contestedToName = append(f.contestedToName, o)
 }
 
+func (f *Forwarder) queueForKeepers(o halfopen.Opened) {
+	if len(f.openedForKeepers) >= maxContestedNamed {
+		f.flowsNotTold++
+		return
+	}
+	f.openedForKeepers = append(f.openedForKeepers, o)
+}
+
 // recordAdopted records a flow without a record whose first packet may end its handshake: the VM that
 // has sent its SYN does not know that it has opened. Other packets have a later sequence number than
 // the flow's SYN says, and match no unopened flow.
@@ -90,18 +105,18 @@
 		return
 	}
 	r.sawHandshake, r.synSeq = true, p.Seq-1
-	if len(f.adopted) < maxContestedNamed {
-		f.adopted = append(f.adopted, halfopen.Opened{Flow: p.Flow, TargetCookie: uint32(t.Cookie), SYNSeq: r.synSeq})
-	} else {
-		f.flowsNotTold++
-	}
+	f.queueForKeepers(halfopen.Opened{Flow: p.Flow, TargetCookie: uint32(t.Cookie), SYNSeq: r.synSeq})
 }
 
-// TakeAdopted returns the flows of recordAdopted since the last call, for their keepers. The slice is
-// valid until the next call of any method.
-func (f *Forwarder) TakeAdopted() []halfopen.Opened {
-	taken := f.adopted
-	f.adopted = f.adopted[:0]
+// TakeForKeepers returns flows that have opened here and that only their keepers are to be told of: those
+// of recordAdopted, and contested ones between the times at which the domain is told as well. Flows that
+// have ended are left out. The slice is valid until the next call of any method.
+func (f *Forwarder) TakeForKeepers() []halfopen.Opened {
+	taken := slices.DeleteFunc(f.openedForKeepers, func(o halfopen.Opened) bool {
+		r := f.flows.get(o.Flow)
+		return r == nil || r.phase != open
+	})
+	f.openedForKeepers = f.openedForKeepers[:0]
 	return taken
 }
 
@@ -140,7 +155,7 @@
 		case r.phase != open || r.target == nil:
 			r.contested = false
 			delete(f.contested, k)
-		case c.namings < len(contestedNamings) && now-c.since >= contestedNamings[c.namings]:
+		case c.namings < len(contestedNamings) && now-c.since >= contestedNamings[c.namings].after:
 			due = append(due, k)
 		}
 	}
--- a/decide/forward/forward.go
+++ b/decide/forward/forward.go
@@ -128,15 +128,15 @@
 	lacksChanges bool     // see SetLacksChanges
 	unansweredBy []uint32 // not yet returned by TakeUnanswered
 
-	unopened        map[flow.Key]*unopenedFlow
-	unopenedToName  []halfopen.Unopened // not yet returned by TakeUnopened
-	contested       map[flow.Key]*contestedFlow
-	contestedToName []halfopen.Opened // not yet returned by TakeContested
-	adopted         []halfopen.Opened // not yet returned by TakeAdopted
-	corrections     []Correction      // not yet returned by TakeCorrections
-	hints           map[flow.Key]hint
-	flowsNotTold    uint64 // see FlowsNotTold
-	leaving         bool   // see StartLeaving
+	unopened         map[flow.Key]*unopenedFlow
+	unopenedToName   []halfopen.Unopened // not yet returned by TakeUnopened
+	contested        map[flow.Key]*contestedFlow
+	contestedToName  []halfopen.Opened // not yet returned by TakeContested
+	openedForKeepers []halfopen.Opened // not yet returned by TakeForKeepers
+	corrections      []Correction      // not yet returned by TakeCorrections
+	hints            map[flow.Key]hint
+	flowsNotTold     uint64 // see FlowsNotTold
+	leaving          bool   // see StartLeaving
 
 	nextSweep time.Duration
 }
--- a/decide/relay/announcements.go
+++ b/decide/relay/announcements.go
@@ -23,9 +23,7 @@
 	UnansweredBy []uint32            // cookies of targets that have left a SYN of this VM unanswered
 	Unopened     []halfopen.Unopened // flows that have not opened here
 	Contested    []halfopen.Opened   // flows that have opened here, while another target may hold them
-	// Adopted are flows that seem to have opened here, while another VM has sent their SYN. They matter
-	// to keepers only.
-	Adopted []halfopen.Opened
+	ForKeepers   []halfopen.Opened   // further flows that have opened here, for keepers only
 }
 
 // Announce tells the VMs of the own failure domain of an announcement, unless there are too many, and
--- a/decide/relay/keepers.go
+++ b/decide/relay/keepers.go
@@ -77,7 +77,7 @@
 			share.unopened = append(share.unopened, u)
 		}
 	}
-	for _, o := range slices.Concat(a.Contested, a.Adopted) {
+	for _, o := range slices.Concat(a.Contested, a.ForKeepers) {
 		for _, share := range sharesOf(o.Flow) {
 			share.opened = append(share.opened, o)
 		}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -100,9 +100,15 @@
 		defer close(mixesDone)
 		f.injectMixes(start.Add(o.Duration), o.MeanGap, trace)
 	}()
+	lossesDone := make(chan struct{})
+	go func() {
+		defer close(lossesDone)
+		f.injectDomainLosses(start.Add(o.Duration), o.MeanGap, trace)
+	}()
 	f.injectFaults(start.Add(o.Duration), o.MeanGap, trace)
 	<-rewindsDone
 	<-mixesDone
+	<-lossesDone
 	f.endFaults()
 	if !f.awaitState(f.converged) {
 		f.recordViolation("VMs do not come to rest within %s after the last fault", stateTimeout)
--- a/services/packets/announce.go
+++ b/services/packets/announce.go
@@ -29,9 +29,9 @@
 		UnansweredBy: slices.Clone(s.forwarder.TakeUnanswered()),
 		Unopened:     slices.Clone(s.forwarder.TakeUnopened()),
 		Contested:    slices.Clone(s.forwarder.TakeContested()),
-		Adopted:      slices.Clone(s.forwarder.TakeAdopted()),
+		ForKeepers:   slices.Clone(s.forwarder.TakeForKeepers()),
 	}
-	if len(a.UnansweredBy)+len(a.Unopened)+len(a.Contested)+len(a.Adopted) == 0 {
+	if len(a.UnansweredBy)+len(a.Unopened)+len(a.Contested)+len(a.ForKeepers) == 0 {
 		return
 	}
 	s.nextAnnounce = now + announceInterval
