--- a/decide/forward/contested.go
+++ b/decide/forward/contested.go
@@ -9,19 +9,14 @@
 	"github.com/gypsumspan/gypsumspan/decide/halfopen"
 )
 
-const (
-	// maxContested bounds the contested flows of a VM. Further ones are not protected.
-	maxContested = 4096
-	// maxContestedNamed bounds the result of TakeContested, and maxNamingQueue what waits for it.
-	maxContestedNamed = 48
-	maxNamingQueue    = 1024
-)
+// maxContested bounds the contested flows of a VM. Further ones are not protected.
+const maxContested = 4096
 
-// contestedNamings are the times after a flow has become contested at which its keepers are told of it,
+// contestedTellTimes are the times after a flow has become contested at which its keepers are told of it,
 // and the other targets get its cookie: again, since a datagram may be lost, and as long as the other
 // targets may take a SYN (halfopen.MaxCorrectionAge). Flows of a single request have ended before the
 // first. VMs of the own domain, each of which costs a datagram, are told at some of these times.
-var contestedNamings = [...]struct {
+var contestedTellTimes = [...]struct {
 	after    time.Duration
 	toDomain bool
 }{{250 * time.Millisecond, true}, {time.Second, false}, {3 * time.Second, true}, {6 * time.Second, false}}
@@ -29,8 +24,8 @@
 // contestedFlow is the state of a flow that has opened here, while another target may hold it
 // half-open.
 type contestedFlow struct {
-	since   time.Duration
-	namings int // how many of contestedNamings are done
+	since time.Duration
+	told  int // how many of contestedTellTimes are done
 }
 
 // Correction is a flow whose SYN other targets get again, with the cookie of the one at which it is
@@ -62,39 +57,39 @@
 	if r.contested {
 		return
 	}
-	if len(f.contested) >= maxContested {
-		f.flowsNotTold++
+	if len(f.halfOpen.contested) >= maxContested {
+		f.halfOpen.notTold++
 		return
 	}
 	r.contested = true
-	f.contested[k] = &contestedFlow{since: now}
+	f.halfOpen.contested[k] = &contestedFlow{since: now}
 }
 
-// nameContested queues a contested flow for TakeContested or TakeForKeepers.
-func (f *Forwarder) nameContested(now time.Duration, k flow.Key, r *record, c *contestedFlow) {
+// tellContested queues a contested flow for TakeContested or TakeForKeepers.
+func (f *Forwarder) tellContested(now time.Duration, k flow.Key, r *record, c *contestedFlow) {
 	o := halfopen.Opened{Flow: k, TargetCookie: uint32(r.target.Cookie), SYNSeq: r.synSeq, Age: now - c.since}
-	if contestedNamings[c.namings].toDomain {
-		f.queueNaming(o)
+	if contestedTellTimes[c.told].toDomain {
+		f.queueForDomain(o)
 	} else {
 		f.queueForKeepers(o)
 	}
-	c.namings++
+	c.told++
 }
 
-func (f *Forwarder) queueNaming(o halfopen.Opened) {
-	if len(f.contestedToName) >= maxNamingQueue {
-		f.flowsNotTold++
+func (f *Forwarder) queueForDomain(o halfopen.Opened) {
+	if len(f.halfOpen.contestedToTell) >= maxTellQueue {
+		f.halfOpen.notTold++
 		return
 	}
-	f.contestedToName = append(f.contestedToName, o)
+	f.halfOpen.contestedToTell = append(f.halfOpen.contestedToTell, o)
 }
 
 func (f *Forwarder) queueForKeepers(o halfopen.Opened) {
-	if len(f.openedForKeepers) >= maxContestedNamed {
-		f.flowsNotTold++
+	if len(f.halfOpen.openedForKeepers) >= maxForKeepers {
+		f.halfOpen.notTold++
 		return
 	}
-	f.openedForKeepers = append(f.openedForKeepers, o)
+	f.halfOpen.openedForKeepers = append(f.halfOpen.openedForKeepers, o)
 }
 
 // recordAdopted records a flow without a record whose first packet may end its handshake: the VM that
@@ -112,57 +107,57 @@
 // of recordAdopted, and contested ones between the times at which the domain is told as well. Flows that
 // have ended are left out. The slice is valid until the next call of any method.
 func (f *Forwarder) TakeForKeepers() []halfopen.Opened {
-	taken := slices.DeleteFunc(f.openedForKeepers, func(o halfopen.Opened) bool {
+	taken := slices.DeleteFunc(f.halfOpen.openedForKeepers, func(o halfopen.Opened) bool {
 		r := f.flows.get(o.Flow)
 		return r == nil || r.phase != open
 	})
-	f.openedForKeepers = f.openedForKeepers[:0]
+	f.halfOpen.openedForKeepers = f.halfOpen.openedForKeepers[:0]
 	return taken
 }
 
 // TakeContested returns contested flows that other VMs are to be told of, the oldest first. The slice is
 // valid until the next call of any method.
 func (f *Forwarder) TakeContested() []halfopen.Opened {
-	n := min(len(f.contestedToName), maxContestedNamed)
-	taken := f.contestedToName[:n:n]
-	f.contestedToName = f.contestedToName[n:]
+	n := min(len(f.halfOpen.contestedToTell), maxToldAtOnce)
+	taken := f.halfOpen.contestedToTell[:n:n]
+	f.halfOpen.contestedToTell = f.halfOpen.contestedToTell[n:]
 	return taken
 }
 
 // TakeCorrections returns the corrections that are due since the last call. The slice is valid until the
 // next call of any method.
 func (f *Forwarder) TakeCorrections() []Correction {
-	taken := f.corrections
-	f.corrections = f.corrections[:0]
+	taken := f.halfOpen.corrections
+	f.halfOpen.corrections = f.halfOpen.corrections[:0]
 	return taken
 }
 
 // IsContested reports whether a flow is contested.
-func (f *Forwarder) IsContested(k flow.Key) bool { return f.contested[k] != nil }
+func (f *Forwarder) IsContested(k flow.Key) bool { return f.halfOpen.contested[k] != nil }
 
 // Contested returns the number of contested flows.
-func (f *Forwarder) Contested() int { return len(f.contested) }
+func (f *Forwarder) Contested() int { return len(f.halfOpen.contested) }
 
 // sweepContested names the contested flows that are due, in the order of their hashes, and forgets those
 // that have ended.
 func (f *Forwarder) sweepContested(now time.Duration) {
 	var due []flow.Key
-	for k, c := range f.contested {
+	for k, c := range f.halfOpen.contested {
 		r := f.flows.get(k)
 		switch {
 		case r == nil || !r.contested:
-			delete(f.contested, k)
+			delete(f.halfOpen.contested, k)
 		case r.phase != open || r.target == nil:
 			r.contested = false
-			delete(f.contested, k)
-		case c.namings < len(contestedNamings) && now-c.since >= contestedNamings[c.namings].after:
+			delete(f.halfOpen.contested, k)
+		case c.told < len(contestedTellTimes) && now-c.since >= contestedTellTimes[c.told].after:
 			due = append(due, k)
 		}
 	}
 	slices.SortFunc(due, compareHashes)
 	for _, k := range due {
 		r := f.flows.get(k)
-		f.nameContested(now, k, r, f.contested[k])
+		f.tellContested(now, k, r, f.halfOpen.contested[k])
 		f.correct(now, k, r)
 	}
 }
@@ -171,7 +166,7 @@
 func (f *Forwarder) correct(now time.Duration, k flow.Key, r *record) {
 	others := f.holders(now, r.tried[:r.tries], r.target, f.view.Route(k.Address))
 	if len(others) > 0 {
-		f.corrections = append(f.corrections, Correction{Flow: k, Target: r.target, Superseded: others})
+		f.halfOpen.corrections = append(f.halfOpen.corrections, Correction{Flow: k, Target: r.target, Superseded: others})
 	}
 }
 
@@ -180,9 +175,9 @@
 // danger once no target repeats its answer any more.
 func (f *Forwarder) foreignEcho(now time.Duration, p flow.Packet, r *record, t *catalog.Target, route *catalog.Route) []*catalog.Target {
 	if p.Cookie == t.Cookie {
-		if r.contested && now-f.contested[p.Flow].since >= halfopen.RepeatTime {
+		if r.contested && now-f.halfOpen.contested[p.Flow].since >= halfopen.RepeatTime {
 			r.contested = false
-			delete(f.contested, p.Flow)
+			delete(f.halfOpen.contested, p.Flow)
 		}
 		return nil
 	}
@@ -203,11 +198,11 @@
 func (f *Forwarder) StartLeaving(now time.Duration) {
 	f.leaving = true
 	f.nextSweep = now
-	for k, c := range f.contested {
+	for k, c := range f.halfOpen.contested {
 		if r := f.flows.get(k); r != nil && r.target != nil {
-			f.queueNaming(halfopen.Opened{Flow: k, TargetCookie: uint32(r.target.Cookie), SYNSeq: r.synSeq, Age: now - c.since})
+			f.queueForDomain(halfopen.Opened{Flow: k, TargetCookie: uint32(r.target.Cookie), SYNSeq: r.synSeq, Age: now - c.since})
 		}
 	}
 	f.queueHints(now)
-	slices.SortFunc(f.contestedToName, func(a, b halfopen.Opened) int { return compareHashes(a.Flow, b.Flow) })
+	slices.SortFunc(f.halfOpen.contestedToTell, func(a, b halfopen.Opened) int { return compareHashes(a.Flow, b.Flow) })
 }
--- a/decide/forward/contested_test.go
+++ b/decide/forward/contested_test.go
@@ -84,8 +84,8 @@
 		}
 	}
 	r.Equal(toDomain, 2)
-	r.Equal(toKeepers, len(contestedNamings))
-	r.Equal(corrections, len(contestedNamings))
+	r.Equal(toKeepers, len(contestedTellTimes))
+	r.Equal(corrections, len(contestedTellTimes))
 	r.True(r.f.IsContested(key(1)))
 	r.f.Receive(halfopen.RepeatTime, ackPacket(1, other.Cookie, 101, 500, 10))
 	r.True(r.f.IsContested(key(1))) // the caller still returns the wrong cookie
@@ -190,13 +190,13 @@
 func TestContestedFlowsAreBounded(t *testing.T) {
 	r := newHarness(t)
 	target := r.f.View().Target("i-1")
-	for caller := range uint16(maxNamingQueue + 100) {
+	for caller := range uint16(maxTellQueue + 100) {
 		r.f.Receive(0, syn(caller, 1))
 		r.f.Receive(2*ms, ackPacket(caller, target.Cookie, 101, 500, 0))
 	}
 	r.f.Tick(500 * ms)
 	r.Equal(r.f.FlowsNotTold(), uint64(100))
-	r.Equal(len(r.f.TakeContested()), maxContestedNamed)
+	r.Equal(len(r.f.TakeContested()), maxToldAtOnce)
 	for n := range maxHints + 100 {
 		k := key(1)
 		k.Caller.Port, k.Caller.IP[3] = uint16(n), byte(n>>16)
--- a/decide/forward/forward.go
+++ b/decide/forward/forward.go
@@ -15,7 +15,6 @@
 	"github.com/gypsumspan/gypsumspan/decide/evidence"
 	"github.com/gypsumspan/gypsumspan/decide/flood"
 	"github.com/gypsumspan/gypsumspan/decide/flow"
-	"github.com/gypsumspan/gypsumspan/decide/halfopen"
 )
 
 const (
@@ -128,15 +127,8 @@
 	lacksChanges bool     // see SetLacksChanges
 	unansweredBy []uint32 // not yet returned by TakeUnanswered
 
-	unopened         map[flow.Key]*unopenedFlow
-	unopenedToName   []halfopen.Unopened // not yet returned by TakeUnopened
-	contested        map[flow.Key]*contestedFlow
-	contestedToName  []halfopen.Opened // not yet returned by TakeContested
-	openedForKeepers []halfopen.Opened // not yet returned by TakeForKeepers
-	corrections      []Correction      // not yet returned by TakeCorrections
-	hints            map[flow.Key]hint
-	flowsNotTold     uint64 // see FlowsNotTold
-	leaving          bool   // see StartLeaving
+	halfOpen halfOpenFlows
+	leaving  bool // see StartLeaving
 
 	nextSweep time.Duration
 }
@@ -162,9 +154,7 @@
 		activeByDomain:       make(map[serviceDomain]int),
 		pressures:            make(map[string]float64),
 		latenesses:           make(map[string]*routeLateness),
-		unopened:             make(map[flow.Key]*unopenedFlow),
-		contested:            make(map[flow.Key]*contestedFlow),
-		hints:                make(map[flow.Key]hint),
+		halfOpen:             newHalfOpenFlows(),
 	}
 }
 
--- a/decide/forward/hints.go
+++ b/decide/forward/hints.go
@@ -37,7 +37,7 @@
 	case r.phase == open && r.tries == 0 && !r.sawHandshake && t != nil && !t.Gone(now):
 		f.assign(r, t)
 	}
-	u := f.unopened[o.Flow]
+	u := f.halfOpen.unopened[o.Flow]
 	if t == nil || u == nil || u.synSeq != o.SYNSeq || now-u.synAt >= halfopen.MaxCorrectionAge {
 		return Verdict{}
 	}
@@ -52,19 +52,19 @@
 	if now >= h.expiresAt {
 		return
 	}
-	if _, known := f.hints[o.Flow]; !known && len(f.hints) >= maxHints {
-		f.flowsNotTold++
+	if _, known := f.halfOpen.hints[o.Flow]; !known && len(f.halfOpen.hints) >= maxHints {
+		f.halfOpen.notTold++
 		return
 	}
-	f.hints[o.Flow] = h
+	f.halfOpen.hints[o.Flow] = h
 }
 
 // hintOf returns the hint for a packet, if there is one.
 func (f *Forwarder) hintOf(now time.Duration, p flow.Packet) (hint, bool) {
-	if len(f.hints) == 0 {
+	if len(f.halfOpen.hints) == 0 {
 		return hint{}, false
 	}
-	h, ok := f.hints[p.Flow]
+	h, ok := f.halfOpen.hints[p.Flow]
 	return h, ok && now < h.expiresAt && p.Seq-h.synSeq < maxFlowBytes
 }
 
@@ -88,27 +88,27 @@
 	if ok && p.Seq == h.synSeq && p.Ack > 0 {
 		return true
 	}
-	delete(f.hints, p.Flow)
+	delete(f.halfOpen.hints, p.Flow)
 	return false
 }
 
 // sweepHints removes expired hints.
 func (f *Forwarder) sweepHints(now time.Duration) {
-	for k, h := range f.hints {
+	for k, h := range f.halfOpen.hints {
 		if now >= h.expiresAt {
-			delete(f.hints, k)
+			delete(f.halfOpen.hints, k)
 		}
 	}
 }
 
 // queueHints queues all hints for TakeContested.
 func (f *Forwarder) queueHints(now time.Duration) {
-	for k, h := range f.hints {
+	for k, h := range f.halfOpen.hints {
 		if now < h.expiresAt {
-			f.queueNaming(halfopen.Opened{Flow: k, TargetCookie: uint32(h.cookie), SYNSeq: h.synSeq, Age: now - h.openedAt})
+			f.queueForDomain(halfopen.Opened{Flow: k, TargetCookie: uint32(h.cookie), SYNSeq: h.synSeq, Age: now - h.openedAt})
 		}
 	}
 }
 
 // Hints returns the number of hints.
-func (f *Forwarder) Hints() int { return len(f.hints) }
+func (f *Forwarder) Hints() int { return len(f.halfOpen.hints) }
--- a/decide/forward/unopened.go
+++ b/decide/forward/unopened.go
@@ -9,41 +9,37 @@
 	"github.com/gypsumspan/gypsumspan/decide/halfopen"
 )
 
-const (
-	// maxUnopened bounds the unopened flows of a VM, of about 150 bytes each, and maxUnopenedNamed
-	// what is kept until TakeUnopened is called.
-	maxUnopened      = 4096
-	maxUnopenedNamed = 48
-)
+// maxUnopened bounds the unopened flows of a VM, of about 150 bytes each.
+const maxUnopened = 4096
 
-// unopenedNamings are the times after a SYN at which other VMs are told of a flow that has not opened,
+// unopenedTellTimes are the times after a SYN at which other VMs are told of a flow that has not opened,
 // the second time in case that the first is lost. Before the first its caller has sent the next SYN,
 // elsewhere.
-var unopenedNamings = [...]time.Duration{450 * time.Millisecond, 2 * time.Second}
+var unopenedTellTimes = [...]time.Duration{450 * time.Millisecond, 2 * time.Second}
 
 // unopenedFlow is a flow that has not opened here, though this VM has sent its SYN to targets, which
 // may hold it half-open. It outlives the flow's record.
 type unopenedFlow struct {
-	tried   []triedTarget
-	synSeq  uint32
-	copied  bool
-	synAt   time.Duration // first SYN that was sent to any of tried
-	namings int           // how many of unopenedNamings are done
+	tried  []triedTarget
+	synSeq uint32
+	copied bool
+	synAt  time.Duration // first SYN that was sent to any of tried
+	told   int           // how many of unopenedTellTimes are done
 }
 
 // recordUnopened records a flow as unopened if it is: this VM has sent its SYN to a target, and has
 // heard nothing of it since. A target that seems dead holds none.
 func (f *Forwarder) recordUnopened(now time.Duration, k flow.Key, r *record) {
-	if r.phase != opening || r.target == nil || now-r.synAt < unopenedNamings[0] || f.evidence[r.target.Slot].Suspected(now) {
+	if r.phase != opening || r.target == nil || now-r.synAt < unopenedTellTimes[0] || f.evidence[r.target.Slot].Suspected(now) {
 		return
 	}
-	u := f.unopened[k]
-	if u == nil && len(f.unopened) >= maxUnopened {
-		f.flowsNotTold++
+	u := f.halfOpen.unopened[k]
+	if u == nil && len(f.halfOpen.unopened) >= maxUnopened {
+		f.halfOpen.notTold++
 		return
 	}
 	if u == nil || u.synSeq != r.synSeq || len(u.tried) != r.tries {
-		f.unopened[k] = &unopenedFlow{tried: slices.Clone(r.tried[:r.tries]), synSeq: r.synSeq, copied: r.copied, synAt: r.firstSYNAt}
+		f.halfOpen.unopened[k] = &unopenedFlow{tried: slices.Clone(r.tried[:r.tries]), synSeq: r.synSeq, copied: r.copied, synAt: r.firstSYNAt}
 	}
 }
 
@@ -51,30 +47,30 @@
 // that have opened here, or that no target holds any more.
 func (f *Forwarder) sweepUnopened(now time.Duration) {
 	var due []flow.Key
-	for k, u := range f.unopened {
+	for k, u := range f.halfOpen.unopened {
 		r := f.flows.get(k)
 		switch {
 		case now-u.synAt >= halfopen.RepeatTime || r != nil && r.phase != opening && r.tries > 0:
-			delete(f.unopened, k)
-		case u.namings < len(unopenedNamings) && now-u.synAt >= unopenedNamings[u.namings]:
+			delete(f.halfOpen.unopened, k)
+		case u.told < len(unopenedTellTimes) && now-u.synAt >= unopenedTellTimes[u.told]:
 			due = append(due, k)
 		}
 	}
 	slices.SortFunc(due, compareHashes)
 	for _, k := range due {
-		f.nameUnopened(now, k, f.unopened[k])
+		f.tellUnopened(now, k, f.halfOpen.unopened[k])
 	}
 }
 
-// nameUnopened adds an unopened flow to the result of TakeUnopened, if there is room.
-func (f *Forwarder) nameUnopened(now time.Duration, k flow.Key, u *unopenedFlow) {
-	if len(f.unopenedToName)+len(u.tried) > maxUnopenedNamed {
-		f.flowsNotTold++
+// tellUnopened adds an unopened flow to the result of TakeUnopened, if there is room.
+func (f *Forwarder) tellUnopened(now time.Duration, k flow.Key, u *unopenedFlow) {
+	if len(f.halfOpen.unopenedToTell)+len(u.tried) > maxToldAtOnce {
+		f.halfOpen.notTold++
 		return
 	}
-	u.namings++
+	u.told++
 	for _, t := range u.tried {
-		f.unopenedToName = append(f.unopenedToName, halfopen.Unopened{
+		f.halfOpen.unopenedToTell = append(f.halfOpen.unopenedToTell, halfopen.Unopened{
 			Flow: k, TargetCookie: uint32(t.Cookie), TargetBorn: t.born, SYNSeq: u.synSeq, Copy: u.copied, Age: now - u.synAt,
 		})
 	}
@@ -86,15 +82,11 @@
 // TakeUnopened returns the flows that other VMs are to be told of since the last call. The slice is
 // valid until the next call of any method.
 func (f *Forwarder) TakeUnopened() []halfopen.Unopened {
-	taken := f.unopenedToName
-	f.unopenedToName = f.unopenedToName[:0]
+	taken := f.halfOpen.unopenedToTell
+	f.halfOpen.unopenedToTell = f.halfOpen.unopenedToTell[:0]
 	return taken
 }
 
-// FlowsNotTold returns the number of times that a flow was not kept, or other VMs not told of it, for
-// lack of room.
-func (f *Forwarder) FlowsNotTold() uint64 { return f.flowsNotTold }
-
 // UnopenedOutcome is what a VM makes of a flow that has not opened at another one.
 type UnopenedOutcome uint8
 
