--- a/lab/soak/fleet.go
+++ b/lab/soak/fleet.go
@@ -303,9 +303,9 @@
 	}
 }
 
-// routeFlow returns the address of the VM that the routers select for a flow of a caller
-// in a failure domain. VMs of that domain are preferred.
-func (f *fleet) routeFlow(domain int, flow *flowends.Flow) netip.AddrPort {
+// routeFlow returns the VM that the routers select for a flow of a caller in a failure domain, or nil.
+// VMs of that domain are preferred.
+func (f *fleet) routeFlow(domain int, flow *flowends.Flow) *vm {
 	for i := range domains {
 		d := (domain + i) % domains
 		var best *vm
@@ -320,10 +320,10 @@
 			}
 		}
 		if best != nil {
-			return best.at(packetsPort)
+			return best
 		}
 	}
-	return netip.AddrPort{}
+	return nil
 }
 
 // checkVMs emulates the readiness checks of the routers.
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -23,6 +23,11 @@
 	storePort     = 7404
 )
 
+// killSettleTime is the time after a kill of a VM in which another target may reset a flow whose packet
+// the VM has got: what it knew of the flow is gone, and it may not have told others yet. It is that of
+// the platform (stable_window_ms).
+const killSettleTime = 4 * time.Second
+
 // stopGrace bounds the graceful shutdown of a VM.
 const stopGrace = 4 * time.Second
 
@@ -39,7 +44,8 @@
 
 	mu           sync.Mutex
 	process      *exec.Cmd
-	exitExpected bool // the process was signaled to exit
+	exitExpected bool      // the process was signaled to exit
+	killedAt     time.Time // last time
 	closing      bool
 	ready        bool // in rotation at the routers
 	failedChecks int
@@ -139,10 +145,20 @@
 	if endsProcess {
 		v.exitExpected = true
 	}
+	if s == syscall.SIGKILL {
+		v.killedAt = time.Now()
+	}
 	// Signaling a process that has just exited fails.
 	_ = v.process.Process.Signal(s)
 }
 
+// killedLately reports whether the VM was killed less than killSettleTime ago.
+func (v *vm) killedLately() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return time.Since(v.killedAt) < killSettleTime
+}
+
 // stop kills the process and does not restart it.
 func (v *vm) stop() {
 	v.mu.Lock()
