Tell the keepers of a contested flow at once

A VM told its keepers 0.25 to 0.75 s after the opening, up to a second later behind another announcement. If it was killed before, nobody knew of the flow's target, though the VM that had sent the first SYN was alive. Keepers are told when the flow opens, at most every 100 ms; the VMs of the domain as before. TestKeepersAreToldOfAContestedFlowAtOnce failed before (nothing told).

--- a/decide/forward/contested.go
+++ b/decide/forward/contested.go
@@ -13,13 +13,16 @@
 const maxContested = 4096
 
 // contestedTellTimes are the times after a flow has become contested at which its keepers are told of it,
-// and the other targets get its cookie: again, since a datagram may be lost, and as long as the other
-// targets may take a SYN (halfopen.MaxCorrectionAge). Flows of a single request have ended before the
-// first. VMs of the own domain, each of which costs a datagram, are told at some of these times.
+// and from the second on the other targets get its cookie: again, since a datagram may be lost, and as
+// long as the other targets may take a SYN (halfopen.MaxCorrectionAge). VMs of the own domain, each of
+// which costs a datagram, are told at some of these times; flows of a single request have ended by then.
 var contestedTellTimes = [...]struct {
 	after    time.Duration
 	toDomain bool
-}{{250 * time.Millisecond, true}, {time.Second, false}, {3 * time.Second, true}, {6 * time.Second, false}}
+}{{0, false}, {250 * time.Millisecond, true}, {time.Second, false}, {3 * time.Second, true}, {6 * time.Second, false}}
+
+// contestedSweepInterval is the minimum time between two searches for contested flows that are due.
+const contestedSweepInterval = 100 * time.Millisecond
 
 // contestedFlow is the state of a flow that has opened here, while another target may hold it
 // half-open.
@@ -62,7 +65,9 @@
 		return
 	}
 	r.contested = true
-	f.halfOpen.contested[k] = &contestedFlow{since: now}
+	c := &contestedFlow{since: now}
+	f.halfOpen.contested[k] = c
+	f.tellContested(now, k, r, c)
 }
 
 // tellContested queues a contested flow for TakeContested or TakeForKeepers.
@@ -141,6 +146,10 @@
 // sweepContested names the contested flows that are due, in the order of their hashes, and forgets those
 // that have ended.
 func (f *Forwarder) sweepContested(now time.Duration) {
+	if len(f.halfOpen.contested) == 0 || now < f.halfOpen.nextContestedSweep {
+		return
+	}
+	f.halfOpen.nextContestedSweep = now + contestedSweepInterval
 	var due []flow.Key
 	for k, c := range f.halfOpen.contested {
 		r := f.flows.get(k)
--- a/decide/forward/forward.go
+++ b/decide/forward/forward.go
@@ -380,6 +380,7 @@
 func (f *Forwarder) Tick(now time.Duration) time.Duration {
 	const interval, leavingInterval = 500 * time.Millisecond, 100 * time.Millisecond
 	settled := f.cold.settle(now)
+	f.sweepContested(now)
 	if now < f.nextSweep {
 		return min(f.nextSweep, settled)
 	}
@@ -410,7 +411,6 @@
 		}
 	}
 	f.sweepUnopened(now)
-	f.sweepContested(now)
 	f.sweepHints(now)
 	f.view.Tick(now, func(t *catalog.Target) bool { return f.loads[t.Slot].Flows > 0 })
 	return min(f.nextSweep, settled)
--- a/decide/forward/halfopen.go
+++ b/decide/forward/halfopen.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"time"
+
 	"github.com/gypsumspan/gypsumspan/decide/flow"
 	"github.com/gypsumspan/gypsumspan/decide/halfopen"
 )
@@ -26,6 +28,8 @@
 	openedForKeepers []halfopen.Opened   // not yet returned by TakeForKeepers
 	corrections      []Correction        // not yet returned by TakeCorrections
 	notTold          uint64              // see FlowsNotTold
+
+	nextContestedSweep time.Duration
 }
 
 func newHalfOpenFlows() halfOpenFlows {
--- a/services/packets/announce.go
+++ b/services/packets/announce.go
@@ -12,32 +12,39 @@
 	"github.com/gypsumspan/gypsumspan/events"
 )
 
-// announceInterval is the minimum time between two announcements, each of which is a datagram to each VM
-// of the domain, and leavingInterval that of a VM which will soon be gone.
+// announceInterval is the minimum time between two announcements to the VMs of the domain, each of which
+// gets a datagram, and leavingInterval that of a VM which will soon be gone. keeperInterval is that of
+// messages for single keepers.
 const (
 	announceInterval = time.Second
 	leavingInterval  = 100 * time.Millisecond
+	keeperInterval   = 100 * time.Millisecond
 )
 
-// announce tells other VMs, at most every announceInterval, of targets that have left a SYN
-// unanswered, of flows that have not opened at this VM, and of contested ones.
+// announce tells other VMs of targets that have left a SYN unanswered, of flows that have not opened at
+// this VM, and of contested ones.
 func (s *Service) announce(now time.Duration) {
-	if s.reports == nil || now < s.nextAnnounce {
+	if s.reports == nil {
 		return
 	}
-	a := relay.Announcement{
-		UnansweredBy: slices.Clone(s.forwarder.TakeUnanswered()),
-		Unopened:     slices.Clone(s.forwarder.TakeUnopened()),
-		Contested:    slices.Clone(s.forwarder.TakeContested()),
-		ForKeepers:   slices.Clone(s.forwarder.TakeForKeepers()),
+	var a relay.Announcement
+	if now >= s.nextAnnounce {
+		a.UnansweredBy = slices.Clone(s.forwarder.TakeUnanswered())
+		a.Unopened = slices.Clone(s.forwarder.TakeUnopened())
+		a.Contested = slices.Clone(s.forwarder.TakeContested())
 	}
-	if len(a.UnansweredBy)+len(a.Unopened)+len(a.Contested)+len(a.ForKeepers) == 0 {
-		return
+	if now >= s.nextKeepers {
+		a.ForKeepers = slices.Clone(s.forwarder.TakeForKeepers())
 	}
-	s.nextAnnounce = now + announceInterval
-	if s.leaving {
-		s.nextAnnounce = now + leavingInterval
+	if len(a.UnansweredBy)+len(a.Unopened)+len(a.Contested) > 0 {
+		s.nextAnnounce = now + announceInterval
+		if s.leaving {
+			s.nextAnnounce = now + leavingInterval
+		}
+	} else if len(a.ForKeepers) == 0 {
+		return
 	}
+	s.nextKeepers = now + keeperInterval
 	s.logUnopened(a.Unopened)
 	s.reports.Announce(a)
 }
--- a/services/packets/packets.go
+++ b/services/packets/packets.go
@@ -192,6 +192,7 @@
 	outliers        []string // ejected targets, as last logged
 	nextReport      time.Duration
 	nextAnnounce    time.Duration      // see announce
+	nextKeepers     time.Duration      // see announce
 	leaving         bool               // the VM stops as planned
 	stepDue         time.Duration      // latest time at which the next step is due
 	clocks          datagramage.Clocks // as last read
