--- a/decide/forward/explain_test.go
+++ b/decide/forward/explain_test.go
@@ -111,3 +111,56 @@
 	r.Equal(r.f.Explain(0, key(1)).Refusal, Evacuated.String())
 	r.Equal(r.f.loads[0], balance.Load{})
 }
+
+// Guards against a question that stops the VM for good (review/11): the flow's SYN went to a cold target,
+// which has no rank for a copy, while the VM may send it other flows.
+func TestExplainEndsForAFlowAtAColdTarget(t *testing.T) {
+	r := newHarness(t)
+	r.limitCold(4)
+	r.cool(0, 7, 5*time.Second, 1, 2, 3, 4, 5)
+	r.grant(0, 2, 7, 9)
+	r.Equal(r.f.Receive(0, syn(1, 0)).Target.ID, "i-2")
+	e := r.f.Explain(100*ms, key(1))
+	r.Equal(e.Refusal, ColdLimit.String())
+	r.Equal(e.Candidates[1].ID, "i-2")
+	r.Equal(e.Candidates[1].Excluded, triedWhileCold)
+	v := r.f.Receive(200*ms, syn(1, 1))
+	r.Equal(v.Action, Drop)
+	r.Equal(v.Reason.String(), e.Refusal)
+}
+
+// Guards against questions without an end or with a candidate that is neither ranked nor excluded, for
+// any state of flows, cold targets, tokens and evidence.
+func TestExplainEnds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		r := newHarness(t)
+		r.limitCold(rapid.SampledFrom([]float64{0, 0.1, 4}).Draw(rt, "per second"))
+		now := time.Duration(0)
+		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			now += time.Duration(rapid.IntRange(0, 800).Draw(rt, "ms")) * ms
+			caller := uint16(rapid.IntRange(1, 6).Draw(rt, "caller"))
+			id := rapid.IntRange(1, 5).Draw(rt, "target")
+			born := int64(rapid.IntRange(1, 3).Draw(rt, "born"))
+			switch rapid.IntRange(0, 5).Draw(rt, "action") {
+			case 0:
+				r.cool(now, born, time.Duration(rapid.IntRange(0, 3000).Draw(rt, "cold"))*ms, id)
+			case 1:
+				r.grant(now, id, born, uint32(rapid.IntRange(0, 9).Draw(rt, "tokens")))
+			case 2:
+				r.evacuate(rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "domain"), rapid.Bool().Draw(rt, "evacuated"))
+			case 3:
+				if record := r.f.flows.get(key(caller)); record != nil && record.target != nil {
+					r.f.Receive(now, ackPacket(caller, record.target.Cookie, 101, 500, 10))
+				}
+			default:
+				r.f.Receive(now, syn(caller, uint32(rapid.IntRange(0, 2).Draw(rt, "copy"))))
+			}
+			r.f.Tick(now)
+			for _, c := range r.f.Explain(now, key(caller)).Candidates {
+				if (c.Rank == "") == (c.Excluded == "") || c.Chosen && c.Excluded != "" {
+					rt.Fatalf("at %s: candidate %+v", now, c)
+				}
+			}
+		}
+	})
+}
--- a/decide/forward/explainchoice.go
+++ b/decide/forward/explainchoice.go
@@ -28,6 +28,41 @@
 // rankNames are the ranks as they appear in explanations, best first.
 var rankNames = [ranks]string{"preferred_healthy", "local_healthy", "any_healthy", "local_unhealthy", "any_unhealthy", "any_tried"}
 
+// triedWhileCold is the exclusion of a cold target that has got a SYN of the flow: it gets no copy, which
+// would count as another flow.
+const triedWhileCold = "tried_while_cold"
+
+// rankOf returns the best rank of a target for a flow. ok is false if it has none.
+func (f *Forwarder) rankOf(now time.Duration, t *catalog.Target, r *record) (rank int, ok bool) {
+	for rank := range ranks {
+		if f.inRank(now, t, r, rank) {
+			return rank, true
+		}
+	}
+	return 0, false
+}
+
+// nextChoice returns the target that the next SYN of a flow gets, or nil and why it gets none.
+func (f *Forwarder) nextChoice(now time.Duration, k flow.Key, route *catalog.Route, r *record) (*catalog.Target, Reason) {
+	if r.target != nil {
+		switch f.retryOf(now, flow.Packet{Flow: k, Ack: 1}, r, route) {
+		case tryAgain:
+			return r.target, Repeated
+		case leaveOut:
+			return nil, f.leaveOutReason(now, r.target)
+		}
+	}
+	t := f.choose(now, k, route, r)
+	switch {
+	case t != nil:
+		return t, Placed
+	case r.target != nil && f.cold.isLimited(now, r.target, &f.evidence[r.target.Slot]):
+		return nil, ColdLimit
+	default:
+		return nil, f.noTargetReason(now, k, route)
+	}
+}
+
 // scratchCopy returns a forwarder that chooses as f does. What a choice modifies is copied: the
 // reused lists of candidates and the cache of the reachability of domains.
 func (f *Forwarder) scratchCopy() *Forwarder {
@@ -48,12 +83,9 @@
 	if known := f.flows.get(k); known != nil && known.phase == opening {
 		*r = *known
 	}
-	chosen := r.target
-	if chosen == nil || f.retryOf(now, flow.Packet{Flow: k, Ack: 1}, r, route) == tryAnother {
-		chosen = f.choose(now, k, route, r)
-	}
+	chosen, refusal := f.nextChoice(now, k, route, r)
 	if chosen == nil {
-		e.Refusal = f.noTargetReason(now, k, route).String()
+		e.Refusal = refusal.String()
 	}
 	for _, t := range f.view.Service(serviceOf(route, k.Hash())) {
 		c := CandidateStatus{
@@ -62,12 +94,10 @@
 		}
 		if reason := f.exclusion(now, t, route); reason != notExcluded {
 			c.Excluded = reason.String()
-		} else {
-			rank := 0
-			for !f.inRank(now, t, r, rank) {
-				rank++
-			}
+		} else if rank, ok := f.rankOf(now, t, r); ok {
 			c.Rank = rankNames[rank]
+		} else {
+			c.Excluded = triedWhileCold
 		}
 		e.Candidates = append(e.Candidates, c)
 	}
