--- a/decide/forward/contested.go
+++ b/decide/forward/contested.go
@@ -143,8 +143,8 @@
 // Contested returns the number of contested flows.
 func (f *Forwarder) Contested() int { return len(f.halfOpen.contested) }
 
-// sweepContested names the contested flows that are due, in the order of their hashes, and forgets those
-// that have ended.
+// sweepContested tells of the contested flows that are due, in the order of their hashes, and forgets
+// those that have ended.
 func (f *Forwarder) sweepContested(now time.Duration) {
 	if len(f.halfOpen.contested) == 0 || now < f.halfOpen.nextContestedSweep {
 		return
@@ -179,14 +179,12 @@
 	}
 }
 
-// foreignEcho handles the cookie of a packet of an open flow. One of another target shows that this one
-// holds the flow half-open and has answered last: it is returned as superseded. The right one ends the
-// danger once no target repeats its answer any more.
-func (f *Forwarder) foreignEcho(now time.Duration, p flow.Packet, r *record, t *catalog.Target, route *catalog.Route) []*catalog.Target {
+// foreignCookie handles the cookie of a packet of an open flow. One of another target shows that this one
+// holds the flow half-open and has answered last: it is returned as superseded.
+func (f *Forwarder) foreignCookie(now time.Duration, p flow.Packet, r *record, t *catalog.Target, route *catalog.Route) []*catalog.Target {
 	if p.Cookie == t.Cookie {
-		if r.contested && now-f.halfOpen.contested[p.Flow].since >= halfopen.RepeatTime {
-			r.contested = false
-			delete(f.halfOpen.contested, p.Flow)
+		if r.contested {
+			f.endContest(now, p.Flow, r)
 		}
 		return nil
 	}
@@ -202,6 +200,16 @@
 	return f.holders(now, []triedTarget{shown}, t, route)
 }
 
+// endContest ends the danger of a flow whose caller returns the right cookie, once no target repeats its
+// answer any more.
+func (f *Forwarder) endContest(now time.Duration, k flow.Key, r *record) {
+	if c := f.halfOpen.contested[k]; c != nil && now-c.since < halfopen.RepeatTime {
+		return
+	}
+	r.contested = false
+	delete(f.halfOpen.contested, k)
+}
+
 // StartLeaving has the VM tell others of all its contested flows and hints at once, and of unopened
 // flows as soon as they are: it will be gone.
 func (f *Forwarder) StartLeaving(now time.Duration) {
--- a/decide/forward/contested_test.go
+++ b/decide/forward/contested_test.go
@@ -62,7 +62,7 @@
 
 // Guards against a single message or correction that is lost: both are repeated while the flow is in
 // danger, and end with it.
-func TestContestedFlowIsNamedWhileItIsInDanger(t *testing.T) {
+func TestContestedFlowIsToldWhileItIsInDanger(t *testing.T) {
 	r := newHarness(t)
 	target := r.openCopy(0, 1)
 	other := r.otherThan(target)
@@ -177,7 +177,7 @@
 
 // Guards against a planned stop that leaves other VMs without what they need: its contested flows, and
 // what it has been told itself.
-func TestLeavingVMNamesWhatItKnows(t *testing.T) {
+func TestLeavingVMTellsWhatItKnows(t *testing.T) {
 	r := newHarness(t)
 	target := r.openCopy(0, 1)
 	r.f.HandleOpened(0, halfopen.Opened{Flow: key(2), TargetCookie: uint32(target.Cookie), SYNSeq: 7, Age: time.Second})
--- a/decide/forward/openflow.go
+++ b/decide/forward/openflow.go
@@ -60,7 +60,7 @@
 // shows: those that got its SYN, when it opens at t, and later the one whose cookie it carries.
 func (f *Forwarder) supersededTargets(now time.Duration, p flow.Packet, r *record, t *catalog.Target, route *catalog.Route) (list []*catalog.Target) {
 	if r.phase != opening {
-		return f.foreignEcho(now, p, r, t, route)
+		return f.foreignCookie(now, p, r, t, route)
 	}
 	if r.isContested(now) {
 		f.contest(now, p.Flow, r)
--- a/decide/forward/unopened.go
+++ b/decide/forward/unopened.go
@@ -43,7 +43,7 @@
 	}
 }
 
-// sweepUnopened names the unopened flows that are due, in the order of their hashes, and forgets those
+// sweepUnopened tells of the unopened flows that are due, in the order of their hashes, and forgets those
 // that have opened here, or that no target holds any more.
 func (f *Forwarder) sweepUnopened(now time.Duration) {
 	var due []flow.Key
