--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -46,6 +46,7 @@
 	process      *exec.Cmd
 	exitExpected bool      // the process was signaled to exit
 	killedAt     time.Time // last time
+	startedAt    time.Time // of the process
 	closing      bool
 	ready        bool // in rotation at the routers
 	failedChecks int
@@ -100,7 +101,7 @@
 	}
 	exited := make(chan struct{})
 	v.mu.Lock()
-	v.process, v.exitExpected, v.exited = cmd, false, exited
+	v.process, v.exitExpected, v.exited, v.startedAt = cmd, false, exited, time.Now()
 	v.mu.Unlock()
 	go v.wait(cmd, log, exited)
 	return nil
@@ -159,6 +160,13 @@
 	return time.Since(v.killedAt) < killSettleTime
 }
 
+// hasRunFor reports whether the process has run for a time.
+func (v *vm) hasRunFor(d time.Duration) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.process != nil && time.Since(v.startedAt) >= d
+}
+
 // stop kills the process and does not restart it.
 func (v *vm) stop() {
 	v.mu.Lock()
