--- a/decide/forward/unopened_test.go
+++ b/decide/forward/unopened_test.go
@@ -9,13 +9,13 @@
 	"github.com/gypsumspan/gypsumspan/decide/relay"
 )
 
-// unopenedAt returns the naming of a caller's flow that has not opened at t.
+// unopenedAt returns what a VM tells of a caller's flow that has not opened at t.
 func unopenedAt(caller uint16, t *catalog.Target, age time.Duration) halfopen.Unopened {
 	return halfopen.Unopened{Flow: key(caller), TargetCookie: uint32(t.Cookie), SYNSeq: 100, Age: age}
 }
 
-// Guards against a half-open flow at a target that another VM has chosen: that VM names the flow, a
-// second time in case that the first is lost, and the VM at which it has opened names the target as
+// Guards against a half-open flow at a target that another VM has chosen: that VM tells of the flow, a
+// second time in case that the first is lost, and the VM at which it has opened has the target as
 // superseded, whichever comes first.
 func TestUnopenedFlowOfAnotherVM(t *testing.T) {
 	one := newHarness(t)
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -396,7 +396,7 @@
 	FlowUnopened = declare(Event{Number: "GS6215", Level: Info, Name: "flow_unopened", Limited: true, Rate: flowRate, Burst: flowBurst,
 		Message: "flow has not opened through this VM, its target may repeat its answer; other VMs are told",
 		Fields:  []string{"caller", "address", "target"}})
-	// UnopenedFlowReceived is written when another VM names a flow that this VM has a record of.
+	// UnopenedFlowReceived is written when another VM tells of an unopened flow that this VM has a record of.
 	UnopenedFlowReceived = declare(Event{Number: "GS6216", Level: Info, Name: "unopened_flow_received", Limited: true, Rate: flowRate, Burst: flowBurst,
 		Message: "another VM has sent a SYN of this flow, which has not opened there",
 		Fields:  []string{"caller", "address", "target", "other", "outcome", "age_ms"}})
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -24,8 +24,8 @@
 )
 
 // killSettleTime is the time after a kill of a VM in which another target may reset a flow whose packet
-// the VM has got: what it knew of the flow is gone, and it may not have told others yet. It is that of
-// the platform (stable_window_ms).
+// the VM has got: what it knew of the flow is gone, and it may not have told others yet. It is the time
+// after a disturbance of a VM from which the platform's rules hold for it again.
 const killSettleTime = 4 * time.Second
 
 // stopGrace bounds the graceful shutdown of a VM.
